--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,185 @@
+// Package catalog holds the operators' configuration in force: the services
+// that the system serves, the kinds of work of each, and the callers. A
+// Snapshot is immutable; a Table swaps snapshots whole, so that readers take
+// no lock.
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// Rank orders work by urgency.
+type Rank uint8
+
+const (
+	// Urgent work must be answered in moments.
+	Urgent Rank = iota
+	// Batch work can wait.
+	Batch
+	// RankCount is the number of ranks.
+	RankCount = 2
+)
+
+var rankNames = [RankCount]string{"urgent", "batch"}
+
+// String returns "urgent" or "batch".
+func (r Rank) String() string {
+	if int(r) < len(rankNames) {
+		return rankNames[r]
+	}
+	return fmt.Sprintf("rank(%d)", uint8(r))
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (r Rank) MarshalText() ([]byte, error) {
+	if int(r) >= len(rankNames) {
+		return nil, fmt.Errorf("catalog: no such rank: %d", uint8(r))
+	}
+	return []byte(r.String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *Rank) UnmarshalText(text []byte) error {
+	i := slices.Index(rankNames[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("catalog: rank is %q, want one of %q", text, rankNames)
+	}
+	*r = Rank(i)
+	return nil
+}
+
+// Kind tells model engines from plain services.
+type Kind string
+
+// The kinds of services.
+const (
+	Model Kind = "model"
+	Plain Kind = "plain"
+)
+
+// Bounds of a RankPolicy.
+const (
+	MaxTarget   = 10 * time.Minute
+	MaxDeadline = time.Hour
+)
+
+// RankPolicy states what a rank of a service is entitled to.
+type RankPolicy struct {
+	Target   time.Duration `json:"target"`    // time to first token, or to the answer of a plain service
+	Deadline time.Duration `json:"deadline"`  // longest time to the end of the answer
+	MinShare float64       `json:"min_share"` // part of the service's capacity kept in a flood of the other rank, 0..1
+}
+
+// Work is a kind of request to a service.
+type Work struct {
+	Name       string `json:"name"`
+	Rank       Rank   `json:"rank"`
+	Home       string `json:"home,omitempty"` // region that its data must not leave, or ""
+	Repeatable bool   `json:"repeatable"`     // false: runs at most once
+}
+
+// Limits bound one caller's use of a service over all instances of a region.
+// Zero means unlimited.
+type Limits struct {
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
+	TokensPerSecond   float64 `json:"tokens_per_second,omitempty"`
+	InFlight          int     `json:"in_flight,omitempty"`
+}
+
+// Service is one service behind the gateway.
+type Service struct {
+	Name    string                `json:"name"`
+	Kind    Kind                  `json:"kind"`
+	Regions []string              `json:"regions,omitempty"` // permitted regions; empty permits all
+	Ranks   [RankCount]RankPolicy `json:"ranks"`
+	Work    map[string]Work       `json:"work"`
+	Default string                `json:"default,omitempty"` // work of a request that names none
+	Limits  Limits                `json:"limits"`            // of a caller without an entry in Callers
+	Callers map[string]Limits     `json:"callers,omitempty"`
+}
+
+// LimitsOf returns the limits of the named caller.
+func (s *Service) LimitsOf(caller string) Limits {
+	if l, ok := s.Callers[caller]; ok {
+		return l
+	}
+	return s.Limits
+}
+
+// Permits reports whether work w of the service may be served in region.
+func (s *Service) Permits(w Work, region string) bool {
+	if w.Home != "" {
+		return region == w.Home
+	}
+	return len(s.Regions) == 0 || slices.Contains(s.Regions, region)
+}
+
+// Caller is an organization that sends requests.
+type Caller struct {
+	Name      string `json:"name"`
+	KeyDigest string `json:"key_digest"` // KeyDigest of its API key
+}
+
+// KeyDigest returns the digest under which an API key is stored: hex of
+// SHA-256.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Snapshot is one revision of the configuration. It must not be modified.
+type Snapshot struct {
+	Revision uint64              `json:"revision"`
+	Services map[string]*Service `json:"services"`
+	Callers  map[string]*Caller  `json:"callers"` // by KeyDigest
+}
+
+// Resolve finds a service and its work. An empty work selects the service's
+// default.
+func (s *Snapshot) Resolve(service, work string) (*Service, Work, error) {
+	svc, ok := s.Services[service]
+	if !ok {
+		return nil, Work{}, fmt.Errorf("catalog: %w: %q", ErrUnknownService, service)
+	}
+	if work == "" {
+		work = svc.Default
+	}
+	w, ok := svc.Work[work]
+	if !ok {
+		return nil, Work{}, fmt.Errorf("catalog: %w: %q of service %q", ErrUnknownWork, work, service)
+	}
+	return svc, w, nil
+}
+
+// Authenticate returns the caller that owns an API key.
+func (s *Snapshot) Authenticate(key string) (*Caller, bool) {
+	c, ok := s.Callers[KeyDigest(key)]
+	return c, ok
+}
+
+// Table publishes the newest snapshot to readers without locks.
+type Table struct {
+	current atomic.Pointer[Snapshot]
+}
+
+// Current returns the snapshot in force, or nil before the first one.
+func (t *Table) Current() *Snapshot { return t.current.Load() }
+
+// Advance puts next in force if its revision is higher than the current one,
+// and reports whether it did. A lower revision never replaces a higher one.
+func (t *Table) Advance(next *Snapshot) bool {
+	for {
+		old := t.current.Load()
+		if old != nil && old.Revision >= next.Revision {
+			return false
+		}
+		if t.current.CompareAndSwap(old, next) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/cmd/fuchsia-dev/system.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fuchsiastack/fuchsiastack/config"
+	"github.com/fuchsiastack/fuchsiastack/daemon"
+	"github.com/fuchsiastack/fuchsiastack/examples"
+	"github.com/fuchsiastack/fuchsiastack/standin/engine"
+	"github.com/fuchsiastack/fuchsiastack/standin/kv"
+	"github.com/fuchsiastack/fuchsiastack/standin/plain"
+	"github.com/fuchsiastack/fuchsiastack/standin/platform"
+	"github.com/fuchsiastack/fuchsiastack/store/consul"
+)
+
+const (
+	anyPort         = "127.0.0.1:0"
+	firstEntry      = "127.0.0.1:8080" // listener of the first region
+	listLag         = time.Second
+	loadLag         = 500 * time.Millisecond
+	engineSlots     = 16
+	prefillPerToken = 100 * time.Microsecond
+	decodePerToken  = 20 * time.Millisecond
+	plainDelay      = 10 * time.Millisecond
+	publishTimeout  = 10 * time.Second
+)
+
+// system is a running set of parts.
+type system struct {
+	group    *errgroup.Group
+	ctx      context.Context
+	setup    setup
+	level    log.Level
+	storeURL string
+	platURL  string
+	entries  []*daemon.Daemon
+}
+
+func (s *system) start() error {
+	var err error
+	if s.storeURL, err = s.serve(kv.New()); err != nil {
+		return err
+	}
+	list := platform.New(listLag)
+	if s.platURL, err = s.serve(list); err != nil {
+		return err
+	}
+	if err := s.publish(); err != nil {
+		return err
+	}
+	if err := s.startBackends(list); err != nil {
+		return err
+	}
+	for i, region := range s.setup.regions {
+		if err := s.startEntry(i, region); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve runs a handler on a free port and returns its base URL.
+func (s *system) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	s.group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	context.AfterFunc(s.ctx, func() { _ = server.Close() })
+	return "http://" + listener.Addr().String(), nil
+}
+
+func (s *system) publish() error {
+	files, err := fs.Sub(examples.Files, s.setup.name)
+	if err != nil {
+		return err
+	}
+	tree, err := config.ReadTree(files)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, publishTimeout)
+	defer cancel()
+	_, err = config.Publish(ctx, consul.New(s.storeURL), tree, 0)
+	return err
+}
+
+// startBackends spreads the backend servers over the regions.
+func (s *system) startBackends(list *platform.Platform) error {
+	for i := range s.setup.engines {
+		e := engine.New(engine.Config{
+			Slots: engineSlots, PrefillPerToken: prefillPerToken, DecodePerToken: decodePerToken, LoadLag: loadLag,
+		})
+		if err := s.addBackend(list, s.setup.model, i, e); err != nil {
+			return err
+		}
+	}
+	for i := range s.setup.plains {
+		if err := s.addBackend(list, s.setup.plain, i, plain.New(plainDelay)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *system) addBackend(list *platform.Platform, service string, i int, handler http.Handler) error {
+	url, err := s.serve(handler)
+	if err != nil {
+		return err
+	}
+	region := s.setup.regions[i%len(s.setup.regions)]
+	list.Put(platform.Server{
+		ID: fmt.Sprintf("%s-%d", service, i), Addr: url[len("http://"):],
+		Region: region, Zone: region + "-a", Service: service, State: "live",
+	})
+	return nil
+}
+
+func (s *system) startEntry(i int, region string) error {
+	settings := daemon.DefaultSettings()
+	settings.Instance = "entry-" + region
+	settings.Region = region
+	settings.Zone = region + "-a"
+	settings.Listen = anyPort
+	if i == 0 {
+		settings.Listen = firstEntry
+	}
+	settings.PeerListen, settings.AdminListen = anyPort, anyPort
+	settings.StoreURL, settings.PlatformURL = s.storeURL, s.platURL
+	logger := &log.Logger{Level: s.level, Writer: &log.IOWriter{Writer: os.Stderr}}
+	d, err := daemon.New(settings, logger)
+	if err != nil {
+		return err
+	}
+	s.entries = append(s.entries, d)
+	s.group.Go(func() error { return d.Run(s.ctx) })
+	return nil
+}
+
+// describe prints the addresses and an example request.
+func (s *system) describe(out io.Writer) {
+	fmt.Fprintf(out, "%s: %d engines, %d plain services\n\n", s.setup.name, s.setup.engines, s.setup.plains)
+	for i, d := range s.entries {
+		fmt.Fprintf(out, "  %-10s %s  metrics http://%s/metrics\n", s.setup.regions[i], d.PublicURL(), d.AdminAddr())
+	}
+	fmt.Fprintf(out, `
+Which instance should a caller use?
+  curl '%[1]s/v1/entry?region=%[2]s'
+
+Ask for a chat completion:
+  curl -N %[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' \
+    -d '{"model":"%[4]s/%[5]s","stream":true,"messages":[{"role":"user","content":"hello"}]}'
+
+Stop with Ctrl-C.
+`, s.entries[0].PublicURL(), s.setup.regions[0], s.setup.key, s.setup.model, s.setup.work)
+}
--- /dev/null
+++ b/cmd/fuchsia-standin/main.go
@@ -0,0 +1,128 @@
+// Command fuchsia-standin runs one stand-in for a part of the platform, a
+// model engine or a plain service. It is for tests and local development.
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/climain"
+	"github.com/fuchsiastack/fuchsiastack/standin/engine"
+	"github.com/fuchsiastack/fuchsiastack/standin/kv"
+	"github.com/fuchsiastack/fuchsiastack/standin/plain"
+	"github.com/fuchsiastack/fuchsiastack/standin/platform"
+)
+
+func main() { climain.Run(command()) }
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "fuchsia-standin",
+		Usage: "stand-ins for tests and local development",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "listen", Usage: "host:port", Value: "127.0.0.1:0"}},
+		Commands: []*cli.Command{
+			{Name: "kv", Usage: "key-value service", Action: runKV},
+			{
+				Name: "platform", Usage: "list of backend servers and directory of instances", Action: runPlatform,
+				Flags: []cli.Flag{&cli.DurationFlag{Name: "lag", Usage: "age of the list", Value: time.Second}},
+			},
+			{
+				Name: "engine", Usage: "model engine", Action: runEngine,
+				Flags: append(
+					serverFlags(),
+					&cli.IntFlag{Name: "slots", Usage: "sequences in the batch", Value: 8},
+					&cli.DurationFlag{Name: "prefill", Usage: "time per prompt token", Value: 50 * time.Microsecond},
+					&cli.DurationFlag{Name: "decode", Usage: "time between tokens", Value: 5 * time.Millisecond},
+				),
+			},
+			{
+				Name: "plain", Usage: "plain service", Action: runPlain,
+				Flags: append(serverFlags(), &cli.DurationFlag{Name: "delay", Usage: "time of a call", Value: 5 * time.Millisecond}),
+			},
+		},
+	}
+}
+
+func serverFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "id", Usage: "id in the list", Required: true},
+		&cli.StringFlag{Name: "service", Usage: "service it belongs to", Required: true},
+		&cli.StringFlag{Name: "region", Required: true},
+		&cli.StringFlag{Name: "zone", Required: true},
+		&cli.StringFlag{Name: "platform-url", Usage: "where to register", Required: true},
+	}
+}
+
+func runKV(ctx context.Context, cmd *cli.Command) error {
+	return serve(ctx, cmd, kv.New(), nil)
+}
+
+func runPlatform(ctx context.Context, cmd *cli.Command) error {
+	return serve(ctx, cmd, platform.New(cmd.Duration("lag")), nil)
+}
+
+func runEngine(ctx context.Context, cmd *cli.Command) error {
+	e := engine.New(engine.Config{
+		ID:              cmd.String("id"),
+		Slots:           cmd.Int("slots"),
+		PrefillPerToken: cmd.Duration("prefill"),
+		DecodePerToken:  cmd.Duration("decode"),
+	})
+	return serve(ctx, cmd, e, register)
+}
+
+func runPlain(ctx context.Context, cmd *cli.Command) error {
+	return serve(ctx, cmd, plain.New(cmd.Duration("delay")), register)
+}
+
+// serve listens, prints "listening HOST:PORT" and serves until ctx ends.
+func serve(ctx context.Context, cmd *cli.Command, handler http.Handler, ready func(context.Context, *cli.Command, string) error) error {
+	listener, err := net.Listen("tcp", cmd.String("listen"))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if ready != nil {
+		if err := ready(ctx, cmd, listener.Addr().String()); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(cmd.Root().Writer, "listening %s\n", listener.Addr())
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// register enters a backend server into the platform's list.
+func register(ctx context.Context, cmd *cli.Command, addr string) error {
+	body, err := json.Marshal(platform.Server{
+		Addr: addr, Region: cmd.String("region"), Zone: cmd.String("zone"),
+		Service: cmd.String("service"), State: "live",
+	})
+	if err != nil {
+		return err
+	}
+	target := cmd.String("platform-url") + "/v1/servers/" + cmd.String("id")
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, target, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "register")
+	}
+	return resp.Body.Close()
+}
--- /dev/null
+++ b/cmd/fuchsiad/main.go
@@ -0,0 +1,32 @@
+// Command fuchsiad is the daemon that runs on each entry instance.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/phuslu/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fuchsiastack/fuchsiastack/daemon"
+	"github.com/fuchsiastack/fuchsiastack/internal/climain"
+)
+
+func main() { climain.Run(command()) }
+
+func command() *cli.Command {
+	s := daemon.DefaultSettings()
+	return &cli.Command{
+		Name:  "fuchsiad",
+		Usage: "entry instance of a multi-region inference gateway",
+		Flags: flags(&s),
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			logger := &log.Logger{Level: log.ParseLevel(s.Log), Writer: &log.IOWriter{Writer: os.Stdout}}
+			d, err := daemon.New(s, logger)
+			if err != nil {
+				return err
+			}
+			return d.Run(ctx)
+		},
+	}
+}
--- /dev/null
+++ b/daemon/chain.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+)
+
+// Bounds of the connections to backend servers and other instances.
+const (
+	dialTimeout         = 2 * time.Second
+	maxIdleConnsPerHost = 256
+	drainRetryAfter     = time.Second
+)
+
+// callerChain is the chain of requests that arrive from callers.
+func (d *Daemon) callerChain(last filters.Handler) filters.Handler {
+	home := filters.Home{Region: d.settings.Region, EntryOf: d.peers.URL}
+	return filters.Chain(
+		last,
+		filters.RejectHops{},
+		filters.Ready{Table: d.table},
+		filters.Authenticate{},
+		filters.Resolve{},
+		home,
+		drainFilter{d},
+		filters.ReadBody{MaxBytes: d.settings.MaxBodyBytes},
+		home,
+	)
+}
+
+// peerChain is the chain of requests that other instances forward.
+func (d *Daemon) peerChain(last filters.Handler) filters.Handler {
+	return filters.Chain(
+		last,
+		filters.Ready{Table: d.table},
+		filters.AcceptHop{Instance: d.settings.Instance, Region: d.settings.Region},
+		filters.Home{Region: d.settings.Region, EntryOf: d.peers.URL},
+		drainFilter{d},
+		filters.ReadBody{MaxBytes: d.settings.MaxBodyBytes},
+	)
+}
+
+// drainFilter refuses new work while the instance drains, and names another
+// instance.
+type drainFilter struct{ daemon *Daemon }
+
+// Name implements filters.Filter.
+func (drainFilter) Name() string { return "drain" }
+
+// Handle implements filters.Filter.
+func (f drainFilter) Handle(x *filters.Exchange, next filters.Handler) *outcome.Error {
+	d := f.daemon
+	if !d.draining.Load() {
+		return next(x)
+	}
+	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeDraining, "this instance is shutting down").WithRetryAfter(drainRetryAfter)
+	refusal.Location = d.peers.URL(d.settings.Region)
+	return refusal
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/daemon/controllers.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/config"
+	"github.com/fuchsiastack/fuchsiastack/platform"
+)
+
+const (
+	watchWait       = 30 * time.Second // one watch of the store
+	watchSlack      = 5 * time.Second  // beyond watchWait until the call is given up
+	watchRetry      = time.Second      // after a failed watch
+	loadTimeout     = time.Second
+	maxLoadBytes    = 16 << 10
+	maxLoadRequests = 32 // load reports asked for at once
+	refusedHeader   = "Fuchsia-Refused"
+)
+
+// startControllers runs every controller until ctx ends.
+func (d *Daemon) startControllers(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { d.followConfig(ctx); return nil })
+	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readList); return nil })
+	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.readLoads); return nil })
+	group.Go(func() error { every(ctx, d.settings.DirectoryTTL/3, d.register); return nil })
+	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readPeers); return nil })
+}
+
+// every calls f at once and then each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// followConfig puts each newer revision in the store in force.
+func (d *Daemon) followConfig(ctx context.Context) {
+	var index uint64
+	for ctx.Err() == nil {
+		next, err := d.watchConfig(ctx, index)
+		if err != nil {
+			d.log.Warn().Str("event", "config_watch_failed").Err(err).Msg("")
+			sleep(ctx, watchRetry)
+			continue
+		}
+		index = next
+	}
+}
+
+func (d *Daemon) watchConfig(ctx context.Context, index uint64) (uint64, error) {
+	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	entries, next, err := d.store.Watch(callCtx, config.Prefix, index, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	snapshot, err := config.Load(entries)
+	if err != nil {
+		return 0, err
+	}
+	if snapshot.Revision > 0 && d.table.Advance(snapshot) {
+		d.log.Info().Str("event", "config").Uint64("revision", snapshot.Revision).
+			Int("services", len(snapshot.Services)).Int("callers", len(snapshot.Callers)).Msg("")
+	}
+	return next, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (d *Daemon) readList(ctx context.Context) {
+	list, err := d.platform.Servers(ctx, d.settings.Region)
+	if err != nil {
+		d.log.Warn().Str("event", "list_failed").Err(err).Msg("")
+		return
+	}
+	d.registry.Replace(list)
+}
+
+func (d *Daemon) readLoads(ctx context.Context) {
+	var group errgroup.Group
+	group.SetLimit(maxLoadRequests)
+	for _, server := range d.registry.All() {
+		group.Go(func() error { d.readLoad(ctx, server); return nil })
+	}
+	_ = group.Wait()
+}
+
+func (d *Daemon) readLoad(ctx context.Context, server *backend.Server) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Addr+"/load", http.NoBody)
+	if err != nil {
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get(refusedHeader) != "" {
+		server.SetLeaving()
+	}
+	var load backend.Load
+	if json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&load) != nil {
+		return
+	}
+	load.At = time.Now()
+	server.SetLoad(load)
+}
+
+func (d *Daemon) self() platform.Instance {
+	return platform.Instance{
+		ID:       d.settings.Instance,
+		URL:      d.settings.PublicURL,
+		PeerAddr: d.settings.PeerAddr,
+		Region:   d.settings.Region,
+		Zone:     d.settings.Zone,
+	}
+}
+
+func (d *Daemon) register(ctx context.Context) {
+	if d.draining.Load() || d.table.Current() == nil {
+		return
+	}
+	if err := d.platform.Register(ctx, d.self(), d.settings.DirectoryTTL); err != nil {
+		d.log.Warn().Str("event", "register_failed").Err(err).Msg("")
+	}
+}
+
+func (d *Daemon) readPeers(ctx context.Context) {
+	instances, err := d.platform.Instances(ctx, "")
+	if err != nil {
+		d.log.Warn().Str("event", "directory_failed").Err(err).Msg("")
+		return
+	}
+	d.peers.replace(d.settings.Instance, instances)
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/fuchsiastack/fuchsiastack/entry"
+	"github.com/fuchsiastack/fuchsiastack/platform"
+)
+
+// peerTable holds the other instances by region.
+type peerTable struct {
+	mu       sync.RWMutex
+	byRegion map[string][]platform.Instance
+	next     atomic.Uint32
+}
+
+func (t *peerTable) replace(self string, instances []platform.Instance) {
+	byRegion := make(map[string][]platform.Instance)
+	for _, i := range instances {
+		if i.ID != self {
+			byRegion[i.Region] = append(byRegion[i.Region], i)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.byRegion = byRegion
+}
+
+// pick returns an instance of region in turn, or the zero Instance.
+func (t *peerTable) pick(region string) platform.Instance {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	instances := t.byRegion[region]
+	if len(instances) == 0 {
+		return platform.Instance{}
+	}
+	return instances[int(t.next.Add(1))%len(instances)]
+}
+
+// Peer implements dispatch.Peers.
+func (t *peerTable) Peer(region string) string {
+	return t.pick(region).PeerAddr
+}
+
+// URL returns the URL for callers of an instance in region, or "".
+func (t *peerTable) URL(region string) string {
+	return t.pick(region).URL
+}
+
+// Reachable implements routing.Regions.
+func (t *peerTable) Reachable() []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	regions := make([]string, 0, len(t.byRegion))
+	for region := range t.byRegion {
+		regions = append(regions, region)
+	}
+	slices.Sort(regions)
+	return regions
+}
+
+func (t *peerTable) all() []platform.Instance {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var all []platform.Instance
+	for _, instances := range t.byRegion {
+		all = append(all, instances...)
+	}
+	return all
+}
+
+// answerEntry tells a caller which instances to use.
+func (d *Daemon) answerEntry(w http.ResponseWriter, r *http.Request) {
+	known := d.peers.all()
+	if !d.draining.Load() {
+		known = append(known, d.self())
+	}
+	instances := make([]entry.Instance, len(known))
+	for i, p := range known {
+		instances[i] = entry.Instance{ID: p.ID, URL: p.URL, Region: p.Region, Zone: p.Zone}
+	}
+	query := r.URL.Query()
+	answer := entry.Select(instances, query.Get("region"), query.Get("zone"), spreadFor(r.RemoteAddr))
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// spreadFor orders equal instances differently for different callers.
+func spreadFor(caller string) func(id string) uint64 {
+	return func(id string) uint64 {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(caller))
+		_, _ = h.Write([]byte(id))
+		return h.Sum64()
+	}
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,78 @@
+// Package daemon runs one entry instance: the listeners for callers and for
+// other instances, and the controllers that keep its state.
+package daemon
+
+import (
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Settings configure an instance.
+type Settings struct {
+	Instance    string // unique id
+	Region      string
+	Zone        string
+	Listen      string // host:port for callers
+	PeerListen  string // host:port for other instances
+	AdminListen string // host:port for metrics and status
+	PublicURL   string // base URL that callers are told; default from Listen
+	PeerAddr    string // host:port that instances are told; default from PeerListen
+	StoreURL    string
+	PlatformURL string
+	Log         string // "debug", "info", "warn" or "error"
+
+	MaxBodyBytes  int64
+	ListInterval  time.Duration // between reads of the list of backend servers
+	LoadInterval  time.Duration // between load reports of a backend server
+	DirectoryTTL  time.Duration // life of the entry in the directory
+	DrainDeadline time.Duration // longest graceful shutdown
+}
+
+// DefaultSettings returns the settings that have defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		Listen:        "127.0.0.1:8080",
+		PeerListen:    "127.0.0.1:8081",
+		AdminListen:   "127.0.0.1:8082",
+		Log:           "info",
+		MaxBodyBytes:  8 << 20,
+		ListInterval:  time.Second,
+		LoadInterval:  500 * time.Millisecond,
+		DirectoryTTL:  10 * time.Second,
+		DrainDeadline: 10 * time.Minute,
+	}
+}
+
+// Check returns all faults of the settings at once.
+func (s *Settings) Check() error {
+	var faults []string
+	fault := func(bad bool, text string) {
+		if bad {
+			faults = append(faults, text)
+		}
+	}
+	fault(s.Instance == "", "instance: must be set")
+	fault(s.Region == "", "region: must be set")
+	fault(s.Zone == "", "zone: must be set")
+	for name, addr := range map[string]string{"listen": s.Listen, "peer-listen": s.PeerListen, "admin-listen": s.AdminListen} {
+		_, _, err := net.SplitHostPort(addr)
+		fault(err != nil, name+": want host:port")
+	}
+	for name, raw := range map[string]string{"store-url": s.StoreURL, "platform-url": s.PlatformURL} {
+		u, err := url.Parse(raw)
+		fault(err != nil || u.Host == "", name+": want a URL such as http://10.0.0.1:8500")
+	}
+	fault(s.MaxBodyBytes < 1<<10 || s.MaxBodyBytes > 64<<20, "max-body-bytes: want 1024 to 67108864")
+	fault(s.ListInterval < 100*time.Millisecond || s.ListInterval > 10*time.Second, "list-interval: want 100ms to 10s")
+	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > 10*time.Second, "load-interval: want 50ms to 10s")
+	fault(s.DirectoryTTL < 2*time.Second || s.DirectoryTTL > time.Minute, "directory-ttl: want 2s to 1m")
+	fault(s.DrainDeadline < time.Second || s.DrainDeadline > time.Hour, "drain-deadline: want 1s to 1h")
+	if len(faults) > 0 {
+		return errors.New("bad settings: " + strings.Join(faults, "; "))
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,238 @@
+// Package dispatch sends a request to the backend server or to the region
+// that routing chose, tries again where that is safe, and relays the answer.
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/relay"
+	"github.com/fuchsiastack/fuchsiastack/routing"
+)
+
+// maxAttempts bounds the tries of one request.
+const maxAttempts = 3
+
+// refusedHeader is set by a backend server that refuses a request before
+// running it.
+const refusedHeader = "Fuchsia-Refused"
+
+// Peers finds instances of other regions.
+type Peers interface {
+	// Peer returns the host:port of an instance in region for other instances,
+	// or "".
+	Peer(region string) string
+}
+
+// Observer is told of decisions and attempts.
+type Observer interface {
+	// Decided is called once for each routing decision.
+	Decided(x *filters.Exchange, attempt int, d routing.Decision)
+	// FirstByte is called when the answer begins.
+	FirstByte(x *filters.Exchange)
+	// Attempted is called at the end of each attempt.
+	Attempted(x *filters.Exchange, attempt int, d routing.Decision, o outcome.Outcome, err error)
+}
+
+// Dispatcher is the last step of the filter chain.
+type Dispatcher struct {
+	Instance  string // id of this instance
+	Region    string
+	Router    *routing.Router
+	Peers     Peers
+	Transport http.RoundTripper
+	// PeerScheme is "https" with mutual TLS, or "http" in development.
+	PeerScheme string
+	Observer   Observer
+}
+
+// Handle implements filters.Handler.
+func (d *Dispatcher) Handle(x *filters.Exchange) *outcome.Error {
+	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
+	defer cancel()
+	req := routeRequest(x)
+	for attempt := 1; ; attempt++ {
+		decision := d.Router.Decide(req)
+		d.Observer.Decided(x, attempt, decision)
+		err := d.attempt(ctx, x, decision, attempt)
+		if err == nil || !retryable(x, err) || attempt == maxAttempts || ctx.Err() != nil {
+			return err
+		}
+		if decision.Server != nil {
+			req.Tried[decision.Server.ID] = true
+		}
+	}
+}
+
+func routeRequest(x *filters.Exchange) *routing.Request {
+	return &routing.Request{
+		ID:           x.ID,
+		Service:      x.Service,
+		Work:         x.Work,
+		Caller:       x.Caller,
+		Deadline:     x.Deadline,
+		PromptTokens: x.PromptTokens,
+		Prefix:       x.Prefix,
+		Forwarded:    x.Hop != nil,
+		Tried:        make(map[string]bool),
+	}
+}
+
+// retryable reports whether another attempt is safe.
+func retryable(x *filters.Exchange, err *outcome.Error) bool {
+	if x.Started {
+		return false
+	}
+	switch err.Code {
+	case outcome.CodeBackendFailed, outcome.CodeBackendRefused:
+		return err.Outcome == outcome.NotRun || x.Work.Repeatable
+	}
+	return false
+}
+
+func (d *Dispatcher) attempt(ctx context.Context, x *filters.Exchange, decision routing.Decision, attempt int) *outcome.Error {
+	var err *outcome.Error
+	switch {
+	case decision.Server != nil:
+		err = d.toServer(ctx, x, decision.Server)
+	case decision.Region != "":
+		err = d.toRegion(ctx, x, decision.Region)
+	default:
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoBackend, "no backend server can serve this request now").WithRetryAfter(time.Second)
+	}
+	result := outcome.Served
+	var cause error
+	if err != nil {
+		result, cause = err.Outcome, err
+	}
+	d.Observer.Attempted(x, attempt, decision, result, cause)
+	return err
+}
+
+func (d *Dispatcher) toServer(ctx context.Context, x *filters.Exchange, server *backend.Server) *outcome.Error {
+	if !x.Service.Permits(x.Work, server.Region) {
+		panic("dispatch: backend server " + server.ID + " is outside the permitted regions")
+	}
+	defer server.Begin()()
+	req, err := newRequest(ctx, x, "http://"+server.Addr+x.Path)
+	if err != nil {
+		return badPath(err)
+	}
+	copyRequestHeader(req.Header, x.Request.Header)
+	resp, failure := d.send(req)
+	if failure != nil {
+		return failure
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get(refusedHeader) != "" {
+		server.SetLeaving()
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeBackendRefused, "the backend server refused the request")
+	}
+	return d.relay(x, resp)
+}
+
+func (d *Dispatcher) toRegion(ctx context.Context, x *filters.Exchange, region string) *outcome.Error {
+	if x.Hop != nil || !x.Service.Permits(x.Work, region) {
+		panic("dispatch: request must not be forwarded to " + region)
+	}
+	addr := d.Peers.Peer(region)
+	if addr == "" {
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoBackend, "no instance of region %s is known", region)
+	}
+	req, err := newRequest(ctx, x, d.PeerScheme+"://"+addr+x.Path)
+	if err != nil {
+		return badPath(err)
+	}
+	copyRequestHeader(req.Header, x.Request.Header)
+	d.setHop(req.Header, x)
+	resp, failure := d.send(req)
+	if failure != nil {
+		return failure
+	}
+	defer resp.Body.Close()
+	if o := outcome.Parse(resp.Header.Get(outcome.Header)); o != outcome.Unknown && o != outcome.Served {
+		return peerError(resp, o)
+	}
+	return d.relay(x, resp)
+}
+
+func (d *Dispatcher) setHop(header http.Header, x *filters.Exchange) {
+	header.Set(filters.HopOriginHeader, d.Instance)
+	header.Set(filters.HopRegionHeader, d.Region)
+	header.Set(filters.HopCallerHeader, x.Caller)
+	header.Set(filters.HopServiceHeader, x.Service.Name)
+	header.Set(filters.HopWorkHeader, x.Work.Name)
+	header.Set(filters.HopDeadlineHeader, strconv.FormatInt(time.Until(x.Deadline).Milliseconds(), 10))
+	header.Set(filters.HopStreamHeader, strconv.FormatBool(x.Stream))
+}
+
+// peerError returns the error that another instance answered with.
+func peerError(resp *http.Response, o outcome.Outcome) *outcome.Error {
+	const maxErrorBytes = 16 << 10
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	err := decodeError(text)
+	err.Outcome = o
+	err.Status = resp.StatusCode
+	if seconds, convErr := strconv.Atoi(resp.Header.Get("Retry-After")); convErr == nil {
+		err.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return err
+}
+
+func newRequest(ctx context.Context, x *filters.Exchange, url string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, x.Request.Method, url, bytes.NewReader(x.Body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport cannot send the request a second time.
+	req.GetBody = nil
+	req.Header.Set(outcome.RequestIDHeader, x.ID)
+	return req, nil
+}
+
+func badPath(err error) *outcome.Error {
+	refusal := outcome.Refuse(http.StatusBadRequest, outcome.CodeBadRequest, "bad path")
+	refusal.Cause = err
+	return refusal
+}
+
+// send does one round trip. An error before any connection was had is NotRun.
+func (d *Dispatcher) send(req *http.Request) (*http.Response, *outcome.Error) {
+	trace := &sentTrace{}
+	resp, err := d.Transport.RoundTrip(req.WithContext(trace.attach(req.Context())))
+	if err == nil {
+		return resp, nil
+	}
+	failure := outcome.Fail(outcome.CodeBackendFailed, err, "the backend server did not answer")
+	if !trace.mayHaveSent() {
+		failure.Outcome = outcome.NotRun
+		failure.Status = http.StatusServiceUnavailable
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		failure.Code = outcome.CodeDeadline
+		failure.Status = http.StatusGatewayTimeout
+	}
+	if errors.Is(err, context.Canceled) {
+		failure.Code = outcome.CodeCanceled
+	}
+	return nil, failure
+}
+
+func (d *Dispatcher) relay(x *filters.Exchange, resp *http.Response) *outcome.Error {
+	x.Writer.Header().Set(filters.RevisionHeader, strconv.FormatUint(x.Snapshot.Revision, 10))
+	result := relay.Copy(x.Writer, resp, x.ID, func() { d.Observer.FirstByte(x) })
+	x.Started = x.Started || result.Started
+	if result.Outcome == outcome.Served {
+		return nil
+	}
+	return outcome.Fail(outcome.CodeBackendFailed, result.Err, "the answer was cut before its end")
+}
--- /dev/null
+++ b/filters/body.go
@@ -0,0 +1,113 @@
+package filters
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/tidwall/gjson"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+)
+
+// Shape of the prefix digests of a prompt.
+const (
+	prefixBlockBytes = 256
+	maxPrefixBlocks  = 32
+	bytesPerToken    = 4 // estimate for English text
+)
+
+// ReadBody reads the body, bounded by MaxBytes. It finds the model of an
+// OpenAI call, and from it the service and the work.
+type ReadBody struct {
+	MaxBytes int64
+}
+
+// Name implements Filter.
+func (ReadBody) Name() string { return "read-body" }
+
+// Handle implements Filter.
+func (f ReadBody) Handle(x *Exchange, next Handler) *outcome.Error {
+	body, refusal := f.read(x)
+	if refusal != nil {
+		return refusal
+	}
+	x.Body = body
+	if x.Service == nil || x.Service.Kind == catalog.Model {
+		if refusal := parseChat(x); refusal != nil {
+			return refusal
+		}
+	}
+	return next(x)
+}
+
+func (f ReadBody) read(x *Exchange) ([]byte, *outcome.Error) {
+	if x.Request.ContentLength > f.MaxBytes {
+		return nil, f.tooLarge()
+	}
+	reader := http.MaxBytesReader(x.Writer, x.Request.Body, f.MaxBytes)
+	body, err := readAll(reader, x.Request.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, f.tooLarge()
+	case err != nil:
+		refusal := outcome.Refuse(http.StatusBadRequest, outcome.CodeBadRequest, "body could not be read to its end")
+		refusal.Cause = err
+		return nil, refusal
+	}
+	return body, nil
+}
+
+// readAll reads r into one buffer of the announced size, if there is one.
+func readAll(r io.Reader, size int64) ([]byte, error) {
+	if size < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+func (f ReadBody) tooLarge() *outcome.Error {
+	return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.CodeBodyTooLarge, "body is larger than %d bytes", f.MaxBytes)
+}
+
+// parseChat reads what routing needs from a chat completion request.
+func parseChat(x *Exchange) *outcome.Error {
+	if !gjson.ValidBytes(x.Body) {
+		return outcome.Refuse(http.StatusBadRequest, outcome.CodeBadRequest, "body is no JSON")
+	}
+	fields := gjson.GetManyBytes(x.Body, "model", "stream", "messages")
+	if x.Service == nil {
+		service, work, _ := strings.Cut(fields[0].String(), "/")
+		if service == "" {
+			return outcome.Refuse(http.StatusBadRequest, outcome.CodeBadRequest, "model is missing")
+		}
+		if refusal := resolve(x, service, work); refusal != nil {
+			return refusal
+		}
+	}
+	x.Stream = fields[1].Bool()
+	x.PromptTokens = len(fields[2].Raw) / bytesPerToken
+	x.Prefix = prefixDigests(fields[2].Raw)
+	return nil
+}
+
+// prefixDigests returns a digest of each leading run of whole blocks.
+func prefixDigests(prompt string) []uint64 {
+	blocks := min(len(prompt)/prefixBlockBytes, maxPrefixBlocks)
+	if blocks == 0 {
+		return nil
+	}
+	digests := make([]uint64, blocks)
+	hash := xxhash.New()
+	for i := range digests {
+		_, _ = hash.WriteString(prompt[i*prefixBlockBytes : (i+1)*prefixBlockBytes])
+		digests[i] = hash.Sum64()
+	}
+	return digests
+}
--- /dev/null
+++ b/filters/hop.go
@@ -0,0 +1,82 @@
+package filters
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+)
+
+// Headers of a request that one instance forwards to another. They are
+// accepted on the listener for peers only.
+const (
+	hopPrefix         = "Fuchsia-Hop-"
+	HopOriginHeader   = hopPrefix + "Origin"   // id of the forwarding instance
+	HopRegionHeader   = hopPrefix + "Region"   // its region
+	HopCallerHeader   = hopPrefix + "Caller"   // name of the caller
+	HopServiceHeader  = hopPrefix + "Service"  // name of the service
+	HopWorkHeader     = hopPrefix + "Work"     // name of the work
+	HopDeadlineHeader = hopPrefix + "Deadline" // remaining time in milliseconds
+	HopStreamHeader   = hopPrefix + "Stream"   // "true" for a stream
+)
+
+// Hop describes the forwarding of a request.
+type Hop struct {
+	Origin string // id of the instance the caller entered at
+	Region string // its region
+}
+
+// RejectHops refuses requests of callers that carry headers of a forwarded
+// request.
+type RejectHops struct{}
+
+// Name implements Filter.
+func (RejectHops) Name() string { return "reject-hops" }
+
+// Handle implements Filter.
+func (RejectHops) Handle(x *Exchange, next Handler) *outcome.Error {
+	for name := range x.Request.Header {
+		if strings.HasPrefix(name, hopPrefix) {
+			return outcome.Refuse(http.StatusBadRequest, outcome.CodeLoop, "header %s is reserved for instances", name)
+		}
+	}
+	return next(x)
+}
+
+// AcceptHop reads the headers of a forwarded request. Such a request is
+// served or refused here; it is never forwarded again.
+type AcceptHop struct {
+	Instance string // id of this instance
+	Region   string // its region
+}
+
+// Name implements Filter.
+func (AcceptHop) Name() string { return "accept-hop" }
+
+// Handle implements Filter.
+func (f AcceptHop) Handle(x *Exchange, next Handler) *outcome.Error {
+	header := x.Request.Header
+	x.Hop = &Hop{Origin: header.Get(HopOriginHeader), Region: header.Get(HopRegionHeader)}
+	if x.Hop.Origin == "" || x.Hop.Region == "" {
+		return outcome.Refuse(http.StatusBadRequest, outcome.CodeBadRequest, "forwarded request without origin")
+	}
+	if x.Hop.Origin == f.Instance || x.Hop.Region == f.Region {
+		return outcome.Refuse(http.StatusLoopDetected, outcome.CodeLoop, "request came back to its origin %s", x.Hop.Origin)
+	}
+	remaining, err := strconv.ParseInt(header.Get(HopDeadlineHeader), 10, 64)
+	if err != nil || remaining <= 0 {
+		return outcome.Refuse(http.StatusGatewayTimeout, outcome.CodeDeadline, "forwarded request has no time left")
+	}
+	x.Deadline = x.Received.Add(time.Duration(remaining) * time.Millisecond)
+	x.Caller = header.Get(HopCallerHeader)
+	x.Stream = header.Get(HopStreamHeader) == "true"
+	service, work, lookupErr := x.Snapshot.Resolve(header.Get(HopServiceHeader), header.Get(HopWorkHeader))
+	if lookupErr != nil {
+		return unknownService(lookupErr)
+	}
+	x.Service, x.Work = service, work
+	x.Path = x.Request.URL.RequestURI()
+	return next(x)
+}
--- /dev/null
+++ b/outcome/outcome.go
@@ -0,0 +1,130 @@
+// Package outcome defines what the system knows about the execution of a
+// request. Every answer carries exactly one Outcome, in the header named by
+// Header and, for errors, in the body.
+//
+// NotRun is a promise: no byte of the request left for a backend server, or
+// the backend server itself refused it before running. Anything less certain
+// is MayHaveRun.
+package outcome
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Header names the response header (and trailer of a stream) that carries the
+// Outcome.
+const Header = "Fuchsia-Outcome"
+
+// Outcome states whether a request was executed.
+type Outcome uint8
+
+const (
+	// Unknown is the zero value; it never reaches a caller.
+	Unknown Outcome = iota
+	// Served means that the request ran and its whole answer was delivered.
+	Served
+	// NotRun means that the request was not executed and may be sent again.
+	NotRun
+	// MayHaveRun means that the request may have been executed.
+	MayHaveRun
+	// Duplicate means that another attempt with the same idempotency key holds
+	// the execution, and that this attempt was not executed.
+	Duplicate
+)
+
+var names = [...]string{"unknown", "served", "not-run", "may-have-run", "duplicate"}
+
+// String returns the wire form, such as "not-run".
+func (o Outcome) String() string {
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return fmt.Sprintf("outcome(%d)", uint8(o))
+}
+
+// Parse reads the wire form of an Outcome. It returns Unknown for any other
+// text.
+func Parse(s string) Outcome {
+	for i, name := range names {
+		if s == name {
+			return Outcome(i)
+		}
+	}
+	return Unknown
+}
+
+// Code is a machine-readable reason, stable across versions.
+type Code string
+
+// The codes of the gateway's errors.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeBodyTooLarge     Code = "body_too_large"
+	CodeUnauthenticated  Code = "unauthenticated"
+	CodeUnknownService   Code = "unknown_service"
+	CodeUnknownWork      Code = "unknown_work"
+	CodeBadDeadline      Code = "bad_deadline"
+	CodeWrongRegion      Code = "wrong_region"
+	CodeLoop             Code = "loop"
+	CodeOverloaded       Code = "overloaded"
+	CodeRateLimited      Code = "rate_limited"
+	CodeDeadline         Code = "deadline_exceeded"
+	CodeNoBackend        Code = "no_backend_server"
+	CodeBackendFailed    Code = "backend_server_failed"
+	CodeBackendRefused   Code = "backend_server_refused"
+	CodeDraining         Code = "draining"
+	CodeNotReady         Code = "not_ready"
+	CodeCanceled         Code = "canceled"
+	CodeKeyRequired      Code = "idempotency_key_required"
+	CodeKeyExpired       Code = "idempotency_key_expired"
+	CodeDuplicate        Code = "duplicate"
+	CodeClaimUnavailable Code = "claim_unavailable"
+	CodeQuarantined      Code = "quarantined"
+	CodeInternal         Code = "internal"
+)
+
+// Error is a request that was not served, with everything its caller is told.
+type Error struct {
+	Outcome    Outcome
+	Status     int           // HTTP status
+	Code       Code          // reason
+	Message    string        // one sentence without request content
+	RetryAfter time.Duration // zero: not stated
+	Location   string        // URL of an instance that may serve the request, or ""
+	Cause      error         // for logs only
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s (%s): %s: %v", e.Code, e.Outcome, e.Message, e.Cause)
+	}
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Outcome, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Refuse returns an Error with outcome NotRun.
+func Refuse(status int, code Code, format string, args ...any) *Error {
+	return &Error{Outcome: NotRun, Status: status, Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Fail returns an Error with outcome MayHaveRun.
+func Fail(code Code, cause error, format string, args ...any) *Error {
+	return &Error{
+		Outcome: MayHaveRun,
+		Status:  http.StatusBadGateway,
+		Code:    code,
+		Message: fmt.Sprintf(format, args...),
+		Cause:   cause,
+	}
+}
+
+// WithRetryAfter sets the time after which the caller may try again.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
--- /dev/null
+++ b/scenario/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package scenario
+
+const raceEnabled = false
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,158 @@
+// Package platform is a stand-in for the platform's lagging list of backend
+// servers and for its directory of entry instances. It is for tests and local
+// development.
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Server is an entry of the list of backend servers.
+type Server struct {
+	ID      string `json:"id"`
+	Addr    string `json:"addr"` // host:port
+	Region  string `json:"region"`
+	Zone    string `json:"zone"`
+	Service string `json:"service"`
+	State   string `json:"state"`  // "live" or "leaving"
+	Fenced  bool   `json:"fenced"` // refuses orders with an old fencing number
+}
+
+// Instance is an entry of the directory.
+type Instance struct {
+	ID       string    `json:"id"`
+	URL      string    `json:"url"`       // for callers
+	PeerAddr string    `json:"peer_addr"` // host:port for other instances
+	Region   string    `json:"region"`
+	Zone     string    `json:"zone"`
+	Expires  time.Time `json:"expires"`
+}
+
+// Platform serves the list and the directory over HTTP.
+type Platform struct {
+	mux       *http.ServeMux
+	lag       time.Duration
+	now       func() time.Time
+	mu        sync.Mutex
+	servers   map[string]Server
+	visible   []Server
+	refreshed time.Time
+	instances map[string]Instance
+}
+
+// New returns an empty platform whose list is refreshed every lag.
+func New(lag time.Duration) *Platform {
+	p := &Platform{
+		mux:       http.NewServeMux(),
+		lag:       lag,
+		now:       time.Now,
+		servers:   make(map[string]Server),
+		instances: make(map[string]Instance),
+	}
+	p.mux.HandleFunc("GET /v1/servers", p.listServers)
+	p.mux.HandleFunc("PUT /v1/servers/{id}", p.putServer)
+	p.mux.HandleFunc("DELETE /v1/servers/{id}", p.deleteServer)
+	p.mux.HandleFunc("GET /v1/directory", p.listInstances)
+	p.mux.HandleFunc("PUT /v1/directory/{id}", p.putInstance)
+	p.mux.HandleFunc("DELETE /v1/directory/{id}", p.deleteInstance)
+	return p
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// Put adds or changes a backend server.
+func (p *Platform) Put(s Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers[s.ID] = s
+}
+
+func (p *Platform) listServers(w http.ResponseWriter, r *http.Request) {
+	region := r.URL.Query().Get("region")
+	p.mu.Lock()
+	p.refresh()
+	servers := make([]Server, 0, len(p.visible))
+	for _, s := range p.visible {
+		if region == "" || s.Region == region {
+			servers = append(servers, s)
+		}
+	}
+	p.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"servers": servers})
+}
+
+// refresh copies the list once its lag has passed. The caller holds the lock.
+func (p *Platform) refresh() {
+	if now := p.now(); now.Sub(p.refreshed) < p.lag {
+		return
+	}
+	p.refreshed = p.now()
+	p.visible = p.visible[:0]
+	for _, s := range p.servers {
+		p.visible = append(p.visible, s)
+	}
+	sort.Slice(p.visible, func(i, j int) bool { return p.visible[i].ID < p.visible[j].ID })
+}
+
+func (p *Platform) putServer(w http.ResponseWriter, r *http.Request) {
+	var s Server
+	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.ID = r.PathValue("id")
+	p.Put(s)
+}
+
+func (p *Platform) deleteServer(_ http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.servers, r.PathValue("id"))
+}
+
+func (p *Platform) listInstances(w http.ResponseWriter, r *http.Request) {
+	region := r.URL.Query().Get("region")
+	now := p.now()
+	p.mu.Lock()
+	instances := make([]Instance, 0, len(p.instances))
+	for id, instance := range p.instances {
+		if now.After(instance.Expires) {
+			delete(p.instances, id)
+			continue
+		}
+		if region == "" || instance.Region == region {
+			instances = append(instances, instance)
+		}
+	}
+	p.mu.Unlock()
+	sort.Slice(instances, func(i, j int) bool { return instances[i].ID < instances[j].ID })
+	_ = json.NewEncoder(w).Encode(map[string]any{"instances": instances})
+}
+
+func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		Instance
+		TTLSeconds float64 `json:"ttl_seconds"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	instance := request.Instance
+	instance.ID = r.PathValue("id")
+	instance.Expires = p.now().Add(time.Duration(request.TTLSeconds * float64(time.Second)))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances[instance.ID] = instance
+}
+
+func (p *Platform) deleteInstance(_ http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.instances, r.PathValue("id"))
+}
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,84 @@
+// Package telemetry writes the metrics and the log lines of an instance. No
+// line and no label holds any content of a request.
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+)
+
+// latencyBounds are the histogram bounds in seconds.
+var latencyBounds = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 1.9, 2.5, 5, 10, 30, 60, 120, 300}
+
+// Metrics are the instruments of an instance.
+type Metrics struct {
+	handler   http.Handler
+	provider  *sdk.MeterProvider
+	requests  metric.Int64Counter
+	attempts  metric.Int64Counter
+	elsewhere metric.Int64Counter
+	latency   metric.Float64Histogram
+	firstByte metric.Float64Histogram
+	inFlight  metric.Int64UpDownCounter
+}
+
+// NewMetrics registers the instruments.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, errors.Wrap(err, "prometheus exporter")
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	meter := provider.Meter("fuchsiad")
+	m := &Metrics{
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		provider: provider,
+	}
+	var errs [6]error
+	m.requests, errs[0] = meter.Int64Counter("fuchsia.requests", metric.WithDescription("Requests by service, rank and outcome."))
+	m.attempts, errs[1] = meter.Int64Counter("fuchsia.attempts", metric.WithDescription("Attempts at backend servers and regions by outcome."))
+	m.elsewhere, errs[2] = meter.Int64Counter("fuchsia.sent_elsewhere", metric.WithDescription("Requests sent to another region."))
+	m.latency, errs[3] = meter.Float64Histogram("fuchsia.latency", metric.WithUnit("s"),
+		metric.WithDescription("Time to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	m.firstByte, errs[4] = meter.Float64Histogram("fuchsia.first_byte", metric.WithUnit("s"),
+		metric.WithDescription("Time to the first byte of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	m.inFlight, errs[5] = meter.Int64UpDownCounter("fuchsia.in_flight", metric.WithDescription("Requests in flight."))
+	for _, err := range errs {
+		if err != nil {
+			return nil, errors.Wrap(err, "create instrument")
+		}
+	}
+	return m, nil
+}
+
+// Meter returns the meter for further instruments.
+func (m *Metrics) Meter() metric.Meter { return m.provider.Meter("fuchsiad") }
+
+// ServeHTTP serves the metrics in the Prometheus text format.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
+
+func (m *Metrics) request(service string, rank catalog.Rank, o outcome.Outcome, code outcome.Code, elapsed time.Duration) {
+	labels := metric.WithAttributes(
+		attribute.String("service", service),
+		attribute.String("rank", rank.String()),
+		attribute.String("outcome", o.String()),
+		attribute.String("code", string(code)),
+	)
+	ctx := context.Background()
+	m.requests.Add(ctx, 1, labels)
+	m.latency.Record(ctx, elapsed.Seconds(), metric.WithAttributes(
+		attribute.String("service", service), attribute.String("rank", rank.String())))
+}
--- /dev/null
+++ b/telemetry/observer.go
@@ -0,0 +1,82 @@
+package telemetry
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/routing"
+)
+
+// Observer reports requests, decisions and attempts.
+type Observer struct {
+	Log     *log.Logger
+	Metrics *Metrics
+}
+
+// Begin implements gateway.Observer.
+func (o *Observer) Begin(x *filters.Exchange) func(*outcome.Error) {
+	ctx := context.Background()
+	o.Metrics.inFlight.Add(ctx, 1)
+	return func(err *outcome.Error) {
+		o.Metrics.inFlight.Add(ctx, -1)
+		o.ended(x, err)
+	}
+}
+
+func (o *Observer) ended(x *filters.Exchange, err *outcome.Error) {
+	elapsed := time.Since(x.Received)
+	result, code := outcome.Served, outcome.Code("")
+	if err != nil {
+		result, code = err.Outcome, err.Code
+	}
+	service := ""
+	if x.Service != nil {
+		service = x.Service.Name
+	}
+	o.Metrics.request(service, x.Work.Rank, result, code, elapsed)
+	entry := o.Log.Info().Str("event", "request").Str("request_id", x.ID).
+		Str("service", service).Str("work", x.Work.Name).Str("rank", x.Work.Rank.String()).Str("caller", x.Caller).
+		Str("outcome", result.String()).Dur("elapsed", elapsed)
+	if err != nil {
+		entry = entry.Str("code", string(code)).Int("status", err.Status).AnErr("cause", err.Cause)
+	}
+	entry.Msg("")
+}
+
+// Decided implements dispatch.Observer.
+func (o *Observer) Decided(x *filters.Exchange, attempt int, d routing.Decision) {
+	server := ""
+	if d.Server != nil {
+		server = d.Server.ID
+	}
+	if d.Region != "" {
+		o.Metrics.elsewhere.Add(context.Background(), 1, metric.WithAttributes(attribute.String("region", d.Region)))
+	}
+	o.Log.Info().Str("event", "route").Str("request_id", x.ID).Int("attempt", attempt).
+		Str("service", x.Service.Name).Str("rank", x.Work.Rank.String()).Uint64("revision", x.Snapshot.Revision).
+		Str("reason", string(d.Reason)).Str("server", server).Str("region", d.Region).
+		Int("candidates", d.Candidates).Dur("cost", d.Cost).Msg("")
+}
+
+// FirstByte implements dispatch.Observer.
+func (o *Observer) FirstByte(x *filters.Exchange) {
+	o.Metrics.firstByte.Record(context.Background(), time.Since(x.Received).Seconds(), metric.WithAttributes(
+		attribute.String("service", x.Service.Name), attribute.String("rank", x.Work.Rank.String())))
+}
+
+// Attempted implements dispatch.Observer.
+func (o *Observer) Attempted(x *filters.Exchange, attempt int, d routing.Decision, result outcome.Outcome, err error) {
+	o.Metrics.attempts.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", x.Service.Name), attribute.String("outcome", result.String()),
+		attribute.Bool("elsewhere", d.Region != "")))
+	if err != nil {
+		o.Log.Warn().Str("event", "attempt_failed").Str("request_id", x.ID).Int("attempt", attempt).
+			Str("outcome", result.String()).Err(err).Msg("")
+	}
+}
