Order waiting requests of a service by rank, tokens and deadline

Nothing held requests back: every request went to an engine at once, so the order was that of arrival and one caller could take all slots.

The Scheduler is the pure queue of one service: rank first with a minimum share for each, then the caller with the fewest tokens served (virtual token counter), then the earliest start. Deficit round robin was ruled out: the length of an answer is known only at its end, and a counter takes the correction where a round has already been spent.

--- /dev/null
+++ b/admission/example_test.go
@@ -0,0 +1,40 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/admission"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+)
+
+func ExampleScheduler() {
+	var config admission.Config
+	config.Ranks[catalog.Urgent] = admission.RankConfig{MinShare: 0.2, Bounds: admission.DefaultBounds()}
+	config.Ranks[catalog.Batch] = admission.RankConfig{Bounds: admission.DefaultBounds()}
+	s := admission.NewScheduler(config, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	s.SetSlots(now, 1)
+	startBy := now.Add(time.Minute)
+	for _, request := range []admission.Request{
+		{Caller: "press", Rank: catalog.Batch, Tokens: 900, StartBy: startBy},
+		{Caller: "press", Rank: catalog.Urgent, Tokens: 100, StartBy: startBy},
+		{Caller: "press", Rank: catalog.Urgent, Tokens: 100, StartBy: startBy},
+		{Caller: "ministry", Rank: catalog.Urgent, Tokens: 100, StartBy: startBy},
+	} {
+		if _, refusal := s.Enqueue(now, request); refusal != nil {
+			fmt.Println(refusal)
+		}
+	}
+	for entry := s.Pop(now); entry != nil; entry = s.Pop(now) {
+		fmt.Println(entry.Rank, entry.Caller)
+		now = now.Add(100 * time.Millisecond)
+		s.Release(now, entry, entry.Tokens)
+	}
+	// Output:
+	// urgent press
+	// urgent ministry
+	// urgent press
+	// batch press
+}
