Prove admission in floods and keep headroom for urgent work

A flood of long batch requests takes every slot that urgent work leaves for a moment.

Change: batch work leaves the slots of the mean urgent demand free, but only while lent slots return too slowly for the urgent target.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -44,8 +44,8 @@
 	Wait       time.Duration // expected wait at the time of the decision
 }
 
-// Error implements error.
-func (r *Refusal) Error() string {
+// String returns one line for logs.
+func (r *Refusal) String() string {
 	return fmt.Sprintf("admission: %s, retry after %v", r.Reason, r.RetryAfter)
 }
 
@@ -64,7 +64,8 @@
 
 // RankConfig configures one rank of a Scheduler.
 type RankConfig struct {
-	MinShare float64 // part of the slots kept in a flood of the other rank, 0..1
+	Target   time.Duration // time to first token that the rank is held to
+	MinShare float64       // part of the slots kept in a flood of the other rank, 0..1
 	Bounds   Bounds
 }
 
@@ -77,7 +78,7 @@
 func ConfigOf(service *catalog.Service, bounds Bounds) Config {
 	var c Config
 	for rank, policy := range service.Ranks {
-		c.Ranks[rank] = RankConfig{MinShare: policy.MinShare, Bounds: bounds}
+		c.Ranks[rank] = RankConfig{Target: policy.Target, MinShare: policy.MinShare, Bounds: bounds}
 	}
 	return c
 }
--- a/admission/lane.go
+++ b/admission/lane.go
@@ -13,6 +13,8 @@
 	// maxOwed bounds the slot time that a rank may be owed or owe, in
 	// slot-seconds. It must exceed the time that a long request holds a slot.
 	maxOwed = 120.0
+	// demandTime is the time constant of a rank's mean demand, in seconds.
+	demandTime = 10.0
 )
 
 // flow is one caller in one rank. Its state is kept while it waits, runs or is
@@ -31,6 +33,7 @@
 type lane struct {
 	config  RankConfig
 	reserve float64 // slots of the minimum share
+	demand  float64 // mean number of requests that run or wait
 	owed    float64 // slot-seconds below the minimum share; negative above it
 	queued  int
 	bytes   int64
@@ -241,6 +244,7 @@
 // advance accounts the slot time that the rank received against its minimum
 // share. A rank without waiting work is owed nothing.
 func (l *lane) advance(elapsed float64) {
+	l.demand += (float64(l.running+l.queued) - l.demand) * elapsed / (elapsed + demandTime)
 	l.owed += (l.reserve - float64(l.running)) * elapsed
 	l.owed = max(l.owed, -maxOwed)
 	limit := maxOwed
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -188,14 +189,32 @@
 			return l
 		}
 	}
-	for _, l := range s.lanes {
-		if l.queued > 0 {
+	for rank, l := range s.lanes {
+		if l.queued > 0 && s.running+s.headroom(catalog.Rank(rank)) < s.slots {
 			return l
 		}
 	}
 	return nil
 }
 
+// headroom returns the free slots that rank must leave to urgent work. Without
+// it, long requests take each slot that urgent work leaves for a moment, and
+// hold it when that work is back. It is zero while lent slots return fast
+// enough to absorb the ordinary variation of urgent work within its target.
+func (s *Scheduler) headroom(rank catalog.Rank) int {
+	urgent, l := s.lanes[catalog.Urgent], s.lanes[rank]
+	if rank == catalog.Urgent || l.hold == 0 || l.running == 0 {
+		return 0
+	}
+	variation := math.Sqrt(urgent.demand) // of random arrivals
+	secondsToReturn := variation * l.hold / float64(l.running)
+	if secondsToReturn <= urgent.config.Target.Seconds() {
+		return 0
+	}
+	kept := min(urgent.demand, float64(s.slots)-l.reserve) - float64(urgent.running)
+	return int(math.Round(max(kept, 0)))
+}
+
 // Release returns the slot of a started entry. tokens is what the request
 // took in truth; the caller is charged the difference to the estimate.
 func (s *Scheduler) Release(now time.Time, e *Entry, tokens int) {
