Hold limits of callers over all instances of a region

Limits of requests and tokens a second and of requests in flight were published but not enforced.

Change: token buckets and a count for each active caller and service, at this instance's part of the limit from package share. Tokens are charged by estimate and corrected at the end; a request that did not run is not charged. Ruled out: the whole limit at each instance, and fixed equal parts.

--- /dev/null
+++ b/ratelimit/ratelimit_test.go
@@ -0,0 +1,226 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/share"
+)
+
+// region is a set of instances that exchange their shares once a second.
+type region struct {
+	now      time.Time
+	random   *rand.Rand
+	names    []string
+	tables   []*share.Table
+	limiters []*Limiter
+	service  *catalog.Service
+	cut      map[int]bool // instances that no message reaches or leaves
+	admitted []time.Time
+}
+
+func newRegion(instances int, limits catalog.Limits) *region {
+	r := &region{
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(2, 2)),
+		service: &catalog.Service{Name: "drafting-desk", Limits: limits}, cut: map[int]bool{},
+	}
+	for i := range instances {
+		r.names = append(r.names, fmt.Sprintf("entry-%d", i))
+	}
+	for i := range instances {
+		config := share.DefaultConfig("limits", r.names[i])
+		config.Clock = func() time.Time { return r.now }
+		table := share.NewTable(config)
+		table.SetMembers(r.names)
+		r.tables = append(r.tables, table)
+		r.limiters = append(r.limiters, New(table, uint64(i)))
+	}
+	return r
+}
+
+const step = 10 * time.Millisecond
+
+// run sends requests of one caller at the given rates for a time; each holds
+// its place for hold.
+func (r *region) run(length, hold time.Duration, rates map[int]float64) {
+	type use struct {
+		until time.Time
+		use   Use
+	}
+	var held []use
+	for end := r.now.Add(length); r.now.Before(end); r.now = r.now.Add(step) {
+		if r.now.UnixNano()%int64(time.Second) == 0 {
+			r.exchange()
+		}
+		for len(held) > 0 && !held[0].until.After(r.now) {
+			held[0].use.Done(100)
+			held = held[1:]
+		}
+		for i := range r.limiters {
+			if r.random.Float64() >= rates[i]*step.Seconds() {
+				continue
+			}
+			if u, refusal := r.limiters[i].Admit(r.now, r.service, "press", 100); refusal == nil {
+				r.admitted = append(r.admitted, r.now)
+				held = append(held, use{r.now.Add(hold), u})
+			}
+		}
+	}
+	for _, h := range held {
+		h.use.Done(100)
+	}
+}
+
+func (r *region) exchange() {
+	for i, from := range r.tables {
+		state := from.State()
+		for j, to := range r.tables {
+			if i != j && !r.cut[i] && !r.cut[j] {
+				_ = to.Merge(r.names[i], state)
+			}
+		}
+	}
+	for _, l := range r.limiters {
+		l.Tick(r.now)
+	}
+}
+
+// highest returns the most requests admitted within any window.
+func (r *region) highest(window time.Duration) int {
+	most, first := 0, 0
+	for last, at := range r.admitted {
+		for at.Sub(r.admitted[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+func TestLimitHoldsOverAllInstances(t *testing.T) {
+	const perSecond, instances, window = 20, 7, 10 * time.Second
+	bound := perSecond*10 + perSecond + instances
+	for _, test := range []struct {
+		name  string
+		rates map[int]float64
+		least float64 // requests a second once the shares have moved
+	}{
+		{"one instance", map[int]float64{0: 60}, 0.7 * perSecond},
+		{"two instances", map[int]float64{1: 20, 2: 40}, 0.75 * perSecond},
+		{"all instances", map[int]float64{0: 60, 1: 60, 2: 60, 3: 60, 4: 60, 5: 60, 6: 60}, 0.9 * perSecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRegion(instances, catalog.Limits{RequestsPerSecond: perSecond})
+			r.run(10*time.Second, 0, nil)
+			r.run(60*time.Second, 0, test.rates)
+			t.Logf("highest in 10 s: %d, bound %d; admitted in 60 s: %d", r.highest(window), bound, len(r.admitted))
+			c.Check(r.highest(window) <= bound, qt.IsTrue)
+			c.Check(float64(len(r.admitted)) >= test.least*60, qt.IsTrue)
+		})
+	}
+}
+
+// The caller moves all its work from one instance to another, and then a
+// partition separates the two.
+func TestLimitHoldsWhileDemandMoves(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(7, catalog.Limits{RequestsPerSecond: 20})
+	r.run(10*time.Second, 0, nil)
+	r.run(20*time.Second, 0, map[int]float64{0: 100})
+	r.run(20*time.Second, 0, map[int]float64{1: 100})
+	r.cut[1] = true
+	r.run(30*time.Second, 0, map[int]float64{0: 100, 1: 100})
+	t.Logf("highest in 10 s: %d", r.highest(10*time.Second))
+	c.Check(r.highest(10*time.Second) <= 200+20+7, qt.IsTrue)
+}
+
+func TestInFlightHoldsOverAllInstances(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(7, catalog.Limits{InFlight: 30})
+	r.run(10*time.Second, 0, nil)
+	r.run(30*time.Second, time.Second, map[int]float64{0: 80, 1: 80, 2: 80})
+	t.Logf("highest in flight: %d", r.highest(time.Second))
+	c.Check(r.highest(time.Second) <= 30, qt.IsTrue)
+	c.Check(len(r.admitted) >= 20*30, qt.IsTrue)
+}
+
+func TestTokensAreCorrectedAtTheEnd(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(1, catalog.Limits{TokensPerSecond: 100})
+	admit := func() (Use, *Refusal) { return r.limiters[0].Admit(r.now, r.service, "press", 10) }
+	use, refusal := admit()
+	c.Assert(refusal, qt.IsNil)
+	use.Done(1100) // far more than the estimate
+	_, refusal = admit()
+	c.Assert(refusal, qt.IsNotNil)
+	c.Check(refusal.Limit, qt.Equals, Tokens)
+	c.Check(refusal.RetryAfter >= 10*time.Second, qt.IsTrue)
+	r.now = r.now.Add(11 * time.Second)
+	use, refusal = admit()
+	c.Assert(refusal, qt.IsNil)
+	// Waiting does not shed a debt that takes longer to pay.
+	use.Done(100_000)
+	r.now = r.now.Add(2 * idleTime)
+	r.exchange()
+	_, refusal = admit()
+	c.Check(refusal, qt.IsNotNil)
+}
+
+func TestCanceledRequestIsNotCharged(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(1, catalog.Limits{RequestsPerSecond: 1, InFlight: 1})
+	for range 100 {
+		use, refusal := r.limiters[0].Admit(r.now, r.service, "press", 10)
+		c.Assert(refusal, qt.IsNil)
+		use.Cancel()
+	}
+}
+
+func TestStateOfIdleCallersIsDropped(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(1, catalog.Limits{RequestsPerSecond: 10})
+	for i := range 2000 {
+		use, refusal := r.limiters[0].Admit(r.now, r.service, fmt.Sprint(i), 10)
+		c.Assert(refusal, qt.IsNil)
+		use.Done(10)
+	}
+	c.Check(r.limiters[0].Callers(), qt.Equals, 2000)
+	r.now = r.now.Add(idleTime + time.Second)
+	r.exchange()
+	c.Check(r.limiters[0].Callers(), qt.Equals, 0)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, callers := range []int{10, 100, 1000, 2000} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			r := newRegion(1, catalog.Limits{RequestsPerSecond: 1e9, TokensPerSecond: 1e9, InFlight: 1 << 20})
+			names := make([]string, callers)
+			for i := range names {
+				names[i] = fmt.Sprintf("caller-%04d", i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				use, _ := r.limiters[0].Admit(r.now, r.service, names[i%callers], 100)
+				use.Done(120)
+			}
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	r := newRegion(1, catalog.Limits{RequestsPerSecond: 1e9})
+	for i := range 2000 {
+		use, _ := r.limiters[0].Admit(r.now, r.service, fmt.Sprint(i), 100)
+		use.Done(100)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.limiters[0].Tick(r.now)
+	}
+}
