--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -132,7 +132,7 @@
 		return Use{}, s.refusal(kind, wait)
 	}
 	c.requests.level--
-	c.tokens.level -= float64(tokens)
+	c.charge(tokens)
 	c.inFlight++
 	return Use{shard: s, caller: c, estimate: tokens}, nil
 }
@@ -172,6 +172,14 @@
 	return "", 0
 }
 
+// charge takes tokens. Without a limit nothing is owed, also not to one that is
+// configured later.
+func (c *caller) charge(tokens int) {
+	if c.limits.TokensPerSecond > 0 {
+		c.tokens.level -= float64(tokens)
+	}
+}
+
 // slots returns this instance's part of the requests in flight.
 func (c *caller) slots() int {
 	return max(int(float64(c.limits.InFlight)*c.fraction), 1)
@@ -193,7 +201,7 @@
 	u.shard.mu.Lock()
 	defer u.shard.mu.Unlock()
 	u.caller.inFlight--
-	u.caller.tokens.level += float64(u.estimate - tokens)
+	u.caller.charge(tokens - u.estimate)
 }
 
 // Cancel ends a request that did not run: it is not charged.
@@ -205,7 +213,7 @@
 	defer u.shard.mu.Unlock()
 	u.caller.inFlight--
 	u.caller.requests.level++
-	u.caller.tokens.level += float64(u.estimate)
+	u.caller.charge(-u.estimate)
 }
 
 // Tick announces the demand of the callers, takes over their parts and drops
