Bound what an instance holds and shed before it collapses

Nothing bounded requests in flight, memory of bodies, heap or connections: a flood ended in the kernel's killing of the process, which cuts every stream.

Change: a Guard of counters without a lock, read before any work is done, that sheds batch work from 0.8 of a bound and all work at the bound; and a bound on connections that closes the longest idle one, or else the new one. Ruled out: to stop accepting at the bound, as callers then wait for a timeout instead of turning to another instance.

--- /dev/null
+++ b/overload/overload_test.go
@@ -0,0 +1,156 @@
+package overload
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+)
+
+func TestBatchIsShedBeforeUrgent(t *testing.T) {
+	c := qt.New(t)
+	g := NewGuard(Limits{InFlight: 10, BodyBytes: 100, HeapBytes: 1000})
+	for range 8 {
+		c.Assert(g.Enter(), qt.Equals, Reason(""))
+		c.Check(g.Check(catalog.Batch), qt.Equals, Reason(""))
+	}
+	c.Assert(g.Enter(), qt.Equals, Reason(""))
+	c.Check(g.Check(catalog.Batch), qt.Equals, InFlight)
+	c.Check(g.Check(catalog.Urgent), qt.Equals, Reason(""))
+	c.Assert(g.Enter(), qt.Equals, Reason(""))
+	c.Check(g.Enter(), qt.Equals, InFlight)
+	c.Check(g.Held().InFlight, qt.Equals, int64(10))
+	g.Leave()
+	g.SetHeap(1000)
+	c.Check(g.Enter(), qt.Equals, HeapBytes)
+}
+
+func TestBodyMemoryIsBounded(t *testing.T) {
+	c := qt.New(t)
+	g := NewGuard(Limits{BodyBytes: 1000})
+	var group sync.WaitGroup
+	for range 100 {
+		group.Go(func() {
+			for range 1000 {
+				if g.Reserve(300) {
+					if held := g.Held().BodyBytes; held > 1000+100*300 {
+						t.Errorf("%d bytes held", held)
+					}
+					g.Return(300)
+				}
+			}
+		})
+	}
+	group.Wait()
+	c.Check(g.Held(), qt.Equals, Limits{})
+	c.Check(g.Reserve(1001), qt.IsFalse)
+	c.Check(g.Reserve(1000), qt.IsTrue)
+}
+
+// server serves with at most limit connections; requests to /hold block until
+// the result is called.
+func server(t *testing.T, limit int) (*Connections, string, func()) {
+	conns := NewConnections(limit)
+	hold := make(chan struct{})
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/hold" {
+			<-hold
+		}
+	})
+	s := httptest.NewUnstartedServer(handler)
+	s.Listener = conns.Listener(s.Listener)
+	s.Config.ConnState = conns.State
+	s.Start()
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(func() { release(); s.Close() })
+	return conns, s.Listener.Addr().String(), release
+}
+
+// get sends one request on a new connection and leaves that open.
+func get(t *testing.T, addr, path string) (net.Conn, error) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: test\r\n\r\n", path)
+	if path == "/hold" {
+		return conn, nil
+	}
+	return conn, readAnswer(conn)
+}
+
+func readAnswer(conn net.Conn) error {
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err := conn.Read(make([]byte, 1024))
+	return err
+}
+
+// awaitIdle waits until the server has reported count connections idle, which
+// it does after it has sent the answer.
+func (c *Connections) awaitIdle(count int) {
+	for {
+		c.mu.Lock()
+		idle := c.idle.Len()
+		c.mu.Unlock()
+		if idle == count {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestIdleConnectionMakesRoom(t *testing.T) {
+	c := qt.New(t)
+	conns, addr, _ := server(t, 2)
+	first, err := get(t, addr, "/")
+	c.Assert(err, qt.IsNil)
+	_, err = get(t, addr, "/")
+	c.Assert(err, qt.IsNil)
+	conns.awaitIdle(2)
+	_, err = get(t, addr, "/")
+	c.Assert(err, qt.IsNil)
+	c.Check(readAnswer(first), qt.Equals, io.EOF)
+	c.Check(conns.Open() <= 2, qt.IsTrue)
+	c.Check(conns.Shed(), qt.Equals, int64(0))
+}
+
+func TestNewConnectionIsClosedWhenAllAreInUse(t *testing.T) {
+	c := qt.New(t)
+	conns, addr, release := server(t, 2)
+	first, _ := get(t, addr, "/hold")
+	_, _ = get(t, addr, "/hold")
+	// Both are accepted before the third, as accepting keeps the order.
+	_, err := get(t, addr, "/")
+	c.Check(err, qt.IsNotNil)
+	c.Check(conns.Shed(), qt.Equals, int64(1))
+	release()
+	c.Check(readAnswer(first), qt.IsNil)
+}
+
+func BenchmarkEnter(b *testing.B) {
+	g := NewGuard(Limits{InFlight: 1 << 20, BodyBytes: 1 << 40, HeapBytes: 1 << 40})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if g.Enter() == "" && g.Check(catalog.Batch) == "" && g.Reserve(4096) {
+				g.Return(4096)
+			}
+			g.Leave()
+		}
+	})
+}
+
+func BenchmarkReadHeap(b *testing.B) {
+	for b.Loop() {
+		ReadHeap()
+	}
+}
