Divide slots by urgency and by callers over all instances

Shares in proportion to the demand of each instance undo at the region what each queue does at one instance.

Change: a demand has two levels (urgent before batch, batch with its minimum share) and a weight, the number of callers with work. Members get parts by weighted max-min fairness; the floor counts against a member's part.

Change: an instance may borrow free slots for urgent work until the next load report.

--- a/admission/example_test.go
+++ b/admission/example_test.go
@@ -44,7 +44,7 @@
 	service := &catalog.Service{Name: "drafting-desk"}
 	service.Ranks[catalog.Urgent] = catalog.RankPolicy{Target: 2 * time.Second, MinShare: 0.2}
 	q := admission.NewQueue(admission.DefaultBounds(), 1)
-	q.SetSlots(service, 8)
+	q.SetCapacity(service, admission.Capacity{Slots: 8, Fraction: 1, Members: 1})
 	ticket, refusal := q.Acquire(context.Background(), service, admission.Request{
 		Caller: "press", Rank: catalog.Urgent, Tokens: 120, StartBy: time.Now().Add(2 * time.Second),
 	})
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -134,15 +134,16 @@
 	t.shard.dispatch(now)
 }
 
-// SetSlots sets the number of requests of service that may run at once from
-// this instance.
-func (q *Queue) SetSlots(service *catalog.Service, slots int) {
+// SetCapacity states what is known of the slots of a service. It is called
+// once for each load report.
+func (q *Queue) SetCapacity(service *catalog.Service, capacity Capacity) {
 	s := q.shardOf(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configure(service, q.bounds)
 	now := time.Now()
-	s.scheduler.SetSlots(now, slots)
+	s.scheduler.SetSlots(now, capacity.Share())
+	s.scheduler.Borrow(capacity.Spare())
 	s.dispatch(now)
 }
 
@@ -150,18 +151,16 @@
 type Stats struct {
 	Slots   int
 	Running int
-	Queued  [catalog.RankCount]int
-	Bytes   [catalog.RankCount]int64
+	Ranks   [catalog.RankCount]RankStats
 }
 
-// Demand returns the number of slots that would be in use if there were
-// enough.
-func (s *Stats) Demand() int {
-	demand := s.Running
-	for _, queued := range s.Queued {
-		demand += queued
-	}
-	return demand
+// RankStats is the state of one rank of a service's queue.
+type RankStats struct {
+	Queued  int
+	Bytes   int64   // memory of the waiting requests
+	Running int     // requests that hold a slot
+	Callers int     // callers with a request that waits or runs
+	Demand  float64 // slots that would be in use if there were enough, now or on average of late
 }
 
 // Each calls f with the state of each service's queue.
@@ -184,9 +183,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	stats := Stats{Slots: s.scheduler.Slots(), Running: s.scheduler.Running()}
-	for rank := range catalog.Rank(catalog.RankCount) {
-		stats.Queued[rank] = s.scheduler.Queued(rank)
-		stats.Bytes[rank] = s.scheduler.QueuedBytes(rank)
+	for rank := range stats.Ranks {
+		stats.Ranks[rank] = s.scheduler.RankStats(catalog.Rank(rank))
 	}
 	return stats
 }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -20,6 +20,16 @@
 	return s
 }
 
+// checkEmpty checks that no request waits or runs, and that no caller is left.
+func (q *Queue) checkEmpty(c *qt.C, service *catalog.Service) {
+	stats := q.StatsOf(service)
+	c.Check(stats.Running, qt.Equals, 0)
+	for _, rank := range stats.Ranks {
+		rank.Demand = 0 // a mean over the last seconds
+		c.Check(rank, qt.Equals, RankStats{})
+	}
+}
+
 // Callers that give up while they wait, while they get a slot, and in the
 // same instant, must leave neither an entry nor a slot behind.
 func TestCancelStorm(t *testing.T) {
@@ -28,7 +38,7 @@
 		q := NewQueue(DefaultBounds(), 1)
 		service := testService()
 		const slots = 5
-		q.SetSlots(service, slots)
+		q.SetCapacity(service, Capacity{Slots: slots, Fraction: 1, Members: 1})
 		var running, highest atomic.Int64
 		var group sync.WaitGroup
 		for i := range 2000 {
@@ -51,7 +61,7 @@
 		}
 		group.Wait()
 		c.Check(highest.Load(), qt.Equals, int64(slots))
-		c.Check(q.StatsOf(service), qt.Equals, Stats{Slots: slots})
+		q.checkEmpty(c, service)
 	})
 }
 
@@ -60,7 +70,7 @@
 		c := qt.New(t)
 		q := NewQueue(DefaultBounds(), 1)
 		service := testService()
-		q.SetSlots(service, 1)
+		q.SetCapacity(service, Capacity{Slots: 1, Fraction: 1, Members: 1})
 		ticket, refusal := q.Acquire(t.Context(), service, Request{Caller: "a", StartBy: time.Now().Add(time.Second)})
 		c.Assert(refusal, qt.IsNil)
 		began := time.Now()
@@ -69,7 +79,7 @@
 		c.Check(refusal.Reason, qt.Equals, ReasonExpired)
 		c.Check(time.Since(began) <= urgentTarget+10*time.Millisecond, qt.IsTrue)
 		ticket.Release(1)
-		c.Check(q.StatsOf(service), qt.Equals, Stats{Slots: 1})
+		q.checkEmpty(c, service)
 	})
 }
 
@@ -79,7 +89,7 @@
 		q := NewQueue(DefaultBounds(), 1)
 		service := testService()
 		began := time.Now()
-		time.AfterFunc(time.Second, func() { q.SetSlots(service, 1) })
+		time.AfterFunc(time.Second, func() { q.SetCapacity(service, Capacity{Slots: 1, Fraction: 1, Members: 1}) })
 		ticket, refusal := q.Acquire(t.Context(), service, Request{Caller: "a", StartBy: began.Add(urgentTarget)})
 		c.Assert(refusal, qt.IsNil)
 		c.Check(ticket.Queued, qt.IsTrue)
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -54,6 +54,7 @@
 // place meanwhile.
 type Scheduler struct {
 	slots    int
+	borrowed int // requests that may still start beyond slots
 	running  int
 	last     time.Time
 	sequence uint64
@@ -96,6 +97,10 @@
 	}
 }
 
+// Borrow permits that many urgent requests to start beyond the slots, until the
+// next call. The slots of these requests are not used again when they end.
+func (s *Scheduler) Borrow(requests int) { s.borrowed = max(requests, 0) }
+
 // Slots returns the number of requests that may run at once.
 func (s *Scheduler) Slots() int { return s.slots }
 
@@ -112,6 +117,18 @@
 // state of.
 func (s *Scheduler) Callers(rank catalog.Rank) int { return len(s.lanes[rank].flows) }
 
+// RankStats returns the state of one rank.
+func (s *Scheduler) RankStats(rank catalog.Rank) RankStats {
+	l := s.lanes[rank]
+	return RankStats{
+		Queued:  l.queued,
+		Bytes:   l.bytes,
+		Running: l.running,
+		Callers: len(l.flows) - l.idle.len(),
+		Demand:  max(l.demand, float64(l.queued+l.running)),
+	}
+}
+
 // Enqueue adds a request to the queue, or refuses it if it cannot start in
 // time or the queue is full. A full queue displaces the last request of the
 // caller with the longest queue, if that is longer than the new caller's.
@@ -166,13 +183,13 @@
 func (s *Scheduler) Pop(now time.Time) *Entry {
 	s.advance(now)
 	s.expire(now)
-	if s.running >= s.slots {
-		return nil
-	}
 	l := s.nextLane()
 	if l == nil {
 		return nil
 	}
+	if s.running >= s.slots {
+		s.borrowed--
+	}
 	e := l.pop()
 	s.expiries.remove(e)
 	s.running++
@@ -184,6 +201,9 @@
 // nextLane picks the rank that the next slot goes to: first one that is below
 // its minimum share, the most urgent of them, then the most urgent at all.
 func (s *Scheduler) nextLane() *lane {
+	if s.running >= s.slots {
+		return s.borrower()
+	}
 	for _, l := range s.lanes {
 		if l.queued > 0 && l.belowReserve() {
 			return l
@@ -197,6 +217,15 @@
 	return nil
 }
 
+// borrower returns the urgent rank if it may start a request beyond the slots.
+func (s *Scheduler) borrower() *lane {
+	urgent := s.lanes[catalog.Urgent]
+	if s.borrowed <= 0 || urgent.queued == 0 {
+		return nil
+	}
+	return urgent
+}
+
 // headroom returns the free slots that rank must leave to urgent work. Without
 // it, long requests take each slot that urgent work leaves for a moment, and
 // hold it when that work is back. It is zero while lent slots return fast
@@ -276,7 +305,7 @@
 // than high, as a request refused early cannot be made good, whereas one that
 // waits in vain is still refused before it runs.
 func (s *Scheduler) expectedWait(l *lane, f *flow, e *Entry) time.Duration {
-	if s.slots == 0 || s.running < s.slots && l.queued == 0 {
+	if s.slots == 0 || l.queued == 0 && s.startsNow(l) {
 		return 0
 	}
 	seconds := s.nextFree()
@@ -286,6 +315,11 @@
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
+// startsNow reports whether a request of a rank without queue may start.
+func (s *Scheduler) startsNow(l *lane) bool {
+	return s.running < s.slots || s.borrowed > 0 && l == s.lanes[catalog.Urgent]
+}
+
 // nextFree returns the expected time until a slot becomes free, in seconds.
 func (s *Scheduler) nextFree() float64 {
 	if s.running < s.slots {
--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/share"
 )
 
 // The ranks of the simulated service.
@@ -27,7 +28,7 @@
 	rank   catalog.Rank
 	rate   float64       // requests per second
 	hold   time.Duration // mean time that a request holds a slot
-	from   time.Duration // when it begins to send
+	at     int           // instance that it uses
 }
 
 // tally is what a source received.
@@ -41,41 +42,57 @@
 	at    time.Time
 	entry *Entry
 	from  *source
+	node  *node
 }
 
-// simulation drives a Scheduler in virtual time.
-type simulation struct {
+// node is one instance of the fleet.
+type node struct {
 	scheduler *Scheduler
-	random    *rand.Rand
-	events    []event // latest first
-	tallies   map[*source]*tally
-	end       time.Time
+	shares    *share.Table
 }
 
-const tokensPerSecond = 40.0
-
-func testConfig(bounds Bounds) Config {
-	var c Config
-	c.Ranks[catalog.Urgent] = RankConfig{Target: urgentTarget, MinShare: urgentShare, Bounds: bounds}
-	c.Ranks[catalog.Batch] = RankConfig{Target: batchTarget, MinShare: batchShare, Bounds: bounds}
-	return c
+// simulation drives the Schedulers of a fleet in virtual time.
+type simulation struct {
+	now      time.Time
+	service  *catalog.Service
+	slots    int
+	nodes    []*node
+	random   *rand.Rand
+	events   []event // latest first
+	tallies  map[*source]*tally
+	end      time.Time
+	highest  int // most requests that ran at once
+	reported int // requests that ran at the last load report
 }
 
-// simulate runs the sources against slots for a virtual duration.
+const (
+	tokensPerSecond = 40.0
+	reportInterval  = 500 * time.Millisecond
+)
+
+func testConfig(bounds Bounds) Config { return ConfigOf(testService(), bounds) }
+
+// simulate runs the sources against slots for a virtual duration on one
+// instance.
 func simulate(slots int, length time.Duration, bounds Bounds, sources []source) []*tally {
-	begin := time.Unix(0, 0)
+	result, _ := simulateFleet(1, slots, length, bounds, sources)
+	return result
+}
+
+// simulateFleet does the same on several instances that share the slots. It
+// also returns the most requests that ran at once.
+func simulateFleet(nodes, slots int, length time.Duration, bounds Bounds, sources []source) ([]*tally, int) {
+	begin := time.Unix(1000, 0)
 	m := &simulation{
-		scheduler: NewScheduler(testConfig(bounds), rand.New(rand.NewPCG(7, 1))),
-		random:    rand.New(rand.NewPCG(7, 2)),
-		tallies:   make(map[*source]*tally),
-		end:       begin.Add(length),
+		now: begin, service: testService(), slots: slots, random: rand.New(rand.NewPCG(7, 2)),
+		tallies: make(map[*source]*tally), end: begin.Add(length),
 	}
-	m.scheduler.SetSlots(begin, slots)
+	m.start(nodes, bounds)
 	result := make([]*tally, len(sources))
 	for i := range sources {
 		result[i] = &tally{}
 		m.tallies[&sources[i]] = result[i]
-		m.arriveAfter(begin.Add(sources[i].from), &sources[i])
+		m.arriveAfter(&sources[i])
 	}
 	for len(m.events) > 0 {
 		last := len(m.events) - 1
@@ -84,9 +101,70 @@
 		if next.at.After(m.end) {
 			break
 		}
+		m.now = next.at
 		m.step(next)
 	}
-	return result
+	return result, m.highest
+}
+
+func (m *simulation) start(nodes int, bounds Bounds) {
+	names := make([]string, nodes)
+	for i := range names {
+		names[i] = string(rune('a' + i))
+	}
+	for i, name := range names {
+		config := share.DefaultConfig("slots", name)
+		config.Clock = func() time.Time { return m.now }
+		n := &node{
+			scheduler: NewScheduler(testConfig(bounds), rand.New(rand.NewPCG(7, uint64(i)))),
+			shares:    share.NewTable(config),
+		}
+		n.shares.SetMembers(names)
+		m.nodes = append(m.nodes, n)
+	}
+	m.report()
+}
+
+// report is one round of load reports and of the exchange of shares.
+func (m *simulation) report() {
+	key := share.KeyOf(m.service.Name)
+	for _, n := range m.nodes {
+		stats := n.stats()
+		n.shares.SetDemand(key, DemandOf(m.service, &stats, m.slots))
+		state := n.shares.State()
+		for _, other := range m.nodes {
+			if other != n {
+				_ = other.shares.Merge(string(rune('a'+slices.Index(m.nodes, n))), state)
+			}
+		}
+	}
+	for _, n := range m.nodes {
+		capacity := Capacity{
+			Slots: m.slots, Free: m.slots - m.reported, Fraction: n.shares.Fraction(key),
+			Running: n.scheduler.Running(), Members: len(m.nodes),
+		}
+		n.scheduler.SetSlots(m.now, capacity.Share())
+		n.scheduler.Borrow(capacity.Spare())
+		m.dispatch(n)
+	}
+	m.reported = m.running()
+	m.add(event{at: m.now.Add(reportInterval)})
+}
+
+func (n *node) stats() Stats {
+	stats := Stats{Slots: n.scheduler.Slots(), Running: n.scheduler.Running()}
+	for rank := range stats.Ranks {
+		stats.Ranks[rank] = n.scheduler.RankStats(catalog.Rank(rank))
+	}
+	return stats
+}
+
+func (m *simulation) running() int {
+	total := 0
+	for _, n := range m.nodes {
+		total += n.scheduler.Running()
+	}
+	return total
 }
 
 func (m *simulation) add(e event) {
@@ -94,37 +172,42 @@
 	m.events = slices.Insert(m.events, i, e)
 }
 
-func (m *simulation) arriveAfter(now time.Time, from *source) {
+func (m *simulation) arriveAfter(from *source) {
 	gap := m.random.ExpFloat64() / from.rate
-	m.add(event{at: now.Add(time.Duration(gap * float64(time.Second))), from: from})
+	m.add(event{at: m.now.Add(time.Duration(gap * float64(time.Second))), from: from})
 }
 
 func (m *simulation) step(e event) {
-	now := e.at
-	if e.entry != nil {
-		m.scheduler.Release(now, e.entry, e.entry.Tokens)
-	} else {
-		m.arrive(now, e.from)
-		m.arriveAfter(now, e.from)
+	switch {
+	case e.entry != nil:
+		e.node.scheduler.Release(m.now, e.entry, e.entry.Tokens)
+		m.dispatch(e.node)
+	case e.from != nil:
+		m.arrive(e.from)
+		m.arriveAfter(e.from)
+		m.dispatch(m.nodes[e.from.at])
+	default:
+		m.report()
 	}
-	for entry := m.scheduler.Pop(now); entry != nil; entry = m.scheduler.Pop(now) {
-		m.start(now, entry)
+}
+
+func (m *simulation) dispatch(n *node) {
+	for entry := n.scheduler.Pop(m.now); entry != nil; entry = n.scheduler.Pop(m.now) {
+		m.run(n, entry)
 	}
-	for _, refused := range m.scheduler.TakeRefused(now) {
+	for _, refused := range n.scheduler.TakeRefused(m.now) {
 		m.tallies[refused.Entry.Owner.(*source)].refused++
 	}
+	m.highest = max(m.highest, m.running())
 }
 
-func (m *simulation) arrive(now time.Time, from *source) {
-	target := urgentTarget
-	if from.rank == catalog.Batch {
-		target = batchTarget
-	}
+func (m *simulation) arrive(from *source) {
 	hold := from.hold.Seconds() * (0.5 + m.random.Float64())
 	t := m.tallies[from]
 	t.sent++
-	entry, refusal := m.scheduler.Enqueue(now, Request{
-		Caller: from.caller, Rank: from.rank, Tokens: int(hold * tokensPerSecond), Bytes: 4096, StartBy: now.Add(target),
+	entry, refusal := m.nodes[from.at].scheduler.Enqueue(m.now, Request{
+		Caller: from.caller, Rank: from.rank, Tokens: int(hold * tokensPerSecond), Bytes: 4096,
+		StartBy: m.now.Add(m.service.Ranks[from.rank].Target),
 	})
 	if refusal != nil {
 		t.refused++
@@ -133,14 +216,14 @@
 	entry.Owner = from
 }
 
-func (m *simulation) start(now time.Time, entry *Entry) {
+func (m *simulation) run(n *node, entry *Entry) {
 	hold := time.Duration(float64(entry.Tokens) / tokensPerSecond * float64(time.Second))
 	t := m.tallies[entry.Owner.(*source)]
 	t.started++
 	// Time beyond the end of the run does not count.
-	t.slotSeconds += min(hold, m.end.Sub(now)).Seconds()
+	t.slotSeconds += min(hold, m.end.Sub(m.now)).Seconds()
 	t.tokens += float64(entry.Tokens)
-	m.add(event{at: now.Add(hold), entry: entry})
+	m.add(event{at: m.now.Add(hold), entry: entry, node: n})
 }
 
 // jain returns Jain's index and the worst value as a part of the mean.
@@ -200,14 +283,44 @@
 		capacity := float64(slots)
 		urgent := callers(10, catalog.Urgent, 10*capacity, time.Second)
 		batch := callers(10, catalog.Batch, capacity/12, 12*time.Second)
-		result := simulate(slots, 2*time.Minute, DefaultBounds(), append(urgent, batch...))
+		result := simulate(slots, 4*time.Minute, DefaultBounds(), append(urgent, batch...))
 		first, other := sum(result[:10]), sum(result[10:])
-		share := other.slotSeconds / (capacity * 120)
-		t.Logf("%d slots: batch share of slots %.4f, urgent share %.3f", slots, share, first.slotSeconds/(capacity*120))
+		share := other.slotSeconds / (capacity * 240)
+		t.Logf("%d slots: batch share of slots %.4f, urgent share %.3f", slots, share, first.slotSeconds/(capacity*240))
 		// The first drafts take a moment to arrive.
 		c.Check(share >= batchShare*0.99, qt.IsTrue)
-		c.Check(first.slotSeconds >= 0.85*capacity*120, qt.IsTrue)
+		c.Check(first.slotSeconds >= 0.85*capacity*240, qt.IsTrue)
+	}
+}
+
+// A caller floods one instance with drafts; urgent work and the drafts of 19
+// other callers enter at others.
+func TestFloodAtOneInstanceOfSeven(t *testing.T) {
+	c := qt.New(t)
+	const slots = 144
+	greedy := source{caller: "greedy", rank: catalog.Batch, rate: 10 * slots / 12, hold: 12 * time.Second}
+	urgent := callers(12, catalog.Urgent, 0.4*slots, time.Second)
+	drafts := callers(19, catalog.Batch, 1.5*slots/12, 12*time.Second)
+	for i := range urgent {
+		urgent[i].at = 1 + i%6
 	}
+	for i := range drafts {
+		drafts[i].at = 1 + i%6
+	}
+	sources := slices.Concat([]source{greedy}, urgent, drafts)
+	result, highest := simulateFleet(7, slots, 10*time.Minute, DefaultBounds(), sources)
+	first := sum(result[1:13])
+	tokens := []float64{result[0].tokens}
+	for _, r := range result[13:] {
+		tokens = append(tokens, r.tokens)
+	}
+	served := float64(first.started) / float64(first.sent)
+	index, worst := jain(tokens)
+	t.Logf("urgent within target %.4f; drafts: Jain %.3f, worst caller %.3f of its fair part; most requests at once %d of %d slots",
+		served, index, worst, highest, slots)
+	c.Check(served >= 0.99, qt.IsTrue)
+	c.Check(index >= 0.95, qt.IsTrue)
+	c.Check(worst >= 0.8, qt.IsTrue)
 }
 
 func TestUnusedShareIsLentAtOnce(t *testing.T) {
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -1,6 +1,26 @@
 package admission
 
-import "math"
+import (
+	"math"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/share"
+)
+
+// DemandOf returns what an instance asks of a service's slots. Urgent work goes
+// before batch work over all instances, and an instance weighs as much as the
+// callers that it serves, so that a caller gains nothing by a long queue or by
+// an instance of its own.
+func DemandOf(service *catalog.Service, stats *Stats, slots int) share.Demand {
+	demand := share.Demand{Reserve: service.Ranks[catalog.Batch].MinShare}
+	if slots <= 0 {
+		return demand
+	}
+	for rank, r := range stats.Ranks {
+		demand.Levels[rank] = share.Level{Want: r.Demand / float64(slots), Weight: float64(r.Callers)}
+	}
+	return demand
+}
 
 // Capacity is what is known of a service's slots when an instance sets its
 // own.
@@ -12,19 +32,21 @@
 	Members  int     // instances that share the slots
 }
 
-// InstanceSlots returns the slots that this instance may use: its share, or
-// what it uses and its part of the free slots, if that is more. A burst at one
-// instance so reaches slots that no other uses before the shares have moved.
-//
-// The shares of all instances, each rounded, exceed the slots by at most half
-// a slot for each instance, or one for an instance whose share is below one.
-// What is borrowed beyond them is at most the free slots, once for each load
-// report: it must be computed once for each.
-func InstanceSlots(c Capacity) int {
+// Share returns the slots that this instance may use at all times. The shares
+// of all instances, each rounded, exceed the slots by at most half a slot for
+// each instance, or one for an instance whose share is below one.
+func (c Capacity) Share() int {
 	if c.Slots <= 0 {
 		return 0
 	}
-	share := max(int(math.Round(float64(c.Slots)*c.Fraction)), 1)
-	borrowed := c.Running + max(c.Free, 0)/max(c.Members, 1)
-	return min(max(share, borrowed), c.Slots)
+	return min(max(int(math.Round(float64(c.Slots)*c.Fraction)), 1), c.Slots)
+}
+
+// Spare returns this instance's part of the free slots that are not its own. It
+// may start that many urgent requests beyond its share until the next load
+// report, so that a burst reaches slots that no instance uses before the shares
+// have moved. All instances together start at most Free for each report.
+func (c Capacity) Spare() int {
+	own := max(c.Share()-c.Running, 0)
+	return max(c.Free-own, 0) / max(c.Members, 1)
 }
--- a/admission/slots_test.go
+++ b/admission/slots_test.go
@@ -6,19 +6,21 @@
 	qt "github.com/frankban/quicktest"
 )
 
-func TestInstanceSlots(t *testing.T) {
+func TestCapacity(t *testing.T) {
 	c := qt.New(t)
 	for _, test := range []struct {
-		name string
-		in   Capacity
-		want int
+		name         string
+		in           Capacity
+		share, spare int
 	}{
-		{"share", Capacity{Slots: 72, Fraction: 0.25, Members: 7}, 18},
-		{"at least one", Capacity{Slots: 8, Fraction: 0.01, Members: 16}, 1},
-		{"none", Capacity{Fraction: 1, Members: 1}, 0},
-		{"borrows a part of the free slots", Capacity{Slots: 72, Free: 60, Fraction: 0.05, Running: 10, Members: 6}, 20},
-		{"never more than all", Capacity{Slots: 8, Free: 8, Fraction: 0.5, Running: 6, Members: 1}, 8},
+		{"share", Capacity{Slots: 72, Fraction: 0.25, Members: 7}, 18, 0},
+		{"at least one", Capacity{Slots: 8, Fraction: 0.01, Members: 16}, 1, 0},
+		{"none", Capacity{Fraction: 1, Members: 1}, 0, 0},
+		{"part of the free slots", Capacity{Slots: 72, Free: 60, Fraction: 0.05, Running: 6, Members: 6}, 4, 10},
+		{"its own are no spare ones", Capacity{Slots: 72, Free: 72, Fraction: 1, Members: 1}, 72, 0},
+		{"overfull", Capacity{Slots: 8, Free: -3, Fraction: 1, Members: 1}, 8, 0},
 	} {
-		c.Check(InstanceSlots(test.in), qt.Equals, test.want, qt.Commentf(test.name))
+		c.Check(test.in.Share(), qt.Equals, test.share, qt.Commentf(test.name))
+		c.Check(test.in.Spare(), qt.Equals, test.spare, qt.Commentf(test.name))
 	}
 }
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -118,11 +118,12 @@
 	a := d.admission
 	key := share.KeyOf(service.Name)
 	stats := a.queue.StatsOf(service)
-	a.slots.SetDemand(key, float64(stats.Demand()))
 	total, free := d.slotsOf(service.Name)
-	a.queue.SetSlots(service, admission.InstanceSlots(admission.Capacity{
-		Slots: total, Free: free, Fraction: a.slots.Fraction(key), Running: stats.Running, Members: a.slots.Members(),
-	}))
+	a.slots.SetDemand(key, admission.DemandOf(service, &stats, total))
+	a.queue.SetCapacity(service, admission.Capacity{
+		Slots: total, Free: free, Fraction: a.slots.Fraction(key),
+		Running: stats.Running, Members: a.slots.Members(),
+	})
 }
 
 // slotsOf returns the slots of the servers that accept work, and those that
--- a/filters/admission_test.go
+++ b/filters/admission_test.go
@@ -84,7 +84,7 @@
 		service := testService(catalog.Limits{})
 		seen := &recorder{}
 		queue := admission.NewQueue(admission.DefaultBounds(), 1)
-		queue.SetSlots(service, 2)
+		queue.SetCapacity(service, admission.Capacity{Slots: 2, Fraction: 1, Members: 1})
 		filter := Admit{Queue: queue, Observer: seen, Serves: func(string) bool { return true }}
 		var mu sync.Mutex
 		running, highest, served, refused := 0, 0, 0, 0
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -60,7 +60,7 @@
 // implements it.
 type Shares interface {
 	Fraction(key share.Key) float64
-	SetDemand(key share.Key, demand float64)
+	SetDemand(key share.Key, demand share.Demand)
 	Members() int
 }
 
@@ -92,6 +92,7 @@
 	// What the caller asks for, admitted or not.
 	wantRequests, wantTokens rate
 	wantInFlight             float64 // highest since the last Tick
+	refused                  int     // since the last Tick
 }
 
 // New returns a Limiter. The seed is for the jitter of RetryAfter.
@@ -133,6 +134,7 @@
 	}
 	c.requests.level--
 	c.charge(tokens)
+	c.refused--
 	c.inFlight++
 	return Use{shard: s, caller: c, estimate: tokens}, nil
 }
@@ -150,7 +152,8 @@
 	c.last = now
 	c.wantRequests.add(now, 1)
 	c.wantTokens.add(now, float64(tokens))
-	c.wantInFlight = max(c.wantInFlight, float64(c.inFlight+1))
+	c.refused++
+	c.wantInFlight = max(c.wantInFlight, float64(c.inFlight+c.refused))
 }
 
 // refuse returns the limit that another request exceeds and the time until it
@@ -233,7 +236,7 @@
 				demand = 0
 				delete(s.callers, key)
 			}
-			l.shares.SetDemand(c.key, demand)
+			l.shares.SetDemand(c.key, share.Want(demand))
 			c.fraction = l.shares.Fraction(c.key)
 		}
 		s.mu.Unlock()
@@ -265,7 +268,7 @@
 	if c.limits.InFlight > 0 {
 		demand = max(demand, c.wantInFlight/float64(c.limits.InFlight))
 	}
-	c.wantInFlight = float64(c.inFlight)
+	c.wantInFlight, c.refused = float64(c.inFlight), 0
 	return demand
 }
 
--- a/share/codec.go
+++ b/share/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 )
 
@@ -20,7 +21,10 @@
 func (w *writer) row(now time.Time, key Key, r *row, members map[memberID]*member) bool {
 	before := len(w.data)
 	w.fixed64(uint64(key))
-	w.uvarint(uint64(r.demand * demandScale))
+	for _, level := range r.demand.Levels {
+		w.uvarint(uint64(math.Ceil(level.Want * wantScale)))
+		w.uvarint(uint64(math.Ceil(level.Weight)))
+	}
 	w.uvarint(uint64(max(r.held(now), 0)))
 	given := 0
 	for _, c := range r.cells {
--- a/share/share.go
+++ b/share/share.go
@@ -1,6 +1,10 @@
 // Package share divides limits among the instances of a region by demand,
 // without a coordinator and without the store.
 //
+// A division has two levels of urgency. At each, members get parts by weighted
+// max-min fairness, so that one with more callers gets more, whatever a single
+// caller sends; the second level keeps a reserve.
+//
 // Each member of the region starts with an equal part of a limit, of Units
 // units. A member with more than its demand asks for gives units to one with
 // less: it lowers its own holding first and then announces the sum of all it
@@ -98,6 +102,7 @@
 	order       []Key // all rows, to announce in turn
 	cursor      int
 	urgent      []Key // keys whose change was not announced yet
+	scratch     []claim
 }
 
 // memberID is a digest of an instance's id.
@@ -135,7 +140,7 @@
 
 // row is one limit.
 type row struct {
-	demand   float64
+	demand   Demand
 	cells    map[memberID]*cell
 	retired  []retirement
 	announce int // announcements due ahead of turn
@@ -144,18 +149,18 @@
 // cell is what is known of one peer's part of a limit.
 type cell struct {
 	in, out uint64 // units ever received from the peer and given to it
-	demand  float64
+	levels  [2]Level
 	held    int64
-	at      time.Time // when demand and held were received
+	at      time.Time // when levels and held were received
 	gave    time.Time // when units were given last
 }
 
-// demandAt returns the peer's demand unless it is too old to count.
-func (c *cell) demandAt(now time.Time) float64 {
+// levelsAt returns the peer's demand unless it is too old to count.
+func (c *cell) levelsAt(now time.Time) [2]Level {
 	if now.Sub(c.at) > demandLife {
-		return 0
+		return [2]Level{}
 	}
-	return c.demand
+	return c.levels
 }
 
 // retirement is what was given to a forgotten member. It is missed until all
@@ -209,30 +214,23 @@
 	}
 }
 
-// SetDemand states how much of a limit this instance could use now. All
-// instances must use the same unit for a key.
-func (t *Table) SetDemand(key Key, demand float64) {
+// SetDemand states how much of a limit this instance could use now.
+func (t *Table) SetDemand(key Key, demand Demand) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.rows[key]
 	if r == nil {
-		if demand == 0 {
+		if demand.none() {
 			return
 		}
 		r = t.row(key)
 	}
-	if changed(r.demand, demand) {
+	if r.demand.differs(&demand) {
 		t.urge(key, r)
 	}
 	r.demand = demand
 }
 
-// changed reports whether a new demand is worth an early announcement.
-func changed(old, demand float64) bool {
-	const step = 1.25
-	return demand > old*step || old > demand*step
-}
-
 // Fraction returns the part of a limit that this instance may use, 0..1.
 func (t *Table) Fraction(key Key) float64 {
 	t.mu.Lock()
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -130,19 +130,46 @@
 	c := qt.New(t)
 	n := newNetwork(7)
 	n.rounds(c, 10, 1)
-	n.tables[0].SetDemand(limit, 100)
+	n.tables[0].SetDemand(limit, Want(1.0))
 	n.rounds(c, 10, 1)
 	t.Logf("10 s after demand at one instance of 7: %.3f", n.tables[0].Fraction(limit))
 	c.Check(n.tables[0].Fraction(limit) >= 0.7, qt.IsTrue)
-	n.tables[0].SetDemand(limit, 0)
-	n.tables[1].SetDemand(limit, 100)
-	n.tables[2].SetDemand(limit, 300)
+	n.tables[0].SetDemand(limit, Demand{})
+	n.tables[1].SetDemand(limit, Demand{Levels: [2]Level{{Want: 5, Weight: 1}}})
+	n.tables[2].SetDemand(limit, Demand{Levels: [2]Level{{Want: 5, Weight: 3}}})
 	n.rounds(c, 15, 1)
-	t.Logf("15 s after it moved to two, 1 to 3: %.3f and %.3f", n.tables[1].Fraction(limit), n.tables[2].Fraction(limit))
+	t.Logf("15 s after it moved to two of weight 1 and 3: %.3f and %.3f", n.tables[1].Fraction(limit), n.tables[2].Fraction(limit))
 	c.Check(n.tables[1].Fraction(limit) >= 0.18, qt.IsTrue)
 	c.Check(n.tables[2].Fraction(limit) >= 0.5, qt.IsTrue)
 }
 
+// A flood of the second level at one member leaves the first level of another
+// what it wants; a flood of the first leaves the second its reserve; and at
+// each level a member with more callers gets more, whatever one caller sends.
+func TestLevelsAndWeights(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(4)
+	set := func(member int, first, second Level) {
+		n.tables[member].SetDemand(limit, Demand{Levels: [2]Level{first, second}, Reserve: 0.2})
+	}
+	set(0, Level{}, Level{Want: 100, Weight: 1})
+	set(1, Level{Want: 0.4, Weight: 5}, Level{})
+	set(2, Level{}, Level{Want: 5, Weight: 19})
+	n.rounds(c, 30, 1)
+	t.Logf("flood of the second level: flood %.3f, first level elsewhere %.3f, 19 callers elsewhere %.3f",
+		n.tables[0].Fraction(limit), n.tables[1].Fraction(limit), n.tables[2].Fraction(limit))
+	c.Check(n.tables[1].Fraction(limit) >= 0.35, qt.IsTrue)
+	c.Check(n.tables[2].Fraction(limit) >= 0.35, qt.IsTrue)
+	c.Check(n.tables[0].Fraction(limit) <= 0.15, qt.IsTrue)
+	set(1, Level{Want: 50, Weight: 1}, Level{})
+	set(2, Level{}, Level{})
+	n.rounds(c, 30, 1)
+	t.Logf("flood of the first level: flood %.3f, second level elsewhere %.3f",
+		n.tables[1].Fraction(limit), n.tables[0].Fraction(limit))
+	c.Check(n.tables[1].Fraction(limit) >= 0.6, qt.IsTrue)
+	c.Check(n.tables[0].Fraction(limit) >= 0.2, qt.IsTrue)
+}
+
 func TestSumStaysWithinLimitUnderLossAndDelay(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(16)
@@ -150,7 +177,7 @@
 	least := 1.0
 	for i := range 300 {
 		if i%3 == 0 {
-			n.tables[n.random.IntN(16)].SetDemand(limit, float64(n.random.IntN(1000)))
+			n.tables[n.random.IntN(16)].SetDemand(limit, Want(float64(n.random.IntN(1000))/1000))
 		}
 		n.rounds(c, 1, 1)
 		if i > 10 {
@@ -164,11 +191,11 @@
 func TestLostMemberKeepsItsShareUntilForgotten(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(7)
-	n.tables[0].SetDemand(limit, 500)
+	n.tables[0].SetDemand(limit, Want(5.0))
 	n.rounds(c, 20, 1)
 	// Member 0 passes on to member 1 what the others gave it.
-	n.tables[0].SetDemand(limit, 200)
-	n.tables[1].SetDemand(limit, 400)
+	n.tables[0].SetDemand(limit, Want(2.0))
+	n.tables[1].SetDemand(limit, Want(4.0))
 	n.rounds(c, 20, 1)
 	lost := n.tables[0].Fraction(limit)
 	n.silent[0] = true
@@ -197,12 +224,12 @@
 func TestPartitionKeepsTheSum(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(8)
-	n.tables[0].SetDemand(limit, 100)
-	n.tables[7].SetDemand(limit, 100)
+	n.tables[0].SetDemand(limit, Want(1.0))
+	n.tables[7].SetDemand(limit, Want(1.0))
 	n.rounds(c, 20, 1)
 	n.cut = func(from, to int) bool { return (from < 4) != (to < 4) }
-	n.tables[0].SetDemand(limit, 0)
-	n.tables[1].SetDemand(limit, 1000)
+	n.tables[0].SetDemand(limit, Want(0.0))
+	n.tables[1].SetDemand(limit, Want(10.0))
 	n.rounds(c, 60, 1)
 	t.Logf("within one side the part moved: %.3f and %.3f", n.tables[0].Fraction(limit), n.tables[1].Fraction(limit))
 	c.Check(n.tables[1].Fraction(limit) >= 0.3, qt.IsTrue)
@@ -213,7 +240,7 @@
 func TestIsolatedMemberUsesNoMoreThanAnEqualPart(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(7)
-	n.tables[0].SetDemand(limit, 100)
+	n.tables[0].SetDemand(limit, Want(1.0))
 	n.rounds(c, 20, 1)
 	c.Assert(n.tables[0].Fraction(limit) > 0.5, qt.IsTrue)
 	n.cut = func(from, to int) bool { return from == 0 || to == 0 }
@@ -222,7 +249,7 @@
 	// The others forget it, although it runs.
 	for i := 1; i < 7; i++ {
 		n.tables[i].Forget(n.names[0])
-		n.tables[i].SetDemand(limit, 100)
+		n.tables[i].SetDemand(limit, Want(1.0))
 	}
 	n.rounds(c, 30, 1+1.0/7)
 	c.Check(n.sum() > 1, qt.IsTrue)
@@ -236,11 +263,11 @@
 func TestNewMemberTakesNoMoreThanTheFloorAtFirst(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(6)
-	n.tables[0].SetDemand(limit, 100)
+	n.tables[0].SetDemand(limit, Want(1.0))
 	n.rounds(c, 20, 1)
 	n.cut = func(from, _ int) bool { return from == 6 }
 	n.join()
-	n.tables[6].SetDemand(limit, 100)
+	n.tables[6].SetDemand(limit, Want(1.0))
 	for i := range 6 {
 		n.tables[i].SetMembers(n.names[:6])
 	}
@@ -263,7 +290,7 @@
 func TestMalformedStateIsRefused(t *testing.T) {
 	c := qt.New(t)
 	n := newNetwork(2)
-	n.tables[0].SetDemand(limit, 5)
+	n.tables[0].SetDemand(limit, Want(0.05))
 	state := n.tables[0].State()
 	for cut := range len(state) {
 		if err := n.tables[1].Merge("entry-0", state[:cut]); cut < 9 {
@@ -280,7 +307,7 @@
 		b.Run(fmt.Sprintf("limits=%d", limits), func(b *testing.B) {
 			n := newNetwork(16)
 			for i := range limits {
-				n.tables[i%16].SetDemand(KeyOf(fmt.Sprint(i)), float64(i))
+				n.tables[i%16].SetDemand(KeyOf(fmt.Sprint(i)), Want(0.5))
 			}
 			for range 30 {
 				n.round()
--- a/share/state.go
+++ b/share/state.go
@@ -15,8 +15,8 @@
 	announcements = 3
 	// maxMembers bounds the members of a region that a row names.
 	maxMembers = 64
-	// demandScale is the resolution of a demand on the wire.
-	demandScale = 1000
+	// wantScale is the resolution of a Want on the wire.
+	wantScale = 1000
 )
 
 // errState is returned for a state that cannot be decoded.
@@ -97,7 +97,7 @@
 			t.drop(key)
 			continue
 		}
-		worthSending := r.announce == 0 && (r.demand != 0 || r.transferred())
+		worthSending := r.announce == 0 && (!r.demand.none() || r.transferred())
 		if worthSending && !w.row(now, key, r, t.members) {
 			return
 		}
@@ -116,11 +116,11 @@
 // unused reports whether nothing is lost with a row: no demand is known, and
 // no units moved.
 func (r *row) unused(now time.Time) bool {
-	if r.demand != 0 || r.announce > 0 || len(r.retired) > 0 || r.transferred() {
+	if !r.demand.none() || r.announce > 0 || len(r.retired) > 0 || r.transferred() {
 		return false
 	}
 	for _, c := range r.cells {
-		if c.demandAt(now) != 0 {
+		if c.levelsAt(now) != ([2]Level{}) {
 			return false
 		}
 	}
@@ -193,7 +193,11 @@
 
 func (t *Table) readRow(now time.Time, id memberID, r *reader) {
 	key := Key(r.fixed64())
-	demand := float64(r.uvarint()) / demandScale
+	var levels [2]Level
+	for i := range levels {
+		levels[i].Want = float64(r.uvarint()) / wantScale
+		levels[i].Weight = float64(r.uvarint())
+	}
 	held := int64(r.uvarint())
 	var given uint64
 	for range r.uvarint() {
@@ -210,7 +214,7 @@
 	}
 	row := t.row(key)
 	c := row.cell(id)
-	c.demand, c.held, c.at = demand, held, now
+	c.levels, c.held, c.at = levels, held, now
 	// An older state may arrive later; the sum never decreases.
 	c.in = max(c.in, given)
 	t.give(now, key, row, id)
--- a/telemetry/admission.go
+++ b/telemetry/admission.go
@@ -113,7 +113,7 @@
 	o.ObserveInt64(g.slots, int64(stats.Slots), metric.WithAttributes(name))
 	for rank := range catalog.Rank(catalog.RankCount) {
 		labels := metric.WithAttributes(name, attribute.String("rank", rank.String()))
-		o.ObserveInt64(g.queued, int64(stats.Queued[rank]), labels)
-		o.ObserveInt64(g.queuedBytes, stats.Bytes[rank], labels)
+		o.ObserveInt64(g.queued, int64(stats.Ranks[rank].Queued), labels)
+		o.ObserveInt64(g.queuedBytes, stats.Ranks[rank].Bytes, labels)
 	}
 }
