--- a/share/divide.go
+++ b/share/divide.go
@@ -171,7 +171,8 @@
 // claims returns what each member asks and holds, this one first, and the
 // place of the given peer.
 func (t *Table) claims(now time.Time, r *row, id memberID) (claims []claim, peer int) {
-	claims = append(t.scratch[:0], claim{id: t.selfID, levels: r.demand.Levels, held: float64(r.held(now))})
+	claims = t.scratch[:0]
+	claims = append(claims, claim{id: t.selfID, levels: r.demand.Levels, held: float64(r.held(now))})
 	for other := range t.members {
 		c := claim{id: other, held: Units}
 		if cell := r.cells[other]; cell != nil {
