Measure memory and time of shares in the benchmark

The size of a state alone does not say what 2,000 limits cost.

Failed try, not kept: early announcements that name only new gifts.

--- a/share/share_test.go
+++ b/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -300,28 +301,40 @@
 	c.Check(n.tables[1].Merge("entry-0", []byte{9, 9}), qt.IsNotNil)
 }
 
-// BenchmarkState reports the size of a state and the rounds until every limit
-// was announced.
+// BenchmarkState reports the size of a state in a region of 16, the memory of a
+// limit at each member, and the time to take over a state.
 func BenchmarkState(b *testing.B) {
 	for _, limits := range []int{10, 100, 1000, 2000} {
 		b.Run(fmt.Sprintf("limits=%d", limits), func(b *testing.B) {
+			before := heap()
 			n := newNetwork(16)
 			for i := range limits {
 				n.tables[i%16].SetDemand(KeyOf(fmt.Sprint(i)), Want(0.5))
 			}
-			for range 30 {
+			for range 100 {
 				n.round()
 			}
-			var bytes, states int
-			for b.Loop() {
+			n.flying = nil
+			memory := float64(heap()-before) / float64(limits*len(n.tables))
+			var bytes int
+			b.ResetTimer()
+			for range b.N {
 				state := n.tables[0].State()
 				if len(state) > exchange.MaxStateBytes {
 					b.Fatal("state exceeds its bound")
 				}
 				bytes += len(state)
-				states++
+				_ = n.tables[1].Merge(n.names[0], state)
 			}
-			b.ReportMetric(float64(bytes)/float64(states), "B/state")
+			b.ReportMetric(float64(bytes)/float64(b.N), "B/state")
+			b.ReportMetric(memory, "B/limit")
 		})
 	}
 }
+
+func heap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
