Publish configuration as a log of revisions and spread it among instances

Ruled out: one value for everything (grows past 1 MB, all of it sent at each change); a watch by each instance (350 waiting calls of 2,000).

--- a/cmd/fuchsia-dev/system.go
+++ b/cmd/fuchsia-dev/system.go
@@ -15,8 +15,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiastack/fuchsiastack/config"
+	"github.com/fuchsiastack/fuchsiastack/configlog"
 	"github.com/fuchsiastack/fuchsiastack/daemon"
 	"github.com/fuchsiastack/fuchsiastack/examples"
+	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/standin/engine"
 	"github.com/fuchsiastack/fuchsiastack/standin/kv"
 	"github.com/fuchsiastack/fuchsiastack/standin/plain"
@@ -98,7 +100,8 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, publishTimeout)
 	defer cancel()
-	_, err = config.Publish(ctx, consul.New(s.storeURL), tree, 0)
+	publisher := &rollout.Publisher{Log: &configlog.Log{Store: consul.New(s.storeURL)}}
+	_, err = publisher.Publish(ctx, tree, nil)
 	return err
 }
 
--- a/cmd/fuchsiactl/main.go
+++ b/cmd/fuchsiactl/main.go
@@ -1,9 +1,9 @@
-// Command fuchsiactl is the operators' tool.
+// Command fuchsiactl is the operators' tool: it checks and publishes
+// configuration, and tells what is in force.
 package main
 
 import (
-	"context"
-	"fmt"
+	"net/http"
 	"os"
 	"time"
 
@@ -11,62 +11,55 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/fuchsiastack/fuchsiastack/config"
+	"github.com/fuchsiastack/fuchsiastack/configlog"
 	"github.com/fuchsiastack/fuchsiastack/internal/climain"
+	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 )
 
-// callTimeout bounds a command that talks to the store.
-const callTimeout = 30 * time.Second
+// defaultWait is how long publish waits for acceptance.
+const defaultWait = 30 * time.Second
 
 func main() { climain.Run(command()) }
 
 func command() *cli.Command {
-	storeURL := &cli.StringFlag{
-		Name: "store-url", Usage: "base URL of the platform's key-value service",
-		Sources: cli.EnvVars("FUCHSIA_STORE_URL"), Required: true,
-	}
 	return &cli.Command{
 		Name:  "fuchsiactl",
-		Usage: "validate and publish configuration",
+		Usage: "check and publish the configuration of fuchsiastack",
 		Commands: []*cli.Command{
-			{Name: "validate", Usage: "check the service files below DIR", ArgsUsage: "DIR", Action: validate},
-			{Name: "publish", Usage: "publish the service files below DIR", ArgsUsage: "DIR", Flags: []cli.Flag{storeURL}, Action: publish},
+			validateCommand(),
+			publishCommand(),
+			statusCommand(),
 		},
 	}
 }
 
-func readTree(cmd *cli.Command) (*config.Tree, error) {
-	if cmd.Args().Len() != 1 {
-		return nil, errors.New("want one argument: the directory")
+func storeFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "store-url", Usage: "base URL of the platform's key-value service",
+		Sources: cli.EnvVars("FUCHSIA_STORE_URL"), Required: true,
 	}
-	return config.ReadTree(os.DirFS(cmd.Args().First()))
 }
 
-func validate(_ context.Context, cmd *cli.Command) error {
-	tree, err := readTree(cmd)
-	if err != nil {
-		return err
+func platformFlag(required bool) cli.Flag {
+	return &cli.StringFlag{
+		Name: "platform-url", Usage: "base URL of the platform's directory of instances",
+		Sources: cli.EnvVars("FUCHSIA_PLATFORM_URL"), Required: required,
 	}
-	fmt.Fprintf(cmd.Root().Writer, "valid: %d services, %d callers\n", len(tree.Services), len(tree.Callers))
-	return nil
 }
 
-func publish(ctx context.Context, cmd *cli.Command) error {
-	tree, err := readTree(cmd)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	s := consul.New(cmd.String("store-url"))
-	base, err := config.Revision(ctx, s)
-	if err != nil {
-		return err
+func newPublisher(cmd *cli.Command) *rollout.Publisher {
+	return &rollout.Publisher{
+		Log:       &configlog.Log{Store: consul.New(cmd.String("store-url"))},
+		Directory: platform.New(cmd.String("platform-url")),
+		Prober:    rollout.HTTPProber{Client: http.DefaultClient},
 	}
-	revision, err := config.Publish(ctx, s, tree, base)
-	if err != nil {
-		return err
+}
+
+func readTree(cmd *cli.Command) (*config.Tree, error) {
+	if cmd.Args().Len() != 1 {
+		return nil, errors.New("want one argument: the directory with the service files")
 	}
-	fmt.Fprintf(cmd.Root().Writer, "published revision %d\n", revision)
-	return nil
+	return config.ReadTree(os.DirFS(cmd.Args().First()))
 }
--- /dev/null
+++ b/cmd/fuchsiactl/publish.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fuchsiastack/fuchsiastack/configlog"
+	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/rollout"
+)
+
+// storeTimeout bounds the calls to the store of one command.
+const storeTimeout = 30 * time.Second
+
+// exitPending is the exit status of a publish that is not accepted yet.
+const exitPending = 2
+
+func publishCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "publish",
+		Usage:     "publish the service files below DIR, and wait until they are in force everywhere",
+		ArgsUsage: "DIR",
+		Description: "Exit status 0: accepted, in force on every live instance. 1: nothing was published, " +
+			"or it is unknown whether it was. 2: published, but pending; ask again with status.",
+		Flags: []cli.Flag{
+			storeFlag(), platformFlag(true),
+			&cli.Uint64Flag{Name: "base", Usage: "publish only if this is the newest revision"},
+			&cli.DurationFlag{Name: "wait", Usage: "how long to wait for acceptance", Value: defaultWait},
+			&cli.BoolFlag{Name: "bootstrap", Usage: "allow regions that no instance serves yet"},
+		},
+		Action: publish,
+	}
+}
+
+func publish(ctx context.Context, cmd *cli.Command) error {
+	tree, err := readTree(cmd)
+	if err != nil {
+		return err
+	}
+	if !cmd.Bool("bootstrap") {
+		if err := checkRegions(ctx, tree, platform.New(cmd.String("platform-url"))); err != nil {
+			return err
+		}
+	}
+	var base *uint64
+	if cmd.IsSet("base") {
+		value := cmd.Uint64("base")
+		base = &value
+	}
+	publisher := newPublisher(cmd)
+	storeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	state, err := publisher.Publish(storeCtx, tree, base)
+	cancel()
+	if err != nil && !errors.Is(err, rollout.ErrUnchanged) {
+		return err
+	}
+	if err != nil {
+		fmt.Fprintf(cmd.Root().Writer, "unchanged: revision %d holds the same\n", state.Revision)
+	}
+	return await(ctx, cmd, publisher, state)
+}
+
+// await waits for acceptance and prints the result.
+func await(ctx context.Context, cmd *cli.Command, publisher *rollout.Publisher, state *configlog.State) error {
+	regions, err := rollout.RegionsOf(state)
+	if err != nil {
+		return err
+	}
+	report := publisher.Await(ctx, state.Revision, regions, cmd.Duration("wait"))
+	if report.Accepted() {
+		fmt.Fprintf(cmd.Root().Writer, "accepted: revision %d is in force on %d instances\n", state.Revision, len(report.InForce))
+		return nil
+	}
+	return cli.Exit(fmt.Sprintf("pending: revision %d: %s", state.Revision, report), exitPending)
+}
--- a/config/file.go
+++ b/config/file.go
@@ -1,29 +1,23 @@
-// Package config reads the operators' service files, checks them, publishes
-// them to the store, and loads a published revision into a catalog.Snapshot.
+// Package config reads and checks the operators' service files, and turns
+// them into the entries that package configlog publishes, and those entries
+// into a catalog.Snapshot.
 //
 // A file stands beside a service's code and is named fuchsia.yaml. It states
 // which work is urgent, where data may live, whether calls may be repeated,
-// and the limits of callers.
+// and the limits of callers. A file named fuchsia-callers.yaml lists callers.
 package config
 
 import (
-	"bytes"
-	"io/fs"
-	"path"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/goccy/go-yaml"
-
-	"github.com/fuchsiastack/fuchsiastack/catalog"
 )
 
-// FileName is the name of a service file.
-const FileName = "fuchsia.yaml"
-
-// CallersFileName is the name of a file that lists callers.
-const CallersFileName = "fuchsia-callers.yaml"
+// Names of the files.
+const (
+	FileName        = "fuchsia.yaml"
+	CallersFileName = "fuchsia-callers.yaml"
+)
 
 // ServiceFile is the content of a service file.
 type ServiceFile struct {
@@ -48,10 +42,10 @@
 type WorkSection struct {
 	Rank       string `yaml:"rank"`
 	Home       string `yaml:"home"`
-	Repeatable *bool  `yaml:"repeatable"`
+	Repeatable *bool  `yaml:"repeatable"` // default: true for models, false for plain services
 }
 
-// LimitsSection bounds a caller.
+// LimitsSection bounds a caller. Zero means unlimited.
 type LimitsSection struct {
 	RequestsPerSecond float64 `yaml:"requests_per_second"`
 	TokensPerSecond   float64 `yaml:"tokens_per_second"`
@@ -72,84 +66,16 @@
 // Duration is a time.Duration written as "250ms" or "2m".
 type Duration time.Duration
 
-// UnmarshalYAML implements yaml.BytesUnmarshaler.
-func (d *Duration) UnmarshalYAML(text []byte) error {
-	parsed, err := time.ParseDuration(strings.Trim(strings.TrimSpace(string(text)), `"'`))
-	if err != nil {
-		return errors.Errorf("%q is no duration, want one such as 250ms, 1.9s or 10m", strings.TrimSpace(string(text)))
-	}
-	*d = Duration(parsed)
-	return nil
-}
-
-// Tree is the content of all files below a directory.
-type Tree struct {
-	Services []*catalog.Service
-	Callers  []*catalog.Caller
-}
-
-// ReadTree reads every service file and callers file below the root of fsys.
-// It returns all problems of all files at once.
-func ReadTree(fsys fs.FS) (*Tree, error) {
-	tree := &Tree{}
-	var problems Problems
-	walk := func(name string, entry fs.DirEntry, err error) error {
-		if err != nil {
-			return err
-		}
-		if entry.IsDir() {
-			return nil
-		}
-		switch path.Base(name) {
-		case FileName:
-			problems = append(problems, tree.readService(fsys, name)...)
-		case CallersFileName:
-			problems = append(problems, tree.readCallers(fsys, name)...)
-		}
-		return nil
+// UnmarshalYAML implements yaml.InterfaceUnmarshaler.
+func (d *Duration) UnmarshalYAML(unmarshal func(any) error) error {
+	var text string
+	if err := unmarshal(&text); err != nil {
+		return err
 	}
-	if err := fs.WalkDir(fsys, ".", walk); err != nil {
-		return nil, errors.Wrap(err, "read tree")
-	}
-	problems = append(problems, tree.duplicates()...)
-	if len(problems) > 0 {
-		return nil, problems
-	}
-	return tree, nil
-}
-
-func (t *Tree) readService(fsys fs.FS, name string) Problems {
-	var file ServiceFile
-	if problems := decode(fsys, name, &file); problems != nil {
-		return problems
-	}
-	service, problems := file.Compile(name)
-	if len(problems) > 0 {
-		return problems
-	}
-	t.Services = append(t.Services, service)
-	return nil
-}
-
-func (t *Tree) readCallers(fsys fs.FS, name string) Problems {
-	var file CallersFile
-	if problems := decode(fsys, name, &file); problems != nil {
-		return problems
-	}
-	for _, c := range file.Callers {
-		t.Callers = append(t.Callers, &catalog.Caller{Name: c.Name, KeyDigest: strings.ToLower(c.KeySHA256)})
-	}
-	return nil
-}
-
-func decode(fsys fs.FS, name string, into any) Problems {
-	text, err := fs.ReadFile(fsys, name)
+	parsed, err := time.ParseDuration(text)
 	if err != nil {
-		return Problems{{File: name, Found: err.Error()}}
-	}
-	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
-	if err := decoder.Decode(into); err != nil {
-		return Problems{{File: name, Found: yaml.FormatError(err, false, false)}}
+		return errors.Errorf("%q is no duration, want one such as 250ms, 1.9s or 10m", text)
 	}
+	*d = Duration(parsed)
 	return nil
 }
--- /dev/null
+++ b/configlog/log_test.go
@@ -0,0 +1,159 @@
+package configlog_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiastack/fuchsiastack/configlog"
+	"github.com/fuchsiastack/fuchsiastack/standin/kv"
+	"github.com/fuchsiastack/fuchsiastack/store/consul"
+)
+
+func newLog() (*configlog.Log, *kv.Server) {
+	server := kv.New()
+	return &configlog.Log{Store: consul.NewWithTransport("http://kv", server.Transport())}, server
+}
+
+func publish(l *configlog.Log, base *configlog.State, entries configlog.Entries) (*configlog.State, error) {
+	delta, changed := base.Next(entries)
+	if !changed {
+		return base, nil
+	}
+	return l.Publish(context.Background(), base, delta)
+}
+
+// change returns the entries of s with one key set.
+func change(s *configlog.State, key, value string) configlog.Entries {
+	entries := configlog.Entries{key: []byte(value)}
+	for k, v := range s.Entries {
+		if k != key {
+			entries[k] = v
+		}
+	}
+	return entries
+}
+
+// Reading gives what was published, over many snapshots, from any known
+// revision.
+func TestReadGivesWhatWasPublished(t *testing.T) {
+	c := qt.New(t)
+	l, _ := newLog()
+	ctx := context.Background()
+	current := configlog.Empty()
+	var older *configlog.State
+	const revisions = 300
+	for i := range revisions {
+		next, err := publish(l, current, change(current, fmt.Sprintf("service/%d", i%17), fmt.Sprint(i)))
+		c.Assert(err, qt.IsNil)
+		current = next
+		if i == revisions-20 {
+			older = next
+		}
+	}
+	whole, err := l.Read(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(whole, qt.DeepEquals, current)
+	head, _, err := l.Head(ctx)
+	c.Assert(err, qt.IsNil)
+	partly, deltas, err := l.ReadTo(ctx, older, head)
+	c.Assert(err, qt.IsNil)
+	c.Assert(partly, qt.DeepEquals, current)
+	c.Assert(deltas, qt.HasLen, revisions-int(older.Revision))
+}
+
+// A tree larger than one value of the store is published whole.
+func TestLargeStateIsStoredInParts(t *testing.T) {
+	c := qt.New(t)
+	l, _ := newLog()
+	entries := configlog.Entries{}
+	for i := range 2000 {
+		entries[fmt.Sprintf("caller/%d", i)] = bytes.Repeat([]byte{'x'}, 400)
+	}
+	published, err := publish(l, configlog.Empty(), entries)
+	c.Assert(err, qt.IsNil)
+	read, err := l.Read(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(read, qt.DeepEquals, published)
+}
+
+// Of operators that race from the same revision exactly one publishes. Each
+// call takes a while, so that all of them read the head before one writes it.
+func TestRacingOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l, server := newLog()
+		base, err := publish(l, configlog.Empty(), configlog.Entries{"service/a": []byte("0")})
+		c.Assert(err, qt.IsNil)
+		server.SetFaults(kv.Faults{Delay: time.Second})
+		const operators = 16
+		errs := make([]error, operators)
+		var tasks sync.WaitGroup
+		for i := range operators {
+			tasks.Go(func() {
+				_, errs[i] = publish(l, base, change(base, "service/a", fmt.Sprint("operator ", i)))
+			})
+		}
+		tasks.Wait()
+		raced := 0
+		for _, err := range errs {
+			if errors.Is(err, configlog.ErrRaced) {
+				raced++
+			}
+		}
+		c.Assert(raced, qt.Equals, operators-1, qt.Commentf("%v", errs))
+	})
+}
+
+// A lost answer of the store is settled without writing again.
+func TestLostAnswerIsSettled(t *testing.T) {
+	c := qt.New(t)
+	l, server := newLog()
+	server.SetFaults(kv.Faults{LoseWrites: 1})
+	state, err := publish(l, configlog.Empty(), configlog.Entries{"service/a": []byte("1")})
+	c.Assert(err, qt.IsNil)
+	c.Assert(state.Revision, qt.Equals, uint64(1))
+	c.Assert(server.Counters().Writes, qt.Equals, uint64(1))
+}
+
+// Over random sequences of publishes with lost answers and races, the history
+// in the store is one chain: each revision has one content.
+func TestRevisionsFormOneChain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, server := newLog()
+		states := []*configlog.State{configlog.Empty()}
+		seen := map[uint64]configlog.Digest{}
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			base := states[rapid.IntRange(0, len(states)-1).Draw(t, "base")]
+			server.SetFaults(kv.Faults{LoseWrites: rapid.IntRange(0, 1).Draw(t, "lost")})
+			next, err := publish(l, base, change(base, "service/a", fmt.Sprint(step)))
+			server.SetFaults(kv.Faults{})
+			if err != nil {
+				if !errors.Is(err, configlog.ErrRaced) {
+					t.Fatalf("step %d: %v", step, err)
+				}
+				continue
+			}
+			if digest, ok := seen[next.Revision]; ok && digest != next.Digest {
+				t.Fatalf("revision %d was published twice", next.Revision)
+			}
+			seen[next.Revision] = next.Digest
+			states = append(states, next)
+		}
+		read, err := l.Read(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if newest := states[len(states)-1]; read.Digest != newest.Digest {
+			t.Fatalf("store holds revision %d, published was %d", read.Revision, newest.Revision)
+		}
+	})
+}
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -10,14 +10,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
-	"github.com/fuchsiastack/fuchsiastack/config"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 const (
-	watchWait       = 30 * time.Second // one watch of the store
-	watchSlack      = 5 * time.Second  // beyond watchWait until the call is given up
-	watchRetry      = time.Second      // after a failed watch
 	loadTimeout     = time.Second
 	maxLoadBytes    = 16 << 10
 	maxLoadRequests = 32 // load reports asked for at once
@@ -26,7 +22,7 @@
 
 // startControllers runs every controller until ctx ends.
 func (d *Daemon) startControllers(ctx context.Context, group *errgroup.Group) {
-	group.Go(func() error { d.followConfig(ctx); return nil })
+	group.Go(func() error { d.config.Run(ctx); return nil })
 	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readList); return nil })
 	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.readLoads); return nil })
 	group.Go(func() error { every(ctx, d.settings.DirectoryTTL/3, d.register); return nil })
@@ -47,45 +43,6 @@
 	}
 }
 
-// followConfig puts each newer revision in the store in force.
-func (d *Daemon) followConfig(ctx context.Context) {
-	var index uint64
-	for ctx.Err() == nil {
-		next, err := d.watchConfig(ctx, index)
-		if err != nil {
-			d.log.Warn().Str("event", "config_watch_failed").Err(err).Msg("")
-			sleep(ctx, watchRetry)
-			continue
-		}
-		index = next
-	}
-}
-
-func (d *Daemon) watchConfig(ctx context.Context, index uint64) (uint64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
-	entries, next, err := d.store.Watch(callCtx, config.Prefix, index, watchWait)
-	if err != nil {
-		return 0, err
-	}
-	snapshot, err := config.Load(entries)
-	if err != nil {
-		return 0, err
-	}
-	if snapshot.Revision > 0 && d.table.Advance(snapshot) {
-		d.log.Info().Str("event", "config").Uint64("revision", snapshot.Revision).
-			Int("services", len(snapshot.Services)).Int("callers", len(snapshot.Callers)).Msg("")
-	}
-	return next, nil
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (d *Daemon) readList(ctx context.Context) {
 	list, err := d.platform.Servers(ctx, d.settings.Region)
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,12 +14,13 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/configsync"
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
 	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/routing"
-	"github.com/fuchsiastack/fuchsiastack/store"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
@@ -40,7 +41,7 @@
 	table    *catalog.Table
 	registry *backend.Registry
 	peers    *peerTable
-	store    store.Store
+	config   *configsync.Follower
 	platform *platform.Client
 	draining atomic.Bool
 
@@ -65,9 +66,9 @@
 		table:    &catalog.Table{},
 		registry: backend.NewRegistry(),
 		peers:    &peerTable{},
-		store:    consul.New(settings.StoreURL),
 		platform: platform.New(settings.PlatformURL),
 	}
+	d.config = d.newConfigFollower(consul.New(settings.StoreURL))
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -165,6 +166,7 @@
 	dispatcher := d.newDispatcher(observer)
 	callerMux := http.NewServeMux()
 	callerMux.Handle("GET "+entry.Path, http.HandlerFunc(d.answerEntry))
+	callerMux.HandleFunc("GET "+rollout.RevisionPath, d.answerRevision)
 	callerMux.Handle("/", &gateway.Handler{Chain: d.callerChain(dispatcher.Handle), Observer: observer})
 	adminMux := http.NewServeMux()
 	adminMux.Handle("GET /metrics", d.metrics)
--- /dev/null
+++ b/rollout/rollout.go
@@ -0,0 +1,172 @@
+// Package rollout publishes a configuration and tells whether it is in force
+// everywhere. A revision is accepted once every live instance has it in force,
+// and every region that the configuration names has a live instance that says
+// so; until then it is pending. A region that is cut off keeps a revision
+// pending, since its instances go on serving under the old one.
+package rollout
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fuchsiastack/fuchsiastack/config"
+	"github.com/fuchsiastack/fuchsiastack/configlog"
+	"github.com/fuchsiastack/fuchsiastack/platform"
+)
+
+const (
+	pollInterval = 200 * time.Millisecond
+	probeTimeout = 2 * time.Second
+	maxProbes    = 64 // instances asked at once
+)
+
+// Directory lists the live instances of all regions.
+type Directory interface {
+	Instances(ctx context.Context, region string) ([]platform.Instance, error)
+}
+
+// Prober asks an instance for the revision it has in force.
+type Prober interface {
+	Revision(ctx context.Context, instance platform.Instance) (uint64, error)
+}
+
+// Publisher publishes trees.
+type Publisher struct {
+	Log       *configlog.Log
+	Directory Directory
+	Prober    Prober
+}
+
+// ErrUnchanged means that the tree is what the newest revision holds already.
+var ErrUnchanged = errors.New("nothing to publish: the newest revision holds the same")
+
+// Publish writes tree as the next revision. If base is not nil, the newest
+// revision must be *base. Nothing is written if another operator was first.
+func (p *Publisher) Publish(ctx context.Context, tree *config.Tree, base *uint64) (*configlog.State, error) {
+	current, err := p.Log.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if base != nil && current.Revision != *base {
+		return nil, errors.Wrapf(configlog.ErrRaced, "revision is %d, not %d", current.Revision, *base)
+	}
+	delta, changed := current.Next(tree.Entries())
+	if !changed {
+		return current, ErrUnchanged
+	}
+	return p.Log.Publish(ctx, current, delta)
+}
+
+// Report tells who has a revision in force.
+type Report struct {
+	Revision       uint64
+	InForce        []string // ids of instances
+	Lagging        []string // ids of instances that have an older one or do not answer
+	SilentRegions  []string // regions of the configuration without an instance that answers
+	DirectoryError error    // the directory cannot be read; nothing is known
+}
+
+// Accepted reports whether the revision is in force everywhere.
+func (r *Report) Accepted() bool {
+	return r.DirectoryError == nil && len(r.InForce) > 0 && len(r.Lagging) == 0 && len(r.SilentRegions) == 0
+}
+
+// String describes what is missing.
+func (r *Report) String() string {
+	switch {
+	case r.DirectoryError != nil:
+		return "directory cannot be read: " + r.DirectoryError.Error()
+	case r.Accepted():
+		return "in force on every instance"
+	}
+	var parts []string
+	if len(r.Lagging) > 0 {
+		parts = append(parts, "lagging: "+strings.Join(r.Lagging, ", "))
+	}
+	if len(r.SilentRegions) > 0 {
+		parts = append(parts, "no answer from region: "+strings.Join(r.SilentRegions, ", "))
+	}
+	if len(parts) == 0 {
+		return "no instance is listed"
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Check asks every live instance once.
+func (p *Publisher) Check(ctx context.Context, revision uint64, regions []string) *Report {
+	report := &Report{Revision: revision}
+	instances, err := p.Directory.Instances(ctx, "")
+	if err != nil {
+		report.DirectoryError = err
+		return report
+	}
+	inForce := p.probeAll(ctx, instances, revision)
+	answered := make(map[string]bool)
+	for i, instance := range instances {
+		if !inForce[i] {
+			report.Lagging = append(report.Lagging, instance.ID)
+			continue
+		}
+		report.InForce = append(report.InForce, instance.ID)
+		answered[instance.Region] = true
+	}
+	for _, region := range regions {
+		if !answered[region] {
+			report.SilentRegions = append(report.SilentRegions, region)
+		}
+	}
+	return report
+}
+
+// probeAll reports for each instance whether it has at least revision.
+func (p *Publisher) probeAll(ctx context.Context, instances []platform.Instance, revision uint64) []bool {
+	inForce := make([]bool, len(instances))
+	var group errgroup.Group
+	group.SetLimit(maxProbes)
+	for i, instance := range instances {
+		group.Go(func() error {
+			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			got, err := p.Prober.Revision(probeCtx, instance)
+			inForce[i] = err == nil && got >= revision
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return inForce
+}
+
+// Await checks until the revision is accepted or wait has passed, at least
+// once, and returns the last report.
+func (p *Publisher) Await(ctx context.Context, revision uint64, regions []string, wait time.Duration) *Report {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	end := time.Now().Add(wait)
+	for {
+		report := p.Check(ctx, revision, regions)
+		if report.Accepted() || time.Now().After(end) {
+			return report
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return report
+		}
+	}
+}
+
+// RegionsOf returns the regions that the services of a state name.
+func RegionsOf(state *configlog.State) ([]string, error) {
+	snapshot, err := (&config.Builder{}).Build(state)
+	if err != nil {
+		return nil, err
+	}
+	tree := &config.Tree{Services: slices.Collect(maps.Values(snapshot.Services))}
+	return tree.Regions(), nil
+}
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -133,14 +133,14 @@
 	return f.start(name, "fuchsia-standin", all...).addr
 }
 
-// ctl runs fuchsiactl and returns its output.
-func (f *fleet) ctl(args ...string) string {
+// ctl runs fuchsiactl and returns its output. Its exit status must be want.
+func (f *fleet) ctl(want int, args ...string) string {
 	f.tb.Helper()
 	cmd := exec.Command("fuchsiactl", args...)
-	cmd.Env = append(os.Environ(), "FUCHSIA_STORE_URL="+f.storeURL)
-	out, err := cmd.CombinedOutput()
-	if err != nil {
-		f.tb.Fatalf("fuchsiactl %s: %v\n%s", strings.Join(args, " "), err, out)
+	cmd.Env = append(os.Environ(), "FUCHSIA_STORE_URL="+f.storeURL, "FUCHSIA_PLATFORM_URL="+f.platURL)
+	out, _ := cmd.CombinedOutput()
+	if got := cmd.ProcessState.ExitCode(); got != want {
+		f.tb.Fatalf("fuchsiactl %s: exit status %d, want %d\n%s", strings.Join(args, " "), got, want, out)
 	}
 	return string(out)
 }
--- a/scenario/path_test.go
+++ b/scenario/path_test.go
@@ -17,11 +17,18 @@
 	"github.com/fuchsiastack/fuchsiastack/standin/engine"
 )
 
+// Exit statuses of fuchsiactl.
+const (
+	ctlAccepted = 0
+	ctlRefused  = 1
+	ctlPending  = 2
+)
+
 // swatchGuild starts two regions of the Swatch Guild with one engine in each,
 // and a plain service in cairo.
 func swatchGuild(tb testing.TB) (*fleet, *entry.Client) {
 	f := newFleet(tb)
-	f.ctl("publish", "../examples/swatch-guild")
+	f.ctl(ctlPending, "publish", "--bootstrap", "--wait", "0s", "../examples/swatch-guild")
 	f.backend("engine", "engine-cairo", "drafting-desk", "cairo")
 	f.backend("engine", "engine-alex", "drafting-desk", "alex")
 	f.backend("plain", "orders-cairo", "orders-desk", "cairo")
@@ -29,6 +36,8 @@
 	alex := f.daemon("entry-alex", "alex", "alex-a")
 	f.awaitInstances(cairo, 2)
 	f.awaitInstances(alex, 2)
+	out := f.ctl(ctlPending, "status", "--wait", "1s")
+	qt.Assert(tb, out, qt.Contains, "no answer from region: delta")
 	return f, &entry.Client{Bootstrap: []string{cairo}, Region: "alex", Zone: "alex-a"}
 }
 
