Answer a shed caller before its body has arrived

Ruled out: to set only the header Connection: close. The answer is then sent at once, but the server still reads the body to its end before it closes.

Change: a shed request closes its connection, and what is left of its body is read for 1 s at most. The test reads the whole answer and the end of the connection: off, no answer in 10 s; on, answered.

--- a/filters/admission_test.go
+++ b/filters/admission_test.go
@@ -183,6 +183,23 @@
 	c.Check(guard.Held(), qt.Equals, overload.Limits{})
 }
 
+// A shed caller gets its answer although it has not sent its whole body.
+func TestShedRequestIsAnsweredBeforeItsBody(t *testing.T) {
+	c := qt.New(t)
+	guard := overload.NewGuard(overload.Limits{InFlight: 1})
+	c.Assert(guard.Enter(), qt.Equals, overload.Reason(""))
+	f := Overload{Guard: guard, Observer: &recorder{}, BodyTimeout: time.Minute, WriteTimeout: time.Minute}
+	addr, _ := overloadServer(t, f, readBody)
+	conn, err := net.Dial("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 1000\r\n\r\nbegin")
+	answer, err := io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(answer), qt.Contains, "503 Service Unavailable")
+}
+
 func TestBodyDeadlineEndsWithTheBody(t *testing.T) {
 	c := qt.New(t)
 	f := Overload{Guard: overload.NewGuard(overload.Limits{}), Observer: &recorder{}, BodyTimeout: 100 * time.Millisecond, WriteTimeout: time.Minute}
--- a/filters/overload.go
+++ b/filters/overload.go
@@ -17,6 +17,9 @@
 // the same time, so that the requests shed together do not return together.
 const shedRetryAfter = time.Second
 
+// shedLinger bounds the time in which the rest of a shed body is read.
+const shedLinger = time.Second
+
 // errNoMemory ends the reading of a body that exceeds the memory for bodies.
 var errNoMemory = errors.New("filters: no memory left for request bodies")
 
@@ -38,6 +41,7 @@
 // Handle implements Filter.
 func (f Overload) Handle(x *Exchange, next Handler) *outcome.Error {
 	if reason := f.Guard.Enter(); reason != "" {
+		closeAfterAnswer(x)
 		return shed(x, f.Observer, f.Name(), reason)
 	}
 	defer f.Guard.Leave()
@@ -54,6 +58,7 @@
 	_ = control.SetReadDeadline(time.Now().Add(f.BodyTimeout))
 	err := next(x)
 	if err != nil && errors.Is(err, errNoMemory) {
+		closeAfterAnswer(x)
 		return shed(x, f.Observer, f.Name(), overload.BodyBytes)
 	}
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && !body.whole {
@@ -64,6 +69,15 @@
 	return err
 }
 
+// closeAfterAnswer lets the server answer at once. On a connection that stays
+// open it first reads the rest of the body, as slowly as the caller sends it.
+// What a caller sends within shedLinger is still read, as closing a connection
+// with unread data may take the answer from the caller.
+func closeAfterAnswer(x *Exchange) {
+	x.Writer.Header().Set("Connection", "close")
+	_ = http.NewResponseController(x.Writer).SetReadDeadline(time.Now().Add(shedLinger))
+}
+
 // boundBody counts the memory of a body while it is read.
 type boundBody struct {
 	io.ReadCloser
