Route by expected time to first token among a few candidates

Cause: the first router scored every server of the region with a fixed service time, knew no cache, no health and no reason to leave the region.

Ruled out: scoring all servers (cost grows with 500 replicas a region, and all instances herd to the one that the same late report shows idle); a consistent hash on the prefix alone (it knows no load).

Change: Decide draws a few servers at random, adds those that may hold the prompt's prefix, filters, scores and picks; scratch memory lies in the request. backend.Server learns prefill rate, slot time and health from its attempts.

--- /dev/null
+++ b/backend/attempt.go
@@ -0,0 +1,67 @@
+package backend
+
+import "time"
+
+// minPrefillSample is the fewest prompt tokens that the prefill rate is
+// learned from; below it the fixed time of a call dominates.
+const minPrefillSample = 64
+
+// Attempt is one request in flight on a server. It is used by one goroutine.
+type Attempt struct {
+	server *Server
+	begun  time.Time
+	tokens int  // uncached prompt tokens
+	alone  bool // nothing was ahead of it
+	first  bool // the first token has come
+	ended  bool
+}
+
+// Start counts a request in flight. tokens are the prompt tokens that the
+// server is expected to compute.
+func (s *Server) Start(now time.Time, tokens int) *Attempt {
+	load := s.Load()
+	occupied := s.Occupied()
+	a := &Attempt{
+		server: s, begun: now, tokens: tokens,
+		alone: s.prefill.Load() == 0 && (occupied == 0 || occupied < load.Slots),
+	}
+	s.inFlight.Add(1)
+	s.prefill.Add(int64(tokens))
+	return a
+}
+
+// FirstToken records that the answer has begun, and learns the prefill rate
+// or the base latency from it.
+func (a *Attempt) FirstToken(now time.Time) {
+	if a.first || a.ended {
+		return
+	}
+	a.first = true
+	a.server.prefill.Add(-int64(a.tokens))
+	elapsed := now.Sub(a.begun).Seconds()
+	a.server.health.sample(elapsed, a.tokens)
+	if elapsed <= 0 || !a.alone {
+		return
+	}
+	if a.tokens >= minPrefillSample {
+		a.server.rate.add(float64(a.tokens) / elapsed)
+	} else if a.tokens == 0 {
+		a.server.base.add(elapsed)
+	}
+}
+
+// End counts the request out of flight. served tells whether its whole answer
+// came; the time that a slot is held is learned from such answers only.
+func (a *Attempt) End(now time.Time, served bool) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.server.inFlight.Add(-1)
+	if !a.first {
+		a.server.prefill.Add(-int64(a.tokens))
+	}
+	if elapsed := now.Sub(a.begun).Seconds(); served && elapsed > 0 {
+		a.server.hold.add(elapsed)
+	}
+}
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -3,70 +3,7 @@
 // work this instance has in flight on each.
 package backend
 
-import (
-	"sync"
-	"sync/atomic"
-	"time"
-)
-
-// Info describes a backend server as the platform lists it.
-type Info struct {
-	ID      string `json:"id"`
-	Addr    string `json:"addr"` // host:port
-	Region  string `json:"region"`
-	Zone    string `json:"zone"`
-	Service string `json:"service"`
-	State   string `json:"state"`  // StateLive or StateLeaving
-	Fenced  bool   `json:"fenced"` // refuses orders with an old fencing number
-}
-
-// States of a backend server in the platform's list.
-const (
-	StateLive    = "live"
-	StateLeaving = "leaving"
-)
-
-// Load is a backend server's report of its own load.
-type Load struct {
-	Running int       `json:"running"` // sequences in the batch
-	Waiting int       `json:"waiting"` // sequences in its queue
-	Slots   int       `json:"slots"`   // sequences that fit the batch
-	At      time.Time `json:"-"`       // when the report was received
-}
-
-// Server is a backend server. Its methods are safe for concurrent use.
-type Server struct {
-	Info
-	inFlight atomic.Int64
-	load     atomic.Pointer[Load]
-	leaving  atomic.Bool
-}
-
-// InFlight returns the number of requests this instance has on the server.
-func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
-
-// Begin counts a request in flight and returns the function that ends it.
-func (s *Server) Begin() func() {
-	s.inFlight.Add(1)
-	return func() { s.inFlight.Add(-1) }
-}
-
-// Load returns the last load report, or the zero Load before the first one.
-func (s *Server) Load() Load {
-	if l := s.load.Load(); l != nil {
-		return *l
-	}
-	return Load{}
-}
-
-// SetLoad records a load report.
-func (s *Server) SetLoad(l Load) { s.load.Store(&l) }
-
-// SetLeaving records that the server itself refuses new work.
-func (s *Server) SetLeaving() { s.leaving.Store(true) }
-
-// Accepts reports whether the server may receive new work.
-func (s *Server) Accepts() bool { return s.State == StateLive && !s.leaving.Load() }
+import "sync"
 
 // shardCount is the number of shards of a Registry.
 const shardCount = 16
@@ -79,14 +16,14 @@
 
 type shard struct {
 	mu       sync.RWMutex
-	services map[string][]*Server // slices are replaced, never modified
+	services map[string]*Group // groups are replaced, never modified
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	r := &Registry{}
 	for i := range r.shards {
-		r.shards[i].services = make(map[string][]*Server)
+		r.shards[i].services = make(map[string]*Group)
 	}
 	return r
 }
@@ -99,12 +36,52 @@
 	return &r.shards[h%shardCount]
 }
 
-// Of returns the servers of a service. The slice must not be modified.
-func (r *Registry) Of(service string) []*Server {
+// Group is the servers of a service at one time. It must not be modified.
+type Group struct {
+	Servers []*Server
+	byKey   map[uint64]*Server
+}
+
+// noServers is the group of a service without servers.
+var noServers = &Group{}
+
+func newGroup(servers []*Server) *Group {
+	g := &Group{Servers: servers, byKey: make(map[uint64]*Server, len(servers))}
+	for _, s := range servers {
+		g.byKey[s.Key] = s
+	}
+	return g
+}
+
+// ByKey returns the server with the given key, or nil.
+func (g *Group) ByKey(key uint64) *Server { return g.byKey[key] }
+
+// Group returns the servers of a service; it is never nil.
+func (r *Registry) Group(service string) *Group {
 	s := r.shardOf(service)
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.services[service]
+	if g := s.services[service]; g != nil {
+		return g
+	}
+	return noServers
+}
+
+// Of returns the servers of a service. The slice must not be modified.
+func (r *Registry) Of(service string) []*Server { return r.Group(service).Servers }
+
+// Services returns the names of the services that have servers.
+func (r *Registry) Services() []string {
+	var names []string
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		for name := range s.services {
+			names = append(names, name)
+		}
+		s.mu.RUnlock()
+	}
+	return names
 }
 
 // All returns every server.
@@ -113,8 +90,8 @@
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.RLock()
-		for _, servers := range s.services {
-			all = append(all, servers...)
+		for _, group := range s.services {
+			all = append(all, group.Servers...)
 		}
 		s.mu.RUnlock()
 	}
@@ -138,15 +115,14 @@
 }
 
 // updated returns the server for info. A server whose description changed is
-// a new value that shares nothing but the counters copied from old.
+// a new value that shares its state with old, unless it is another process.
 func updated(old *Server, info Info) *Server {
 	if old != nil && old.Info == info {
 		return old
 	}
-	s := &Server{Info: info}
+	s := NewServer(info)
 	if old != nil && old.Addr == info.Addr {
-		s.load.Store(old.load.Load())
-		s.leaving.Store(old.leaving.Load())
+		s.state = old.state
 	}
 	return s
 }
@@ -161,7 +137,7 @@
 	}
 	for service, servers := range next {
 		if r.shardOf(service) == s {
-			s.services[service] = servers
+			s.services[service] = newGroup(servers)
 		}
 	}
 }
--- /dev/null
+++ b/backend/server.go
@@ -0,0 +1,156 @@
+package backend
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Info describes a backend server as the platform lists it.
+type Info struct {
+	ID      string `json:"id"`
+	Addr    string `json:"addr"` // host:port
+	Region  string `json:"region"`
+	Zone    string `json:"zone"`
+	Service string `json:"service"`
+	State   string `json:"state"`  // StateLive or StateLeaving
+	Fenced  bool   `json:"fenced"` // refuses orders with an old fencing number
+}
+
+// States of a backend server in the platform's list.
+const (
+	StateLive    = "live"
+	StateLeaving = "leaving"
+)
+
+// Load is a backend server's report of its own load.
+type Load struct {
+	Running int       `json:"running"` // sequences in the batch
+	Waiting int       `json:"waiting"` // sequences in its queue
+	Slots   int       `json:"slots"`   // sequences that fit the batch
+	At      time.Time `json:"-"`       // when the report was received
+}
+
+// Server is a backend server. Its methods are safe for concurrent use. Two
+// values for the same process, before and after a change of its description,
+// share their state.
+type Server struct {
+	Info
+	Key uint64 // digest of ID, for indexes
+	*state
+}
+
+// state is what an instance has learned of a server.
+type state struct {
+	inFlight atomic.Int64
+	prefill  atomic.Int64 // prompt tokens sent whose first token has not come
+	report   atomic.Pointer[report]
+	leaving  atomic.Bool
+	rate     average // prefill rate, tokens per second
+	hold     average // time a slot is held, seconds
+	base     average // time to first byte of a request without a prompt, seconds
+	health   Health
+}
+
+// report is a load report and the work of this instance that it may include.
+type report struct {
+	Load
+	inFlight int64 // this instance's requests when it was received
+	baseline int64 // the least of this and the previous report's inFlight
+}
+
+// NewServer returns a server without any work or report.
+func NewServer(info Info) *Server {
+	return &Server{Info: info, Key: xxhash.Sum64String(info.ID), state: &state{}}
+}
+
+// InFlight returns the number of requests this instance has on the server.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// PendingPrefill returns the prompt tokens that this instance has sent and
+// whose first token has not come.
+func (s *Server) PendingPrefill() int { return int(max(0, s.prefill.Load())) }
+
+// Load returns the last load report, or the zero Load before the first one.
+func (s *Server) Load() Load {
+	if r := s.report.Load(); r != nil {
+		return r.Load
+	}
+	return Load{}
+}
+
+// SetLoad records a load report.
+func (s *Server) SetLoad(l Load) {
+	own := s.inFlight.Load()
+	next := &report{Load: l, inFlight: own, baseline: own}
+	if last := s.report.Load(); last != nil {
+		next.baseline = min(own, last.inFlight)
+	}
+	s.report.Store(next)
+}
+
+// Occupied estimates the requests on the server: those of the last report and
+// what this instance has added since. A report describes the load some time
+// before it was received, so that work begun between the last two reports
+// counts as not included.
+func (s *Server) Occupied() int {
+	own := s.inFlight.Load()
+	r := s.report.Load()
+	if r == nil {
+		return int(own)
+	}
+	return int(max(own, int64(r.Running+r.Waiting)+own-r.baseline))
+}
+
+// Silence returns the time since the last report, or 0 before the first one.
+func (s *Server) Silence(now time.Time) time.Duration {
+	r := s.report.Load()
+	if r == nil || r.At.IsZero() {
+		return 0
+	}
+	return now.Sub(r.At)
+}
+
+// SetLeaving records that the server itself refuses new work.
+func (s *Server) SetLeaving() { s.leaving.Store(true) }
+
+// Accepts reports whether the server may receive new work.
+func (s *Server) Accepts() bool { return s.State == StateLive && !s.leaving.Load() }
+
+// PrefillRate returns the learned rate in tokens per second, or 0 if unknown.
+func (s *Server) PrefillRate() float64 { return s.rate.value() }
+
+// HoldTime returns the learned time a request holds a slot, or 0 if unknown.
+func (s *Server) HoldTime() time.Duration { return seconds(s.hold.value()) }
+
+// BaseLatency returns the learned time to first byte of a request without a
+// prompt, or 0 if unknown.
+func (s *Server) BaseLatency() time.Duration { return seconds(s.base.value()) }
+
+// Health returns the failures and the ejection of the server.
+func (s *Server) Health() *Health { return &s.health }
+
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+// average is an exponentially weighted moving average; zero means no sample.
+type average struct{ bits atomic.Uint64 }
+
+// averageWeight is the weight of a new sample.
+const averageWeight = 0.2
+
+func (a *average) value() float64 { return math.Float64frombits(a.bits.Load()) }
+
+func (a *average) add(sample float64) {
+	for {
+		old := a.bits.Load()
+		next := sample
+		if old != 0 {
+			next = math.Float64frombits(old)*(1-averageWeight) + sample*averageWeight
+		}
+		if a.bits.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -185,7 +185,7 @@
 			Registry: d.registry,
 			Regions:  d.peers,
 			Filters:  []routing.Filter{routing.AcceptingFilter{}, routing.UntriedFilter{}},
-			Scorer:   routing.QueueScorer{ServiceTime: time.Second},
+			Scorer:   routing.FirstTokenScorer{Zone: d.settings.Zone},
 		},
 		Peers:      d.peers,
 		Transport:  newTransport(),
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -79,7 +79,9 @@
 		Service:      x.Service,
 		Work:         x.Work,
 		Caller:       x.Caller,
+		Received:     x.Received,
 		Deadline:     x.Deadline,
+		BodyBytes:    len(x.Body),
 		PromptTokens: x.PromptTokens,
 		Prefix:       x.Prefix,
 		Forwarded:    x.Hop != nil,
@@ -122,7 +124,9 @@
 	if !x.Service.Permits(x.Work, server.Region) {
 		panic("dispatch: backend server " + server.ID + " is outside the permitted regions")
 	}
-	defer server.Begin()()
+	now := time.Now()
+	running := server.Start(now, x.PromptTokens)
+	defer func() { running.End(time.Now(), false) }()
 	req, err := newRequest(ctx, x, "http://"+server.Addr+x.Path)
 	if err != nil {
 		return badPath(err)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,26 +1,35 @@
 // Package routing decides which backend server runs a request, or which other
-// region it is sent to. A decision filters the candidates, scores the rest and
-// picks one. The package does no I/O.
+// region it is sent to. A decision samples a few candidates, filters them,
+// scores them by their expected time to first token and picks one. The package
+// does no I/O; time and randomness are passed in.
 package routing
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 )
 
-// Request is what a decision needs to know of a request.
+// Request is what a decision needs to know of a request. It is used by one
+// goroutine, and once for all attempts of the request.
 type Request struct {
 	ID           string
 	Service      *catalog.Service
 	Work         catalog.Work
 	Caller       string
+	Received     time.Time
 	Deadline     time.Time
 	PromptTokens int             // estimate
+	BodyBytes    int             // what crosses a link if another region is chosen
 	Prefix       []uint64        // digests of the prompt's leading blocks, longest last
 	Forwarded    bool            // arrived from another region; must be decided here
+	StayLocal    bool            // another region was tried; no second one is
+	Alone        bool            // a suspect that must not run beside other requests
 	Tried        map[string]bool // ids of backend servers that attempts have used
+
+	scratch scratch
 }
 
 // Reason says why a decision came out as it did.
@@ -28,94 +37,207 @@
 
 // The reasons of decisions.
 const (
-	ReasonLeastCost   Reason = "least_cost"
-	ReasonNoServer    Reason = "no_backend_server"
-	ReasonNotHere     Reason = "region_not_permitted"
-	ReasonOtherRegion Reason = "other_region"
+	ReasonLeastCost   Reason = "least_cost"           // least expected time to first token
+	ReasonPrefix      Reason = "prefix_cached"        // the same, and the prompt's prefix is cached there
+	ReasonProbe       Reason = "probe"                // probe of an ejected server
+	ReasonNoHealthy   Reason = "no_healthy_server"    // every server is ejected or silent; one is used anyway
+	ReasonNoServer    Reason = "no_backend_server"    // nothing accepts the request
+	ReasonNotHere     Reason = "region_not_permitted" // the service is not permitted in this region
+	ReasonOtherRegion Reason = "other_region"         // the target would be missed here and met there
 )
 
 // Decision is the result of routing. Exactly one of Server and Region is set,
 // or none if the request cannot be served.
 type Decision struct {
-	Server     *backend.Server
-	Region     string // another region to forward to
-	Reason     Reason
-	Candidates int           // servers considered
-	Cost       time.Duration // expected time to first token at Server
+	Server       *backend.Server
+	Region       string // another region to forward to
+	Reason       Reason
+	Candidates   int           // servers scored
+	Cost         time.Duration // expected time to first token there
+	LocalCost    time.Duration // of the best local server if Region is set; 0 without one
+	CachedTokens int           // prompt tokens believed to be in the cache of Server
+	Spill        SpillReason   // why the request stayed or left, if leaving was weighed
+}
+
+// UncachedTokens returns the prompt tokens that Server has to compute.
+func (d *Decision) UncachedTokens(req *Request) int {
+	return max(0, req.PromptTokens-d.CachedTokens)
+}
+
+// Probe reports whether the decision sends the request to a server that is
+// believed to fail, so that its answer ends the ejection.
+func (d *Decision) Probe() bool { return d.Reason == ReasonProbe || d.Reason == ReasonNoHealthy }
+
+// Candidate is a server that a decision weighs.
+type Candidate struct {
+	Server       *backend.Server
+	Cost         time.Duration // expected time to first token
+	CachedTokens int           // prompt tokens believed to be cached
 }
 
 // Filter removes servers that must not be used.
 type Filter interface {
 	// Keep reports whether the server may run the request.
-	Keep(req *Request, server *backend.Server) bool
+	Keep(now time.Time, req *Request, server *backend.Server) bool
 }
 
 // Scorer estimates what running a request on a server costs.
 type Scorer interface {
-	// Score returns the expected time to first token.
-	Score(req *Request, server *backend.Server) time.Duration
+	// Score returns the expected time to first token. cached are the prompt
+	// tokens believed to be in the server's cache.
+	Score(req *Request, server *backend.Server, cached int) time.Duration
+}
+
+// Picker chooses among scored candidates.
+type Picker interface {
+	// Pick returns the index of the chosen candidate. There is at least one.
+	Pick(req *Request, candidates []Candidate, random Random) int
+}
+
+// Random is a source of random numbers, such as *rand.Rand.
+type Random interface {
+	Uint64() uint64
 }
 
+// sharedRandom is the generator of the runtime, which needs no lock.
+type sharedRandom struct{}
+
+// Uint64 implements Random.
+func (sharedRandom) Uint64() uint64 { return rand.Uint64() }
+
 // Regions tells which other regions could serve a request.
 type Regions interface {
 	// Reachable returns the regions with a live instance, other than this one.
 	Reachable() []string
 }
 
-// Router decides for one region.
+// Router decides for one region. It is safe for concurrent use if its Random
+// is.
 type Router struct {
 	Region   string
 	Registry *backend.Registry
-	Regions  Regions
-	Filters  []Filter
-	Scorer   Scorer
+	// Filters remove servers that must never be used.
+	Filters []Filter
+	// Health removes servers that should not be used. If it leaves none, it is
+	// ignored: a server that is believed to fail is better than none.
+	Health  []Filter
+	Scorer  Scorer
+	Picker  Picker           // nil picks the least cost
+	Prefix  *PrefixIndex     // nil for no prefix affinity
+	Spill   *Spiller         // nil to leave the region only if no server is left
+	Regions Regions          // regions with a live instance
+	Sample  int              // candidates drawn at random; 0 for DefaultSample
+	Now     func() time.Time // nil for time.Now
+	Random  Random           // nil for the generator of the runtime
 }
 
 // Decide routes one request.
 func (r *Router) Decide(req *Request) Decision {
+	now := r.now()
 	if !req.Service.Permits(req.Work, r.Region) {
-		return r.elsewhere(req, ReasonNotHere)
+		return r.elsewhere(now, req, Decision{Reason: ReasonNotHere})
 	}
-	d := r.local(req)
-	if d.Server != nil || req.Forwarded {
-		return d
+	local := r.local(now, req)
+	if !r.mayLeave(req) {
+		return local
 	}
-	return r.elsewhere(req, d.Reason)
+	if local.Server != nil && r.Spill == nil {
+		return local
+	}
+	return r.elsewhere(now, req, local)
 }
 
-func (r *Router) local(req *Request) Decision {
-	d := Decision{Reason: ReasonNoServer}
-	for _, server := range r.Registry.Of(req.Service.Name) {
-		if !r.keep(req, server) {
-			continue
-		}
-		d.Candidates++
-		cost := r.Scorer.Score(req, server)
-		if d.Server == nil || cost < d.Cost {
-			d.Server, d.Cost, d.Reason = server, cost, ReasonLeastCost
-		}
+func (r *Router) now() time.Time {
+	if r.Now == nil {
+		return time.Now()
 	}
-	return d
+	return r.Now()
 }
 
-func (r *Router) keep(req *Request, server *backend.Server) bool {
-	for _, f := range r.Filters {
-		if !f.Keep(req, server) {
-			return false
-		}
+func (r *Router) random() Random {
+	if r.Random == nil {
+		return sharedRandom{}
 	}
-	return true
+	return r.Random
+}
+
+// mayLeave reports whether the request may be sent to another region. Work
+// with a home never leaves it, a forwarded request is decided here, and a
+// suspect runs where its suspicion is known.
+func (r *Router) mayLeave(req *Request) bool {
+	return !req.Forwarded && !req.StayLocal && !req.Alone && req.Work.Home == ""
 }
 
-// elsewhere picks another region. Work with a home never leaves it.
-func (r *Router) elsewhere(req *Request, why Reason) Decision {
-	if req.Forwarded || req.Work.Home != "" {
-		return Decision{Reason: why}
+// elsewhere weighs other regions against the local decision.
+func (r *Router) elsewhere(now time.Time, req *Request, local Decision) Decision {
+	if !r.mayLeave(req) || r.Regions == nil {
+		return local
+	}
+	if r.Spill != nil {
+		return r.Spill.decide(now, req, local, r)
 	}
 	for _, region := range r.Regions.Reachable() {
 		if region != r.Region && req.Service.Permits(req.Work, region) {
 			return Decision{Region: region, Reason: ReasonOtherRegion}
 		}
 	}
-	return Decision{Reason: why}
+	return local
+}
+
+// local finds the best server of this region.
+func (r *Router) local(now time.Time, req *Request) Decision {
+	group := r.Registry.Group(req.Service.Name)
+	s := &req.scratch
+	s.reset()
+	random := r.random()
+	if r.Prefix != nil {
+		s.matches = r.Prefix.match(now, req.Prefix, s.matches[:0])
+		r.addMatches(now, req, group)
+	}
+	r.sample(now, req, group.Servers, random)
+	reason := ReasonLeastCost
+	if s.count == 0 {
+		r.fallback(now, req, group.Servers, random)
+		reason = ReasonNoHealthy
+	}
+	if s.count == 0 {
+		return Decision{Reason: ReasonNoServer}
+	}
+	if probe := s.takeProbe(now, req); probe != nil {
+		return Decision{Server: probe, Reason: ReasonProbe, Candidates: s.count, Cost: r.Scorer.Score(req, probe, 0)}
+	}
+	return r.pick(req, reason, random)
+}
+
+func (r *Router) pick(req *Request, reason Reason, random Random) Decision {
+	s := &req.scratch
+	candidates := s.candidates[:s.count]
+	mean := meanOccupied(candidates)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.CachedTokens > 0 && overBound(c.Server, mean) {
+			c.CachedTokens = 0
+		}
+		c.Cost = r.Scorer.Score(req, c.Server, c.CachedTokens)
+	}
+	picker := r.Picker
+	if picker == nil {
+		picker = LeastCost{}
+	}
+	best := candidates[picker.Pick(req, candidates, random)]
+	if best.CachedTokens > 0 && reason == ReasonLeastCost {
+		reason = ReasonPrefix
+	}
+	return Decision{
+		Server: best.Server, Reason: reason, Candidates: len(candidates),
+		Cost: best.Cost, CachedTokens: best.CachedTokens,
+	}
+}
+
+// Dispatched tells the router that a request was sent to a server, so that
+// later requests with the same prefix may be sent there too.
+func (r *Router) Dispatched(req *Request, server *backend.Server) {
+	if r.Prefix != nil {
+		r.Prefix.Add(r.now(), server.Key, req.Prefix)
+	}
 }
--- /dev/null
+++ b/routing/sample.go
@@ -0,0 +1,165 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+)
+
+// Bounds of the candidates of one decision. The cost of a decision does not
+// grow with the number of servers.
+const (
+	DefaultSample = 5  // candidates drawn at random
+	maxSample     = 16 // most candidates drawn at random
+	maxMatches    = 4  // candidates that may have the prefix cached
+	maxCandidates = maxSample + maxMatches
+	drawsPerPick  = 3 // random draws for each candidate wanted
+)
+
+// scratch is the working memory of a decision. It is part of the Request, so
+// that a decision allocates nothing.
+type scratch struct {
+	candidates [maxCandidates]Candidate
+	count      int
+	matchSpace [maxMatches]match
+	matches    []match
+	probe      *backend.Server
+}
+
+func (s *scratch) reset() {
+	s.count = 0
+	s.probe = nil
+	s.matches = s.matchSpace[:0]
+}
+
+func (s *scratch) add(server *backend.Server, cached int) {
+	s.candidates[s.count] = Candidate{Server: server, CachedTokens: cached}
+	s.count++
+}
+
+func (s *scratch) has(server *backend.Server) bool {
+	for i := range s.count {
+		if s.candidates[i].Server == server {
+			return true
+		}
+	}
+	return false
+}
+
+// probeTimeout is the time after which a probe whose end was not reported is
+// due again.
+const probeTimeout = 10 * time.Second
+
+// takeProbe returns the ejected server that this request probes, or nil. Only
+// requests that may be repeated are probes.
+func (s *scratch) takeProbe(now time.Time, req *Request) *backend.Server {
+	if s.probe == nil || !req.Work.Repeatable || req.Alone {
+		return nil
+	}
+	if !s.probe.Health().TakeProbe(now, now.Add(probeTimeout)) {
+		return nil
+	}
+	return s.probe
+}
+
+// addMatches adds the servers that may have the prefix cached.
+func (r *Router) addMatches(now time.Time, req *Request, group *backend.Group) {
+	s := &req.scratch
+	for _, m := range s.matches {
+		server := group.ByKey(m.server)
+		if server != nil && r.usable(now, req, server) {
+			s.add(server, cachedTokens(req, m.blocks))
+		}
+	}
+}
+
+// cachedTokens returns the prompt tokens in the given number of blocks.
+func cachedTokens(req *Request, blocks int) int {
+	return min(req.PromptTokens, blocks*BlockTokens)
+}
+
+// sample adds servers drawn at random. All are taken if there are few.
+func (r *Router) sample(now time.Time, req *Request, servers []*backend.Server, random Random) {
+	want := r.sampleSize() + req.scratch.count
+	if len(servers) <= r.sampleSize() {
+		r.scan(now, req, servers, 0, want, r.usable)
+		return
+	}
+	for range drawsPerPick * r.sampleSize() {
+		if req.scratch.count >= want {
+			return
+		}
+		r.consider(now, req, servers[index(random, len(servers))], r.usable)
+	}
+	if req.scratch.count == 0 {
+		r.scan(now, req, servers, index(random, len(servers)), 1, r.usable)
+	}
+}
+
+// fallback adds servers without regard to their health.
+func (r *Router) fallback(now time.Time, req *Request, servers []*backend.Server, random Random) {
+	if len(servers) > 0 {
+		r.scan(now, req, servers, index(random, len(servers)), r.sampleSize(), r.permitted)
+	}
+}
+
+// scan adds the first servers from start on that use accepts, up to want
+// candidates in all.
+func (r *Router) scan(now time.Time, req *Request, servers []*backend.Server, start, want int, use useFunc) {
+	for i := range servers {
+		if req.scratch.count >= want {
+			return
+		}
+		r.consider(now, req, servers[(start+i)%len(servers)], use)
+	}
+}
+
+// useFunc reports whether a server may be a candidate.
+type useFunc func(now time.Time, req *Request, server *backend.Server) bool
+
+func (r *Router) consider(now time.Time, req *Request, server *backend.Server, use useFunc) {
+	s := &req.scratch
+	if s.has(server) || s.count == maxCandidates || !use(now, req, server) {
+		return
+	}
+	s.add(server, 0)
+}
+
+// usable reports whether a server passes all filters. It remembers an ejected
+// server whose probe is due.
+func (r *Router) usable(now time.Time, req *Request, server *backend.Server) bool {
+	if !r.permitted(now, req, server) {
+		return false
+	}
+	for _, f := range r.Health {
+		if !f.Keep(now, req, server) {
+			if server.Health().ProbeDue(now) {
+				req.scratch.probe = server
+			}
+			return false
+		}
+	}
+	return true
+}
+
+// permitted reports whether a server passes the filters that always hold.
+func (r *Router) permitted(now time.Time, req *Request, server *backend.Server) bool {
+	for _, f := range r.Filters {
+		if !f.Keep(now, req, server) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) sampleSize() int {
+	if r.Sample <= 0 {
+		return DefaultSample
+	}
+	return min(r.Sample, maxSample)
+}
+
+// index returns a random index below n.
+func index(random Random, n int) int {
+	return int((random.Uint64() >> 32) * uint64(n) >> 32)
+}
--- /dev/null
+++ b/routing/spill.go
@@ -0,0 +1,293 @@
+package routing
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+)
+
+// SpillReason says why a request stayed or left when leaving was weighed.
+type SpillReason string
+
+// The reasons for which a request stays or leaves.
+const (
+	SpillNone      SpillReason = ""
+	SpillSent      SpillReason = "sent"             // local target missed, remote target met
+	SpillTargetMet SpillReason = "local_target_met" // the request is served in time here
+	SpillWaiting   SpillReason = "hysteresis"       // the miss has not lasted long enough
+	SpillNoRegion  SpillReason = "no_region"        // no permitted region has a fresh summary
+	SpillNotBetter SpillReason = "remote_target_missed"
+	SpillRamp      SpillReason = "ramp"     // the region's share of this second is used
+	SpillLink      SpillReason = "link_cap" // the link's share of this second is used
+)
+
+// Defaults of a Spiller.
+const (
+	defaultLinkLatency = 80 * time.Millisecond // one way, between regions
+	defaultLinkRate    = 250e6                 // bytes per second: 2,000 Mbit/s
+	defaultEnter       = 500 * time.Millisecond
+	defaultLeave       = 5 * time.Second
+	defaultMaxAge      = 10 * time.Second
+	defaultRampStart   = 2.0  // requests per second
+	defaultRampMax     = 64.0 // requests per second
+	rampDoubling       = 2 * time.Second
+	remoteMargin       = 0.8 // part of the remaining time that the remote cost may use
+)
+
+// Spiller decides whether a request is worth sending to another region. It is
+// safe for concurrent use. Zero fields stand for defaults.
+type Spiller struct {
+	Summaries   Summaries
+	Link        *LinkBudget   // bytes that this instance may send to other regions
+	LinkLatency time.Duration // one way
+	LinkRate    float64       // bytes per second of the whole link, for the transfer time
+	Enter       time.Duration // how long the target must be missed before requests leave
+	Leave       time.Duration // without a miss until requests stop leaving
+	MaxAge      time.Duration // summaries older than this are not used
+	RampStart   float64       // requests per second after a heal
+	RampMax     float64       // requests per second at most, to one region
+	// Share returns this instance's part of what its region may send, 0..1.
+	// Nil stands for the whole.
+	Share func() float64
+
+	mu       sync.Mutex
+	misses   map[missKey]*missState
+	channels map[string]*channel
+}
+
+// missKey names the work whose target is watched.
+type missKey struct {
+	service string
+	rank    catalog.Rank
+}
+
+// missState is the hysteresis of one kind of work: requests leave only while
+// the local target has been missed for a while.
+type missState struct {
+	since   time.Time // first miss of the present row; zero without one
+	last    time.Time // last miss
+	leaving bool
+}
+
+// channel limits what is sent to one region.
+type channel struct {
+	bucket Bucket
+	upAt   time.Time // when the region was first seen again
+	seenAt time.Time // when a fresh summary was last seen
+	sentAt time.Time // summary that sent counts against
+	sent   int       // requests sent since that summary
+}
+
+// decide weighs leaving against the local decision.
+func (s *Spiller) decide(now time.Time, req *Request, local Decision, r *Router) Decision {
+	remaining := remainingTarget(now, req)
+	missed := local.Server == nil || local.Cost > remaining
+	leave := s.hysteresis(now, req, missed, local.Server == nil)
+	if !missed {
+		local.Spill = SpillTargetMet
+		return local
+	}
+	if !leave {
+		local.Spill = SpillWaiting
+		return local
+	}
+	return s.best(now, req, local, remaining, r)
+}
+
+// remainingTarget returns the part of the target that is left. A request whose
+// target has passed already is weighed against its deadline: the target is
+// missed anywhere.
+func remainingTarget(now time.Time, req *Request) time.Duration {
+	target := req.Service.Ranks[req.Work.Rank].Target
+	if target <= 0 {
+		return req.Deadline.Sub(now)
+	}
+	if req.Received.IsZero() {
+		return target
+	}
+	if left := target - now.Sub(req.Received); left > 0 {
+		return left
+	}
+	return req.Deadline.Sub(now)
+}
+
+// hysteresis reports whether requests of this kind may leave. With no local
+// server left they may at once.
+func (s *Spiller) hysteresis(now time.Time, req *Request, missed, none bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.missState(missKey{req.Service.Name, req.Work.Rank})
+	if !missed {
+		if now.Sub(state.last) > s.leave() {
+			state.leaving = false
+		}
+		if !state.leaving {
+			state.since = time.Time{}
+		}
+		return state.leaving
+	}
+	if state.since.IsZero() || now.Sub(state.last) > s.leave() {
+		state.since, state.leaving = now, false
+	}
+	state.last = now
+	if none || now.Sub(state.since) >= s.enter() {
+		state.leaving = true
+	}
+	return state.leaving
+}
+
+func (s *Spiller) missState(key missKey) *missState {
+	if s.misses == nil {
+		s.misses = make(map[missKey]*missState)
+	}
+	state := s.misses[key]
+	if state == nil {
+		state = &missState{}
+		s.misses[key] = state
+	}
+	return state
+}
+
+// best picks the region with the least expected time to first token among
+// those that meet the target.
+func (s *Spiller) best(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router) Decision {
+	chosen := Decision{Reason: ReasonOtherRegion, LocalCost: local.Cost, Candidates: local.Candidates}
+	var freshest RegionSummary
+	why := SpillNoRegion
+	for _, region := range r.Regions.Reachable() {
+		if region == r.Region || !req.Service.Permits(req.Work, region) {
+			continue
+		}
+		summary, ok := s.Summaries.Summary(region, req.Service.Name)
+		if !ok || now.Sub(summary.At) > s.maxAge() || summary.Servers == 0 {
+			continue
+		}
+		cost, met := s.remoteCost(req, summary, remaining)
+		better := local.Server == nil || cost < local.Cost
+		if !met || !better || s.claimed(summary) >= s.free(summary) {
+			why = SpillNotBetter
+			continue
+		}
+		if chosen.Region == "" || cost < chosen.Cost {
+			chosen.Region, chosen.Cost, freshest = region, cost, summary
+		}
+	}
+	if chosen.Region == "" {
+		local.Spill = why
+		return local
+	}
+	if refusal := s.take(now, req, freshest); refusal != SpillSent {
+		local.Spill = refusal
+		return local
+	}
+	chosen.Spill = SpillSent
+	return chosen
+}
+
+// remoteCost returns the expected time to first token in another region, with
+// the link, the transfer of the request and a cold cache, and whether it meets
+// the target with a margin for what the summary cannot know.
+func (s *Spiller) remoteCost(req *Request, summary RegionSummary, remaining time.Duration) (time.Duration, bool) {
+	transfer := time.Duration(float64(req.BodyBytes) / s.linkRate() * float64(time.Second))
+	cost := 2*s.linkLatency() + transfer + summary.Wait + prefillTime(req.PromptTokens, summary.PrefillRate)
+	return cost, cost <= time.Duration(float64(remaining)*remoteMargin)
+}
+
+// free returns the free slots of a region that this instance may use until
+// the next summary. The other instances of its region use the same summary.
+func (s *Spiller) free(summary RegionSummary) int {
+	return int(math.Ceil(float64(summary.FreeSlots) * s.share()))
+}
+
+// claimed returns the requests sent since the given summary.
+func (s *Spiller) claimed(summary RegionSummary) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.channel(summary.Region)
+	if !c.sentAt.Equal(summary.At) {
+		c.sentAt, c.sent = summary.At, 0
+	}
+	return c.sent
+}
+
+// take uses the region's ramp and the link's budget for one request.
+func (s *Spiller) take(now time.Time, req *Request, summary RegionSummary) SpillReason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.channel(summary.Region)
+	if c.seenAt.IsZero() || now.Sub(c.seenAt) > s.maxAge() {
+		c.upAt = now
+		c.bucket = Bucket{}
+	}
+	c.seenAt = now
+	rate := s.ramp(now.Sub(c.upAt)) * s.share()
+	if !c.bucket.Take(now, 1, rate, max(1, rate)) {
+		return SpillRamp
+	}
+	if s.Link != nil && !s.Link.Take(now, req.BodyBytes) {
+		return SpillLink
+	}
+	c.sent++
+	return SpillSent
+}
+
+// Failed tells that a region could not be reached: what is sent there starts
+// again from the beginning of the ramp.
+func (s *Spiller) Failed(region string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.channel(region).seenAt = time.Time{}
+}
+
+// ramp returns the requests per second that a region may be sent some time
+// after it was seen again. Its caches are cold then.
+func (s *Spiller) ramp(up time.Duration) float64 {
+	start, limit := s.RampStart, s.RampMax
+	if start <= 0 {
+		start = defaultRampStart
+	}
+	if limit <= 0 {
+		limit = defaultRampMax
+	}
+	return min(limit, start*math.Exp2(up.Seconds()/rampDoubling.Seconds()))
+}
+
+func (s *Spiller) channel(region string) *channel {
+	if s.channels == nil {
+		s.channels = make(map[string]*channel)
+	}
+	c := s.channels[region]
+	if c == nil {
+		c = &channel{}
+		s.channels[region] = c
+	}
+	return c
+}
+
+func (s *Spiller) share() float64 {
+	if s.Share == nil {
+		return 1
+	}
+	return s.Share()
+}
+
+func (s *Spiller) linkLatency() time.Duration { return orDefault(s.LinkLatency, defaultLinkLatency) }
+func (s *Spiller) enter() time.Duration       { return orDefault(s.Enter, defaultEnter) }
+func (s *Spiller) leave() time.Duration       { return orDefault(s.Leave, defaultLeave) }
+func (s *Spiller) maxAge() time.Duration      { return orDefault(s.MaxAge, defaultMaxAge) }
+
+func (s *Spiller) linkRate() float64 {
+	if s.LinkRate <= 0 {
+		return defaultLinkRate
+	}
+	return s.LinkRate
+}
+
+func orDefault(d, otherwise time.Duration) time.Duration {
+	if d == 0 {
+		return otherwise
+	}
+	return d
+}
--- /dev/null
+++ b/routing/summary.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+)
+
+// RegionSummary is what a region tells the others about one of its services.
+type RegionSummary struct {
+	Region      string
+	Service     string
+	Servers     int           // that accept new work
+	Slots       int           // of these servers
+	FreeSlots   int           // of these servers
+	Wait        time.Duration // expected wait for a slot
+	PrefillRate float64       // median, in tokens per second; 0: unknown
+	At          time.Time     // when it was measured, by the clock of the reader
+}
+
+// Summaries holds the newest summaries of the other regions. Its methods are
+// safe for concurrent use and do no I/O.
+type Summaries interface {
+	// Summary returns the newest summary of a service in a region.
+	Summary(region, service string) (RegionSummary, bool)
+}
+
+// Summarize returns the summary of a service in this region. Its cost grows
+// with the number of servers; it is called about once a second.
+func (r *Router) Summarize(service string) RegionSummary {
+	now := r.now()
+	summary := RegionSummary{Region: r.Region, Service: service, At: now}
+	req := &Request{}
+	var rates []float64
+	var wait time.Duration
+	for _, server := range r.Registry.Of(service) {
+		if !r.usable(now, req, server) {
+			continue
+		}
+		slots := max(server.Load().Slots, 1)
+		summary.Servers++
+		summary.Slots += slots
+		summary.FreeSlots += max(0, slots-server.Occupied())
+		rates = append(rates, server.PrefillRate())
+		if w := serverWait(server); summary.Servers == 1 || w < wait {
+			wait = w
+		}
+	}
+	if len(rates) > 0 {
+		slices.Sort(rates)
+		summary.PrefillRate = rates[len(rates)/2]
+	}
+	summary.Wait = wait
+	return summary
+}
+
+func serverWait(server *backend.Server) time.Duration {
+	return slotWait(server) + prefillTime(server.PendingPrefill(), server.PrefillRate())
+}
