Retry within a budget and quarantine requests that crash servers

Cause: three tries for every failure, without a budget, asked a region that had lost capacity for up to three times its load. A request that crashes its backend server was sent to the next one each time. An attempt that may have run followed by one that did not was reported as not run.

Ruled out: counting crashes for each instance (a caller that resends to three instances costs three servers); claims in the store for suspects (it has outages, and it is not on the request path); running suspects beside other work on a server of their own choice (an innocent neighbor dies with them).

Change: retry.Policy and Budget decide on each failed try. quarantine.Table knows keyed digests: suspect, on trial, cleared, quarantined. A suspect belongs to the instance that saw the crash and runs again alone on a reserved server, after the crash has had the time to spread. dispatch/attempts.go drives both; telemetry logs and counts each verdict. Once an attempt may have run, the request is never reported as not run.

--- a/cmd/fuchsiad/flags.go
+++ b/cmd/fuchsiad/flags.go
@@ -42,5 +42,9 @@
 		duration("load-interval", "time between two load reports of a backend server", &s.LoadInterval),
 		duration("directory-ttl", "life of this instance's entry in the directory", &s.DirectoryTTL),
 		duration("drain-deadline", "longest graceful shutdown", &s.DrainDeadline),
+		text("digest-key", "secret of the deployment for digests of requests, the same for all instances", &s.DigestKey),
+		duration("quarantine-spread", "time until every instance knows of a crash", &s.QuarantineSpread),
+		&cli.FloatFlag{Name: "link-megabits", Usage: "cap of the region's links to other regions, each way, in Mbit/s", Value: s.LinkMegabits, Destination: &s.LinkMegabits, Sources: env("link-megabits")},
+		duration("link-latency", "one-way latency between regions", &s.LinkLatency),
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,11 +14,9 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
-	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
 	"github.com/fuchsiastack/fuchsiastack/platform"
-	"github.com/fuchsiastack/fuchsiastack/routing"
 	"github.com/fuchsiastack/fuchsiastack/store"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
@@ -42,6 +40,8 @@
 	peers    *peerTable
 	store    store.Store
 	platform *platform.Client
+	routes   *routes
+	observer *telemetry.Observer
 	draining atomic.Bool
 
 	callers, peerSide, admin net.Listener
@@ -71,6 +71,8 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
+	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
+	d.routes = d.newRoutes()
 	d.handlers = d.newHandlers()
 	return d, nil
 }
@@ -161,7 +163,7 @@
 type handlers struct{ caller, peer, admin http.Handler }
 
 func (d *Daemon) newHandlers() *handlers {
-	observer := &telemetry.Observer{Log: d.log, Metrics: d.metrics}
+	observer := d.observer
 	dispatcher := d.newDispatcher(observer)
 	callerMux := http.NewServeMux()
 	callerMux.Handle("GET "+entry.Path, http.HandlerFunc(d.answerEntry))
@@ -176,24 +178,6 @@
 	}
 }
 
-func (d *Daemon) newDispatcher(observer dispatch.Observer) *dispatch.Dispatcher {
-	return &dispatch.Dispatcher{
-		Instance: d.settings.Instance,
-		Region:   d.settings.Region,
-		Router: &routing.Router{
-			Region:   d.settings.Region,
-			Registry: d.registry,
-			Regions:  d.peers,
-			Filters:  []routing.Filter{routing.AcceptingFilter{}, routing.UntriedFilter{}},
-			Scorer:   routing.FirstTokenScorer{Zone: d.settings.Zone},
-		},
-		Peers:      d.peers,
-		Transport:  newTransport(),
-		PeerScheme: "http",
-		Observer:   observer,
-	}
-}
-
 // Status is what an instance tells of itself.
 type Status struct {
 	Instance string `json:"instance"`
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -30,6 +30,11 @@
 	LoadInterval  time.Duration // between load reports of a backend server
 	DirectoryTTL  time.Duration // life of the entry in the directory
 	DrainDeadline time.Duration // longest graceful shutdown
+
+	DigestKey        string        // secret of the deployment, for digests of requests
+	QuarantineSpread time.Duration // until all instances know of a crash
+	LinkMegabits     float64       // cap of the region's links to others, each way, in Mbit/s
+	LinkLatency      time.Duration // one way, between regions
 }
 
 // DefaultSettings returns the settings that have defaults.
@@ -44,6 +49,10 @@
 		LoadInterval:  500 * time.Millisecond,
 		DirectoryTTL:  10 * time.Second,
 		DrainDeadline: 10 * time.Minute,
+
+		QuarantineSpread: 2 * time.Second,
+		LinkMegabits:     2000,
+		LinkLatency:      80 * time.Millisecond,
 	}
 }
 
@@ -71,6 +80,10 @@
 	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > 10*time.Second, "load-interval: want 50ms to 10s")
 	fault(s.DirectoryTTL < 2*time.Second || s.DirectoryTTL > time.Minute, "directory-ttl: want 2s to 1m")
 	fault(s.DrainDeadline < time.Second || s.DrainDeadline > time.Hour, "drain-deadline: want 1s to 1h")
+	fault(s.DigestKey != "" && len(s.DigestKey) < 16, "digest-key: want 16 characters or more")
+	fault(s.QuarantineSpread < 100*time.Millisecond || s.QuarantineSpread > time.Minute, "quarantine-spread: want 100ms to 1m")
+	fault(s.LinkMegabits < 1, "link-megabits: want 1 or more")
+	fault(s.LinkLatency < 0 || s.LinkLatency > time.Second, "link-latency: want 0s to 1s")
 	if len(faults) > 0 {
 		return errors.New("bad settings: " + strings.Join(faults, "; "))
 	}
--- /dev/null
+++ b/dispatch/attempts.go
@@ -0,0 +1,271 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/retry"
+	"github.com/fuchsiastack/fuchsiastack/routing"
+)
+
+// errStalled cancels an attempt whose answer did not begin in time.
+var errStalled = errors.New("the answer did not begin in time")
+
+// run is the attempts of one request.
+type run struct {
+	*Dispatcher
+	ctx     context.Context
+	x       *filters.Exchange
+	req     *routing.Request
+	suspect suspect
+	// mayHaveRun is set once an attempt may have run: from then on the request
+	// is never reported as not run.
+	mayHaveRun bool
+}
+
+// attempts tries until the request is served or must not be tried again.
+func (r *run) attempts() *outcome.Error {
+	defer r.suspect.abandon()
+	r.Retry.FirstTry(time.Now())
+	for number := 1; ; number++ {
+		decision, refusal := r.next(number)
+		if refusal != nil {
+			return r.final(refusal)
+		}
+		end := r.attempt(decision, number)
+		r.suspect.end(end)
+		if end.err == nil {
+			return nil
+		}
+		r.mayHaveRun = r.mayHaveRun || end.err.Outcome != outcome.NotRun
+		verdict := r.Retry.Decide(time.Now(), r.tried(decision, end, number))
+		r.Observer.Retried(r.x, number, verdict)
+		if !verdict.Retry || !sleep(r.ctx, verdict.After) {
+			return r.final(end.err)
+		}
+	}
+}
+
+// next decides where the next attempt goes.
+func (r *run) next(number int) (routing.Decision, *outcome.Error) {
+	if refusal := r.suspect.admit(); refusal != nil {
+		return routing.Decision{}, refusal
+	}
+	if r.req.Alone {
+		decision, refusal := r.suspect.reserve()
+		if refusal == nil {
+			r.Observer.Decided(r.x, number, decision)
+		}
+		return decision, refusal
+	}
+	decision := r.Router.Decide(r.req)
+	r.Observer.Decided(r.x, number, decision)
+	if decision.Server == nil && decision.Region == "" {
+		return decision, outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoBackend,
+			"no backend server can serve this request now").WithRetryAfter(time.Second)
+	}
+	return decision, nil
+}
+
+// final returns the error that the caller is told.
+func (r *run) final(err *outcome.Error) *outcome.Error {
+	if r.mayHaveRun && err.Outcome == outcome.NotRun {
+		err.Outcome = outcome.MayHaveRun
+	}
+	return err
+}
+
+// attemptEnd tells how an attempt ended.
+type attemptEnd struct {
+	err     *outcome.Error
+	crashed bool // the backend server was lost under the request
+	stalled bool // canceled, since the answer did not begin in time
+}
+
+func (r *run) attempt(decision routing.Decision, number int) attemptEnd {
+	var end attemptEnd
+	if decision.Server != nil {
+		end = r.toServer(decision)
+	} else {
+		end.err = r.toRegion(r.ctx, r.x, decision.Region)
+	}
+	result := outcome.Served
+	var cause error
+	if end.err != nil {
+		result, cause = end.err.Outcome, end.err
+	}
+	r.Observer.Attempted(r.x, number, decision, result, cause)
+	return end
+}
+
+// tried describes a failed attempt to the retry policy, and keeps the next one
+// away from where it failed.
+func (r *run) tried(decision routing.Decision, end attemptEnd, number int) retry.Try {
+	if decision.Server != nil {
+		r.req.Tried[decision.Server.ID] = true
+	} else {
+		r.req.StayLocal = true
+		if r.Router.Spill != nil && end.err.Code == outcome.CodeBackendFailed {
+			r.Router.Spill.Failed(decision.Region)
+		}
+	}
+	return retry.Try{
+		Number: number, Outcome: end.err.Outcome, Code: end.err.Code,
+		Repeatable: r.x.Work.Repeatable, Started: r.x.Started, Forwarded: decision.Region != "",
+		Remaining: time.Until(r.x.Deadline), Paid: end.stalled,
+	}
+}
+
+// toServer sends the request to a backend server. The attempt is over when it
+// returns: its connection is closed or its answer has been read, so that a
+// following attempt never runs beside it.
+func (r *run) toServer(decision routing.Decision) attemptEnd {
+	server := decision.Server
+	if !r.x.Service.Permits(r.x.Work, server.Region) {
+		panic("dispatch: backend server " + server.ID + " is outside the permitted regions")
+	}
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	w := r.watch(decision, cancel)
+	defer w.stop()
+	served := false
+	defer func() { w.attempt.End(time.Now(), served) }()
+	r.Router.Dispatched(r.req, server)
+	err := r.exchange(ctx, r.x, server, w)
+	end := attemptEnd{err: err, stalled: errors.Is(context.Cause(ctx), errStalled)}
+	if end.stalled && err != nil {
+		err.Code = outcome.CodeBackendFailed
+	}
+	failed := err != nil && err.Code == outcome.CodeBackendFailed && r.ctx.Err() == nil
+	end.crashed = w.crashed || failed && err.Outcome == outcome.MayHaveRun && !w.answered && !end.stalled
+	if end.crashed && !w.crashed {
+		r.suspect.crashed(server, w.begun)
+	}
+	served = err == nil
+	r.judge(decision, failed || end.crashed || w.serverError, served)
+	return end
+}
+
+// judge tells the ejector how the server did.
+func (r *run) judge(decision routing.Decision, failed, served bool) {
+	if r.Ejector == nil {
+		return
+	}
+	var ejection routing.Ejection
+	var changed bool
+	switch {
+	case failed:
+		ejection, changed = r.Ejector.Failed(time.Now(), decision.Server, decision.Probe())
+	case served:
+		ejection, changed = r.Ejector.Succeeded(time.Now(), decision.Server, decision.Probe())
+	}
+	if changed {
+		r.Observer.Ejected(ejection)
+	}
+}
+
+// watch follows the answer of one attempt.
+type watch struct {
+	run         *run
+	server      *backend.Server
+	attempt     *backend.Attempt
+	begun       time.Time
+	stall       *time.Timer
+	answered    bool // the header of the answer has come
+	serverError bool // the server answered that it failed
+	crashed     bool // the answer was cut
+	bytes       int64
+}
+
+// watch begins an attempt. An attempt that may be repeated and whose answer
+// does not begin in time is canceled, if the budget allows another one.
+func (r *run) watch(decision routing.Decision, cancel context.CancelCauseFunc) *watch {
+	w := &watch{run: r, server: decision.Server, begun: time.Now()}
+	tokens := 0
+	if r.beginsEarly() {
+		tokens = decision.UncachedTokens(r.req)
+	}
+	w.attempt = decision.Server.Start(w.begun, tokens)
+	limit := retry.StallLimit(decision.Cost, time.Until(r.x.Deadline))
+	if limit > 0 && r.beginsEarly() && r.x.Work.Repeatable {
+		w.stall = time.AfterFunc(limit, func() {
+			if r.Retry.Budget == nil || r.Retry.Budget.Take(time.Now()) {
+				cancel(errStalled)
+			}
+		})
+	}
+	return w
+}
+
+// beginsEarly reports whether the beginning of the answer tells the time to
+// first token. A whole answer of a model begins at its end.
+func (r *run) beginsEarly() bool { return r.x.Stream || r.x.Service.Kind != catalog.Model }
+
+// header is called when the header of the answer has come. It replaces the
+// body by one that is watched.
+func (w *watch) header(resp *http.Response) {
+	w.answered = true
+	w.serverError = resp.StatusCode >= http.StatusInternalServerError
+	w.stop()
+	resp.Body = &watchedBody{ReadCloser: resp.Body, watch: w}
+}
+
+func (w *watch) stop() {
+	if w.stall != nil {
+		w.stall.Stop()
+	}
+}
+
+// watchedBody learns from the answer as it is read.
+type watchedBody struct {
+	io.ReadCloser
+	watch *watch
+}
+
+// Read implements io.Reader. A cut answer is held back until the other
+// instances know of the crash: the caller may send the request again at once.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	w := b.watch
+	if n > 0 && w.bytes == 0 && w.run.beginsEarly() {
+		w.attempt.FirstToken(time.Now())
+	}
+	w.bytes += int64(n)
+	if err != nil && !errors.Is(err, io.EOF) && w.run.ctx.Err() == nil && !w.crashed {
+		w.crashed = true
+		w.run.suspect.crashed(w.server, w.begun)
+	}
+	return n, err
+}
+
+// Close implements io.Closer. The answer to a request of another region is
+// counted against the link.
+func (b *watchedBody) Close() error {
+	if w := b.watch; w.run.x.Hop != nil && w.run.Link != nil {
+		w.run.Link.Spend(time.Now(), w.bytes)
+	}
+	return b.ReadCloser.Close()
+}
+
+// sleep waits for d and reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -15,13 +15,12 @@
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/relay"
+	"github.com/fuchsiastack/fuchsiastack/retry"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
 
-// maxAttempts bounds the tries of one request.
-const maxAttempts = 3
-
 // refusedHeader is set by a backend server that refuses a request before
 // running it.
 const refusedHeader = "Fuchsia-Refused"
@@ -41,6 +40,13 @@
 	FirstByte(x *filters.Exchange)
 	// Attempted is called at the end of each attempt.
 	Attempted(x *filters.Exchange, attempt int, d routing.Decision, o outcome.Outcome, err error)
+	// Retried is called after each failed attempt.
+	Retried(x *filters.Exchange, attempt int, v retry.Verdict)
+	// Suspected is called when the state of a digest matters to a request.
+	// server is the id of the backend server that crashed, or "".
+	Suspected(x *filters.Exchange, digest quarantine.Digest, state quarantine.State, server string)
+	// Ejected is called when a backend server is ejected or let back in.
+	Ejected(e routing.Ejection)
 }
 
 // Dispatcher is the last step of the filter chain.
@@ -53,24 +59,24 @@
 	// PeerScheme is "https" with mutual TLS, or "http" in development.
 	PeerScheme string
 	Observer   Observer
+
+	Retry      *retry.Policy
+	Ejector    *routing.Ejector    // nil for none
+	Quarantine *quarantine.Table   // nil for none
+	DigestKey  quarantine.Key      // of the digests in Quarantine
+	Link       *routing.LinkBudget // nil for no cap on the links between regions
+	// OwnerURL returns the URL for callers of the instance, or of one in the
+	// region, that examines a suspect; "" if unknown. Nil for none.
+	OwnerURL func(owner string) string
 }
 
 // Handle implements filters.Handler.
 func (d *Dispatcher) Handle(x *filters.Exchange) *outcome.Error {
 	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
 	defer cancel()
-	req := routeRequest(x)
-	for attempt := 1; ; attempt++ {
-		decision := d.Router.Decide(req)
-		d.Observer.Decided(x, attempt, decision)
-		err := d.attempt(ctx, x, decision, attempt)
-		if err == nil || !retryable(x, err) || attempt == maxAttempts || ctx.Err() != nil {
-			return err
-		}
-		if decision.Server != nil {
-			req.Tried[decision.Server.ID] = true
-		}
-	}
+	r := &run{Dispatcher: d, ctx: ctx, x: x, req: routeRequest(x)}
+	r.suspect.run = r
+	return r.attempts()
 }
 
 func routeRequest(x *filters.Exchange) *routing.Request {
@@ -89,44 +95,8 @@
 	}
 }
 
-// retryable reports whether another attempt is safe.
-func retryable(x *filters.Exchange, err *outcome.Error) bool {
-	if x.Started {
-		return false
-	}
-	switch err.Code {
-	case outcome.CodeBackendFailed, outcome.CodeBackendRefused:
-		return err.Outcome == outcome.NotRun || x.Work.Repeatable
-	}
-	return false
-}
-
-func (d *Dispatcher) attempt(ctx context.Context, x *filters.Exchange, decision routing.Decision, attempt int) *outcome.Error {
-	var err *outcome.Error
-	switch {
-	case decision.Server != nil:
-		err = d.toServer(ctx, x, decision.Server)
-	case decision.Region != "":
-		err = d.toRegion(ctx, x, decision.Region)
-	default:
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoBackend, "no backend server can serve this request now").WithRetryAfter(time.Second)
-	}
-	result := outcome.Served
-	var cause error
-	if err != nil {
-		result, cause = err.Outcome, err
-	}
-	d.Observer.Attempted(x, attempt, decision, result, cause)
-	return err
-}
-
-func (d *Dispatcher) toServer(ctx context.Context, x *filters.Exchange, server *backend.Server) *outcome.Error {
-	if !x.Service.Permits(x.Work, server.Region) {
-		panic("dispatch: backend server " + server.ID + " is outside the permitted regions")
-	}
-	now := time.Now()
-	running := server.Start(now, x.PromptTokens)
-	defer func() { running.End(time.Now(), false) }()
+// exchange sends the request to a backend server and relays the answer.
+func (d *Dispatcher) exchange(ctx context.Context, x *filters.Exchange, server *backend.Server, w *watch) *outcome.Error {
 	req, err := newRequest(ctx, x, "http://"+server.Addr+x.Path)
 	if err != nil {
 		return badPath(err)
@@ -136,6 +106,7 @@
 	if failure != nil {
 		return failure
 	}
+	w.header(resp)
 	defer resp.Body.Close()
 	if resp.Header.Get(refusedHeader) != "" {
 		server.SetLeaving()
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -15,6 +15,7 @@
 const (
 	SpillNone      SpillReason = ""
 	SpillSent      SpillReason = "sent"             // local target missed, remote target met
+	SpillBlind     SpillReason = "no_summary"       // no local server; the other region's load is unknown
 	SpillTargetMet SpillReason = "local_target_met" // the request is served in time here
 	SpillWaiting   SpillReason = "hysteresis"       // the miss has not lasted long enough
 	SpillNoRegion  SpillReason = "no_region"        // no permitted region has a fresh summary
@@ -151,41 +152,59 @@
 }
 
 // best picks the region with the least expected time to first token among
-// those that meet the target.
+// those that meet the target. With no local server left, a region of unknown
+// load is better than a refusal.
 func (s *Spiller) best(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router) Decision {
-	chosen := Decision{Reason: ReasonOtherRegion, LocalCost: local.Cost, Candidates: local.Candidates}
-	var freshest RegionSummary
+	chosen := Decision{Reason: ReasonOtherRegion, LocalCost: local.Cost, Candidates: local.Candidates, Spill: SpillSent}
+	var summary RegionSummary
+	blind := ""
 	why := SpillNoRegion
 	for _, region := range r.Regions.Reachable() {
 		if region == r.Region || !req.Service.Permits(req.Work, region) {
 			continue
 		}
-		summary, ok := s.Summaries.Summary(region, req.Service.Name)
-		if !ok || now.Sub(summary.At) > s.maxAge() || summary.Servers == 0 {
+		next, known := s.fresh(now, region, req.Service.Name)
+		if !known {
+			blind = region
 			continue
 		}
-		cost, met := s.remoteCost(req, summary, remaining)
-		better := local.Server == nil || cost < local.Cost
-		if !met || !better || s.claimed(summary) >= s.free(summary) {
+		cost, worth := s.worth(req, local, next, remaining)
+		if !worth {
 			why = SpillNotBetter
-			continue
-		}
-		if chosen.Region == "" || cost < chosen.Cost {
-			chosen.Region, chosen.Cost, freshest = region, cost, summary
+		} else if chosen.Region == "" || cost < chosen.Cost {
+			chosen.Region, chosen.Cost, summary = region, cost, next
 		}
 	}
+	if chosen.Region == "" && local.Server == nil && blind != "" {
+		chosen.Region, chosen.Spill, summary = blind, SpillBlind, RegionSummary{Region: blind}
+	}
 	if chosen.Region == "" {
 		local.Spill = why
 		return local
 	}
-	if refusal := s.take(now, req, freshest); refusal != SpillSent {
+	if refusal := s.take(now, req, summary); refusal != SpillNone {
 		local.Spill = refusal
 		return local
 	}
-	chosen.Spill = SpillSent
 	return chosen
 }
 
+// fresh returns a region's summary if it is not too old.
+func (s *Spiller) fresh(now time.Time, region, service string) (RegionSummary, bool) {
+	summary, ok := s.Summaries.Summary(region, service)
+	return summary, ok && now.Sub(summary.At) <= s.maxAge()
+}
+
+// worth returns the cost of a region and whether sending the request there is
+// worth it.
+func (s *Spiller) worth(req *Request, local Decision, summary RegionSummary, remaining time.Duration) (time.Duration, bool) {
+	cost, met := s.remoteCost(req, summary, remaining)
+	if !met || summary.Servers == 0 || s.claimed(summary) >= s.free(summary) {
+		return cost, false
+	}
+	return cost, local.Server == nil || cost < local.Cost
+}
+
 // remoteCost returns the expected time to first token in another region, with
 // the link, the transfer of the request and a cold cache, and whether it meets
 // the target with a margin for what the summary cannot know.
@@ -230,7 +249,7 @@
 		return SpillLink
 	}
 	c.sent++
-	return SpillSent
+	return SpillNone
 }
 
 // Failed tells that a region could not be reached: what is sent there starts
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
@@ -26,6 +27,37 @@
 	Summary(region, service string) (RegionSummary, bool)
 }
 
+// SummaryTable is a Summaries that is filled by whoever carries summaries
+// between regions. The zero value is empty.
+type SummaryTable struct {
+	mu        sync.RWMutex
+	summaries map[summaryKey]RegionSummary
+}
+
+type summaryKey struct{ region, service string }
+
+// Put keeps a summary unless a newer one is known. At must be set by the clock
+// of this instance: the time of receipt less the age that came with it.
+func (t *SummaryTable) Put(s RegionSummary) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.summaries == nil {
+		t.summaries = make(map[summaryKey]RegionSummary)
+	}
+	key := summaryKey{s.Region, s.Service}
+	if old, ok := t.summaries[key]; !ok || s.At.After(old.At) {
+		t.summaries[key] = s
+	}
+}
+
+// Summary implements Summaries.
+func (t *SummaryTable) Summary(region, service string) (RegionSummary, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	s, ok := t.summaries[summaryKey{region, service}]
+	return s, ok
+}
+
 // Summarize returns the summary of a service in this region. Its cost grows
 // with the number of servers; it is called about once a second.
 func (r *Router) Summarize(service string) RegionSummary {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -32,6 +32,7 @@
 	latency   metric.Float64Histogram
 	firstByte metric.Float64Histogram
 	inFlight  metric.Int64UpDownCounter
+	routing   routingMetrics
 }
 
 // NewMetrics registers the instruments.
@@ -61,6 +62,9 @@
 			return nil, errors.Wrap(err, "create instrument")
 		}
 	}
+	if m.routing, err = newRoutingMetrics(meter); err != nil {
+		return nil, err
+	}
 	return m, nil
 }
 
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -55,13 +55,15 @@
 	if d.Server != nil {
 		server = d.Server.ID
 	}
+	o.Metrics.routing.decided(x.Service.Name, d)
 	if d.Region != "" {
 		o.Metrics.elsewhere.Add(context.Background(), 1, metric.WithAttributes(attribute.String("region", d.Region)))
 	}
 	o.Log.Info().Str("event", "route").Str("request_id", x.ID).Int("attempt", attempt).
 		Str("service", x.Service.Name).Str("rank", x.Work.Rank.String()).Uint64("revision", x.Snapshot.Revision).
 		Str("reason", string(d.Reason)).Str("server", server).Str("region", d.Region).
-		Int("candidates", d.Candidates).Dur("cost", d.Cost).Msg("")
+		Int("candidates", d.Candidates).Dur("cost", d.Cost).Dur("local_cost", d.LocalCost).
+		Int("cached_tokens", d.CachedTokens).Str("spill", string(d.Spill)).Msg("")
 }
 
 // FirstByte implements dispatch.Observer.
--- /dev/null
+++ b/telemetry/routing.go
@@ -0,0 +1,77 @@
+package telemetry
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
+	"github.com/fuchsiastack/fuchsiastack/retry"
+	"github.com/fuchsiastack/fuchsiastack/routing"
+)
+
+// routingMetrics are the instruments of routing, retries and quarantine.
+type routingMetrics struct {
+	decisions metric.Int64Counter
+	cost      metric.Float64Histogram
+	retries   metric.Int64Counter
+	ejections metric.Int64Counter
+	suspects  metric.Int64Counter
+}
+
+func newRoutingMetrics(meter metric.Meter) (routingMetrics, error) {
+	var m routingMetrics
+	var errs [5]error
+	m.decisions, errs[0] = meter.Int64Counter("fuchsia.routing.decisions", metric.WithDescription("Routing decisions by service, reason and spill."))
+	m.cost, errs[1] = meter.Float64Histogram("fuchsia.routing.cost", metric.WithUnit("s"),
+		metric.WithDescription("Expected time to first token of the chosen backend server or region."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	m.retries, errs[2] = meter.Int64Counter("fuchsia.retries", metric.WithDescription("Failed attempts by verdict on a retry."))
+	m.ejections, errs[3] = meter.Int64Counter("fuchsia.ejections", metric.WithDescription("Backend servers ejected by cause, or let back in."))
+	m.suspects, errs[4] = meter.Int64Counter("fuchsia.suspects", metric.WithDescription("Requests whose digest is suspect, cleared or quarantined."))
+	for _, err := range errs {
+		if err != nil {
+			return m, errors.Wrap(err, "create instrument")
+		}
+	}
+	return m, nil
+}
+
+func (m *routingMetrics) decided(service string, d routing.Decision) {
+	ctx := context.Background()
+	m.decisions.Add(ctx, 1, metric.WithAttributes(attribute.String("service", service),
+		attribute.String("reason", string(d.Reason)), attribute.String("spill", string(d.Spill))))
+	if d.Server != nil || d.Region != "" {
+		m.cost.Record(ctx, d.Cost.Seconds(), metric.WithAttributes(attribute.String("service", service)))
+	}
+}
+
+// Retried implements dispatch.Observer.
+func (o *Observer) Retried(x *filters.Exchange, attempt int, v retry.Verdict) {
+	o.Metrics.routing.retries.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", x.Service.Name), attribute.String("reason", string(v.Reason))))
+	o.Log.Info().Str("event", "retry").Str("request_id", x.ID).Int("attempt", attempt).
+		Bool("retry", v.Retry).Str("reason", string(v.Reason)).Dur("after", v.After).Msg("")
+}
+
+// Suspected implements dispatch.Observer.
+func (o *Observer) Suspected(x *filters.Exchange, digest quarantine.Digest, state quarantine.State, server string) {
+	o.Metrics.routing.suspects.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", x.Service.Name), attribute.String("state", state.String())))
+	o.Log.Warn().Str("event", "suspect").Str("request_id", x.ID).Str("service", x.Service.Name).Str("caller", x.Caller).
+		Str("digest", digest.String()).Str("state", state.String()).Str("server", server).Msg("")
+}
+
+// Ejected implements dispatch.Observer.
+func (o *Observer) Ejected(e routing.Ejection) {
+	cause := string(e.Cause)
+	if e.Back {
+		cause = "back"
+	}
+	o.Metrics.routing.ejections.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", e.Server.Service), attribute.String("cause", cause)))
+	o.Log.Warn().Str("event", "eject").Str("server", e.Server.ID).Str("service", e.Server.Service).
+		Bool("back", e.Back).Str("cause", cause).Time("probe_at", e.ProbeAt).Msg("")
+}
