Test the quarantine with a poison resent to all instances

Cause: the promise is two servers for one request in all. The state machine found that a suspect whose owner had left was told to newcomers by nobody: a newcomer ran it beside others, three servers lost.

Ruled out: leaving such a suspect without an owner until somebody asks, which is what failed. Picking the next owner by a hash needs equal views of who lives.

Change: on Forget every instance takes the suspect over and waits the spread time again; the exchanged states leave it to the lowest id.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -206,11 +206,8 @@
 	switch {
 	case e.state == Quarantined:
 		return Verdict{Action: RefuseQuarantined, Wait: e.expires.Sub(now)}
-	case e.owner != t.Instance && e.owner != "":
+	case e.owner != t.Instance:
 		return Verdict{Action: RefuseElsewhere, Owner: e.owner, Wait: t.spread()}
-	case e.owner == "":
-		// The owner has left before the suspect ran again.
-		e.owner, e.since = t.Instance, now
 	}
 	if left := t.spread() - now.Sub(e.since); left > 0 {
 		return Verdict{Action: Wait, Wait: left}
--- /dev/null
+++ b/quarantine/table_test.go
@@ -0,0 +1,152 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/exchange"
+)
+
+const patience = 30 * time.Second
+
+// resend sends the poison to every instance in turn, as often as rounds says.
+func resend(r *region, rounds int) {
+	for range rounds {
+		for i := range r.tables {
+			r.send(i, poison, patience)
+			r.pass(2 * time.Second)
+		}
+	}
+}
+
+func TestPoisonResentToAllInstances(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(6, 9)
+	resend(r, 2)
+	c.Assert(r.crashes, qt.Equals, 2)
+	for _, table := range r.tables {
+		c.Assert(table.State(r.now, poison), qt.Equals, Quarantined)
+	}
+}
+
+func TestInnocentsBesidePoisonAreServedAndCleared(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(3, 9)
+	r.together(0, digestOf(1), digestOf(2), poison, digestOf(3))
+	c.Assert(r.tables[0].State(r.now, digestOf(1)), qt.Equals, Suspect)
+	r.pass(2 * time.Second)
+	c.Assert(r.tables[1].Admit(r.now, digestOf(1)).Action, qt.Equals, RefuseElsewhere)
+	for i := 1; i <= 3; i++ {
+		c.Assert(r.send(0, digestOf(i), patience), qt.Equals, served)
+		c.Assert(r.tables[0].State(r.now, digestOf(i)), qt.Equals, Cleared)
+	}
+	c.Assert(r.crashes, qt.Equals, 1)
+	r.pass(time.Second)
+	c.Assert(r.tables[1].Admit(r.now, digestOf(1)).Action, qt.Equals, Run)
+	c.Assert(r.send(0, poison, patience), qt.Equals, crashed)
+	c.Assert(r.crashes, qt.Equals, 2)
+}
+
+func TestCulpritClearsThoseBesideIt(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(3, 9)
+	r.together(0, digestOf(1), poison)
+	r.send(0, poison, patience)
+	r.pass(time.Second)
+	for _, table := range r.tables {
+		c.Assert(table.Admit(r.now, digestOf(1)).Action, qt.Equals, Run)
+		c.Assert(table.Admit(r.now, poison).Action, qt.Equals, RefuseQuarantined)
+	}
+}
+
+func TestPoisonResentToOtherRegion(t *testing.T) {
+	c := qt.New(t)
+	cairo, alex := newRegion(2, 9), newRegion(2, 9)
+	for i, s := range alex.servers { // servers of alex are other servers
+		alex.servers[i] = backend.NewServer(backend.Info{ID: "alex-" + s.ID, State: backend.StateLive})
+	}
+	cairo.send(0, poison, patience)
+	// alex learns of the suspect only after it has run it too.
+	alex.send(0, poison, patience)
+	for range 2 {
+		c.Assert(alex.tables[1].MergeRegion(alex.now, "cairo", cairo.tables[0].RegionState(cairo.now)), qt.IsNil)
+		c.Assert(cairo.tables[1].MergeRegion(cairo.now, "alex", alex.tables[0].RegionState(alex.now)), qt.IsNil)
+		cairo.pass(time.Second)
+		alex.pass(time.Second)
+	}
+	for _, table := range append(cairo.tables, alex.tables...) {
+		c.Assert(table.Admit(cairo.now, poison).Action, qt.Equals, RefuseQuarantined)
+	}
+	c.Assert(cairo.crashes+alex.crashes, qt.Equals, 2)
+}
+
+func TestWideLossMakesNoSuspects(t *testing.T) {
+	c := qt.New(t)
+	table := &Table{Instance: "entry-0"}
+	suspects := 0
+	for i := range 20 {
+		if table.Crashed(start.Add(time.Duration(i)*time.Millisecond), digestOf(i), uint64(i), start) != Unknown {
+			suspects++
+		}
+	}
+	c.Assert(suspects, qt.Equals, wideServers-1)
+}
+
+func TestOwnerLeaves(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(3, 9)
+	r.together(0, poison, digestOf(1))
+	r.pass(time.Second)
+	r.tables[0] = &Table{Instance: "entry-9"}
+	for _, table := range r.tables[1:] {
+		table.Forget(r.now, "entry-0")
+	}
+	c.Assert(r.send(1, digestOf(1), patience), qt.Equals, served)
+	c.Assert(r.send(2, poison, patience), qt.Equals, refused) // entry-1 has taken it over
+	c.Assert(r.send(1, poison, patience), qt.Equals, crashed)
+	r.pass(time.Second)
+	c.Assert(r.send(2, poison, patience), qt.Equals, refused)
+	c.Assert(r.crashes, qt.Equals, 2)
+}
+
+func TestEntriesAgeOutAndMemoryIsBounded(t *testing.T) {
+	c := qt.New(t)
+	table := &Table{Instance: "entry-0", Limit: 100}
+	table.Crashed(start, poison, 1, start)
+	table.Crashed(start.Add(time.Minute), poison, 2, start)
+	for i := range 500 {
+		table.Crashed(start.Add(time.Duration(i)*2*time.Second), digestOf(i), uint64(i+3), start)
+	}
+	c.Assert(table.Len(), qt.Equals, 100)
+	c.Assert(table.State(start.Add(20*time.Minute), poison), qt.Equals, Quarantined)
+	c.Assert(len(table.OwnState(start.Add(20*time.Minute))) <= exchange.MaxStateBytes, qt.IsTrue)
+	c.Assert(table.State(start.Add(2*time.Hour), poison), qt.Equals, Unknown)
+}
+
+func TestMergeRejectsMalformedStates(t *testing.T) {
+	c := qt.New(t)
+	from, to := &Table{Instance: "a"}, &Table{Instance: "b"}
+	from.Crashed(start, poison, 1, start)
+	state := from.OwnState(start)
+	for n := range len(state) - 1 {
+		if n != wireHeaderBytes {
+			c.Assert(to.Merge(start, "a", state[:n]), qt.IsNotNil)
+		}
+	}
+	c.Assert(to.Merge(start, "a", state), qt.IsNil)
+	c.Assert(to.State(start, poison), qt.Equals, Suspect)
+}
+
+func TestDigestIgnoresWhatAResendChanges(t *testing.T) {
+	c := qt.New(t)
+	key := Key("secret")
+	first := key.Digest("desk", "/v1/chat/completions", []byte(`{"model":"desk","messages":[{"role":"user","content":"x"}],"user":"a","stream":true}`))
+	again := key.Digest("desk", "/v1/chat/completions?try=2", []byte(`{ "messages": [ {"role":"user", "content":"x"} ], "request_id":"7", "model":"desk" }`))
+	other := key.Digest("desk", "/v1/chat/completions", []byte(`{"model":"desk","messages":[{"role":"user","content":"y"}]}`))
+	c.Assert(again, qt.Equals, first)
+	c.Assert(other, qt.Not(qt.Equals), first)
+	c.Assert(Key("other").Digest("desk", "", nil), qt.Not(qt.Equals), key.Digest("desk", "", nil))
+}
--- a/quarantine/topic.go
+++ b/quarantine/topic.go
@@ -253,8 +253,8 @@
 	return b
 }
 
-// Forget is called once an instance has surely left. Its suspects have no
-// owner any more. One that it had on trial stays out of use until it expires,
+// Forget is called once an instance has surely left. Every other instance takes
+// over its suspects; the states that they exchange then leave each to one. One that it had on trial stays out of use until it expires,
 // since nobody knows how the trial ended.
 func (t *Table) Forget(now time.Time, instance string) {
 	t.mu.Lock()
@@ -266,7 +266,7 @@
 		}
 		switch e.state {
 		case Suspect:
-			e.owner = ""
+			e.owner, e.since = t.Instance, now
 		case Trial:
 			e.state, e.owner, e.since = Quarantined, t.Instance, now
 		case Quarantined:
