Bring about the failures that routing is made for

Cause: the router had no test of a fault. The first simulation of late reports showed three faults. Instances that go by a report that is 2 s old all send to the servers it shows idle. An instance knows its own prefixes only, so that six of them spread one prompt over all caches. Engines whose cache had evicted a prompt were ejected as slow, 50 ms above the median.

Change: Server.Expected, a consistent hash ring for new prompts, 250 ms as the least excess of a slow server, 8 candidates.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -3,7 +3,11 @@
 // work this instance has in flight on each.
 package backend
 
-import "sync"
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
 
 // shardCount is the number of shards of a Registry.
 const shardCount = 16
@@ -40,8 +44,18 @@
 type Group struct {
 	Servers []*Server
 	byKey   map[uint64]*Server
+	ring    []ringPoint
 }
 
+// ringPoint is one point of a consistent hash ring.
+type ringPoint struct {
+	hash   uint64
+	server *Server
+}
+
+// ringPoints is the number of points of a server on the ring.
+const ringPoints = 4
+
 // noServers is the group of a service without servers.
 var noServers = &Group{}
 
@@ -49,10 +63,40 @@
 	g := &Group{Servers: servers, byKey: make(map[uint64]*Server, len(servers))}
 	for _, s := range servers {
 		g.byKey[s.Key] = s
+		for i := range uint64(ringPoints) {
+			g.ring = append(g.ring, ringPoint{mix(s.Key + i), s})
+		}
 	}
+	slices.SortFunc(g.ring, func(a, b ringPoint) int { return cmp.Compare(a.hash, b.hash) })
 	return g
 }
 
+// mix spreads the bits of a number.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Ring returns the server at a hash's place on the consistent hash ring, and
+// the next one after it that differs, or nil. All instances agree on them as
+// far as their lists do.
+func (g *Group) Ring(hash uint64) (first, second *Server) {
+	if len(g.ring) == 0 {
+		return nil, nil
+	}
+	at, _ := slices.BinarySearchFunc(g.ring, mix(hash), func(p ringPoint, h uint64) int { return cmp.Compare(p.hash, h) })
+	first = g.ring[at%len(g.ring)].server
+	for i := 1; i <= ringPoints; i++ {
+		if second = g.ring[(at+i)%len(g.ring)].server; second != first {
+			return first, second
+		}
+	}
+	return first, nil
+}
+
 // ByKey returns the server with the given key, or nil.
 func (g *Group) ByKey(key uint64) *Server { return g.byKey[key] }
 
--- a/backend/server.go
+++ b/backend/server.go
@@ -59,6 +59,10 @@
 	Load
 	inFlight int64 // this instance's requests when it was received
 	baseline int64 // the least of this and the previous report's inFlight
+
+	// Averages over the last reports.
+	smoothTotal float64 // requests of the report
+	smoothOwn   float64 // inFlight
 }
 
 // NewServer returns a server without any work or report.
@@ -84,9 +88,12 @@
 // SetLoad records a load report.
 func (s *Server) SetLoad(l Load) {
 	own := s.inFlight.Load()
-	next := &report{Load: l, inFlight: own, baseline: own}
+	total := float64(l.Running + l.Waiting)
+	next := &report{Load: l, inFlight: own, baseline: own, smoothTotal: total, smoothOwn: float64(own)}
 	if last := s.report.Load(); last != nil {
 		next.baseline = min(own, last.inFlight)
+		next.smoothTotal = last.smoothTotal + (total-last.smoothTotal)*averageWeight
+		next.smoothOwn = last.smoothOwn + (float64(own)-last.smoothOwn)*averageWeight
 	}
 	s.report.Store(next)
 }
@@ -104,6 +111,31 @@
 	return int(max(own, int64(r.Running+r.Waiting)+own-r.baseline))
 }
 
+// Smoothed returns averages over the last load reports: the requests on the
+// server, and those of this instance among them.
+func (s *Server) Smoothed() (total, own float64) {
+	if r := s.report.Load(); r != nil {
+		return r.smoothTotal, r.smoothOwn
+	}
+	return 0, 0
+}
+
+// Expected estimates the requests on the server where several instances share
+// it and reports are late. The average of the reports tells how much work the
+// server has on the whole; how far this instance's own work is above its own
+// average is known without delay. sharers is the number of instances with work
+// on the server: each of them keeps its own work even, so that a deviation of
+// one counts for all. If every instance went by the last report instead, all
+// would send to the server that it shows idle.
+func (s *Server) Expected(sharers float64) float64 {
+	own := float64(s.inFlight.Load())
+	r := s.report.Load()
+	if r == nil {
+		return own
+	}
+	return max(own, r.smoothTotal+sharers*(own-r.smoothOwn))
+}
+
 // Silence returns the time since the last report, or 0 before the first one.
 func (s *Server) Silence(now time.Time) time.Duration {
 	r := s.report.Load()
--- a/routing/eject.go
+++ b/routing/eject.go
@@ -11,15 +11,15 @@
 
 // Defaults of an Ejector.
 const (
-	defaultFailures   = 3                     // failures in a row
-	defaultSlowFactor = 3.0                   // times the median time to first token
-	defaultMaxShare   = 0.3                   // of the servers of a service
-	defaultProbeAfter = 2 * time.Second       // first backoff
-	maxProbeBackoff   = 2 * time.Minute       // longest backoff
-	forgiveAfter      = 5 * time.Minute       // without an ejection until the backoff starts anew
-	minLatencySamples = 8                     // answers before a server is called slow
-	minSlowExcess     = 50 * time.Millisecond // a server this close to the median is not slow
-	minMedianServers  = 3                     // a median of fewer tells nothing
+	defaultFailures   = 3                      // failures in a row
+	defaultSlowFactor = 3.0                    // times the median time to first token
+	defaultMaxShare   = 0.3                    // of the servers of a service
+	defaultProbeAfter = 2 * time.Second        // first backoff
+	maxProbeBackoff   = 2 * time.Minute        // longest backoff
+	forgiveAfter      = 5 * time.Minute        // without an ejection until the backoff starts anew
+	minLatencySamples = 8                      // answers before a server is called slow
+	minSlowExcess     = 250 * time.Millisecond // a server this close to the median is not slow
+	minMedianServers  = 3                      // a median of fewer tells nothing
 )
 
 // Ejector takes failing and slow servers out of use and lets them back in by
--- a/routing/plugins.go
+++ b/routing/plugins.go
@@ -59,7 +59,7 @@
 // Score implements Scorer.
 func (s FirstTokenScorer) Score(req *Request, server *backend.Server, cached int) time.Duration {
 	tokens := server.PendingPrefill() + max(0, req.PromptTokens-cached)
-	cost := slotWait(server) + server.BaseLatency() + prefillTime(tokens, server.PrefillRate())
+	cost := slotWait(server, req.Occupied(server)) + server.BaseLatency() + prefillTime(tokens, server.PrefillRate())
 	if server.Zone != s.Zone {
 		cost += 2 * s.zoneLatency()
 	}
@@ -84,9 +84,9 @@
 
 // slotWait returns the expected wait for a slot of the server's batch. With
 // all slots held one is freed each hold/slots on average.
-func slotWait(server *backend.Server) time.Duration {
-	slots := max(server.Load().Slots, 1)
-	ahead := server.Occupied() - slots + 1
+func slotWait(server *backend.Server, occupied float64) time.Duration {
+	slots := float64(max(server.Load().Slots, 1))
+	ahead := occupied - slots + 1
 	if ahead <= 0 {
 		return 0
 	}
@@ -94,21 +94,31 @@
 	if hold == 0 {
 		hold = defaultHold
 	}
-	return hold * time.Duration(ahead) / time.Duration(slots)
+	return time.Duration(float64(hold) * ahead / slots)
 }
 
+// fullPenalty is what a server with all slots held costs beyond its expected
+// time to first token when candidates are compared.
+const fullPenalty = 200 * time.Millisecond
+
 // LeastCost picks the candidate with the least cost, and one of them at random
-// if several cost the same.
-type LeastCost struct{}
+// if several cost the same. Free slots are known late and other instances use
+// them too, so that of two servers with free slots the emptier one is the
+// safer choice: occupied slots count with a part of FullPenalty.
+type LeastCost struct {
+	FullPenalty time.Duration // of a server with all slots held; 0 for 200 ms
+}
 
 // Pick implements Picker.
-func (LeastCost) Pick(_ *Request, candidates []Candidate, random Random) int {
+func (p LeastCost) Pick(_ *Request, candidates []Candidate, random Random) int {
+	penalty := orDefault(p.FullPenalty, fullPenalty)
 	best, same := 0, 1
+	least := candidates[0].penalized(penalty)
 	for i := 1; i < len(candidates); i++ {
-		switch cost := candidates[i].Cost; {
-		case cost < candidates[best].Cost:
-			best, same = i, 1
-		case cost == candidates[best].Cost:
+		switch cost := candidates[i].penalized(penalty); {
+		case cost < least:
+			best, same, least = i, 1, cost
+		case cost == least:
 			same++
 			if index(random, same) == 0 {
 				best = i
@@ -118,21 +128,47 @@
 	return best
 }
 
+// penalized returns the cost with the penalty for held slots and less the
+// bonus.
+func (c *Candidate) penalized(full time.Duration) time.Duration {
+	slots := c.Server.Load().Slots
+	if slots == 0 {
+		return c.Cost - c.Bonus
+	}
+	return c.Cost - c.Bonus + time.Duration(float64(full)*min(1, c.Occupied/float64(slots)))
+}
+
 // affinityBound is how far above the mean of the candidates a server may be
 // occupied and still attract requests by its cache.
 const affinityBound = 1.5
 
 func meanOccupied(candidates []Candidate) float64 {
-	total := 0
+	total := 0.0
 	for i := range candidates {
-		total += candidates[i].Server.Occupied()
+		total += candidates[i].Occupied
 	}
-	return float64(total) / float64(len(candidates))
+	return total / float64(len(candidates))
 }
 
 // overBound reports whether a server is too loaded to attract requests by its
 // cache. A server with half of its slots free is not.
-func overBound(server *backend.Server, mean float64) bool {
-	occupied := server.Occupied()
-	return 2*occupied > server.Load().Slots && float64(occupied) > affinityBound*mean+1
+func overBound(c *Candidate, mean float64) bool {
+	return 2*c.Occupied > float64(c.Server.Load().Slots) && c.Occupied > affinityBound*mean+1
+}
+
+// maxSharers bounds the number of instances that are taken to share servers.
+const maxSharers = 32
+
+// sharers estimates the instances that have work on the candidates, as the
+// ratio of all work to this instance's own.
+func sharers(candidates []Candidate) float64 {
+	var all, own float64
+	for i := range candidates {
+		total, mine := candidates[i].Server.Smoothed()
+		all, own = all+total, own+mine
+	}
+	if own <= 0 {
+		return 1
+	}
+	return min(maxSharers, max(1, all/own))
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -32,6 +32,16 @@
 	scratch scratch
 }
 
+// Occupied returns the requests expected on a server. While candidates are
+// compared, the estimate is one that keeps instances with late reports from
+// following the same report; else it is the best for the server alone.
+func (r *Request) Occupied(server *backend.Server) float64 {
+	if r.scratch.sharers > 0 {
+		return server.Expected(r.scratch.sharers)
+	}
+	return float64(server.Occupied())
+}
+
 // Reason says why a decision came out as it did.
 type Reason string
 
@@ -73,6 +83,8 @@
 	Server       *backend.Server
 	Cost         time.Duration // expected time to first token
 	CachedTokens int           // prompt tokens believed to be cached
+	Occupied     float64       // requests expected on the server
+	Bonus        time.Duration // what later requests save if this one is sent here
 }
 
 // Filter removes servers that must not be used.
@@ -193,6 +205,7 @@
 	if r.Prefix != nil {
 		s.matches = r.Prefix.match(now, req.Prefix, s.matches[:0])
 		r.addMatches(now, req, group)
+		r.addRing(now, req, group)
 	}
 	r.sample(now, req, group.Servers, random)
 	reason := ReasonLeastCost
@@ -212,11 +225,15 @@
 func (r *Router) pick(req *Request, reason Reason, random Random) Decision {
 	s := &req.scratch
 	candidates := s.candidates[:s.count]
+	s.sharers = sharers(candidates)
+	for i := range candidates {
+		candidates[i].Occupied = req.Occupied(candidates[i].Server)
+	}
 	mean := meanOccupied(candidates)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.CachedTokens > 0 && overBound(c.Server, mean) {
-			c.CachedTokens = 0
+		if overBound(c, mean) {
+			c.CachedTokens, c.Bonus = 0, 0
 		}
 		c.Cost = r.Scorer.Score(req, c.Server, c.CachedTokens)
 	}
@@ -225,6 +242,8 @@
 		picker = LeastCost{}
 	}
 	best := candidates[picker.Pick(req, candidates, random)]
+	s.sharers = 0
+	best.Cost = r.Scorer.Score(req, best.Server, best.CachedTokens)
 	if best.CachedTokens > 0 && reason == ReasonLeastCost {
 		reason = ReasonPrefix
 	}
--- a/routing/sample.go
+++ b/routing/sample.go
@@ -9,10 +9,11 @@
 // Bounds of the candidates of one decision. The cost of a decision does not
 // grow with the number of servers.
 const (
-	DefaultSample = 5  // candidates drawn at random
+	DefaultSample = 8  // candidates drawn at random
 	maxSample     = 16 // most candidates drawn at random
 	maxMatches    = 4  // candidates that may have the prefix cached
-	maxCandidates = maxSample + maxMatches
+	ringMatches   = 2  // candidates from the consistent hash ring
+	maxCandidates = maxSample + maxMatches + ringMatches
 	drawsPerPick  = 3 // random draws for each candidate wanted
 )
 
@@ -24,11 +25,13 @@
 	matchSpace [maxMatches]match
 	matches    []match
 	probe      *backend.Server
+	sharers    float64
 }
 
 func (s *scratch) reset() {
 	s.count = 0
 	s.probe = nil
+	s.sharers = 0
 	s.matches = s.matchSpace[:0]
 }
 
@@ -37,13 +40,14 @@
 	s.count++
 }
 
-func (s *scratch) has(server *backend.Server) bool {
+// find returns the index of a server among the candidates, or -1.
+func (s *scratch) find(server *backend.Server) int {
 	for i := range s.count {
 		if s.candidates[i].Server == server {
-			return true
+			return i
 		}
 	}
-	return false
+	return -1
 }
 
 // probeTimeout is the time after which a probe whose end was not reported is
@@ -73,6 +77,39 @@
 	}
 }
 
+// ringBlock is the block of a prompt whose digest places it on the ring:
+// prompts that have it in common, about 500 tokens, meet on the same servers.
+const ringBlock = 8
+
+// addRing adds the servers where the prompt's place on the ring is. Every
+// instance sends new prompts there, so that they meet in one cache without a
+// message between the instances.
+func (r *Router) addRing(now time.Time, req *Request, group *backend.Group) {
+	if len(req.Prefix) == 0 {
+		return
+	}
+	first, second := group.Ring(req.Prefix[min(ringBlock, len(req.Prefix))-1])
+	bonus := prefillTime(cachedTokens(req, len(req.Prefix)), 0)
+	r.addPreferred(now, req, first, bonus)
+	r.addPreferred(now, req, second, bonus/2)
+}
+
+func (r *Router) addPreferred(now time.Time, req *Request, server *backend.Server, bonus time.Duration) {
+	s := &req.scratch
+	if server == nil {
+		return
+	}
+	at := s.find(server)
+	if at < 0 && !r.usable(now, req, server) {
+		return
+	}
+	if at < 0 {
+		at = s.count
+		s.add(server, 0)
+	}
+	s.candidates[at].Bonus = bonus
+}
+
 // cachedTokens returns the prompt tokens in the given number of blocks.
 func cachedTokens(req *Request, blocks int) int {
 	return min(req.PromptTokens, blocks*BlockTokens)
@@ -119,7 +156,7 @@
 
 func (r *Router) consider(now time.Time, req *Request, server *backend.Server, use useFunc) {
 	s := &req.scratch
-	if s.has(server) || s.count == maxCandidates || !use(now, req, server) {
+	if s.find(server) >= 0 || s.count == maxCandidates || !use(now, req, server) {
 		return
 	}
 	s.add(server, 0)
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -31,8 +31,8 @@
 	defaultEnter       = 500 * time.Millisecond
 	defaultLeave       = 5 * time.Second
 	defaultMaxAge      = 10 * time.Second
-	defaultRampStart   = 2.0  // requests per second
-	defaultRampMax     = 64.0 // requests per second
+	defaultRampStart   = 2.0   // requests per second
+	defaultRampMax     = 512.0 // requests per second
 	rampDoubling       = 2 * time.Second
 	remoteMargin       = 0.8 // part of the remaining time that the remote cost may use
 )
--- /dev/null
+++ b/routing/spill_test.go
@@ -0,0 +1,248 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+)
+
+// reachable is a fixed set of regions.
+type reachable []string
+
+// Reachable implements Regions.
+func (r reachable) Reachable() []string { return r }
+
+// overloaded returns a router of cairo whose servers all have a wait of about
+// 6 s, and a clock to move.
+func overloaded(spill *Spiller) (*Router, *time.Time) {
+	registry := newRegistry(9, 8)
+	for _, server := range registry.All() {
+		server.SetLoad(backend.Load{Running: 8, Waiting: 24, Slots: 8, At: start})
+	}
+	router := newRouter(registry, 1)
+	now := start
+	router.Now = func() time.Time { return now }
+	router.Health = nil
+	router.Regions = reachable{"alex"}
+	router.Spill = spill
+	return router, &now
+}
+
+func urgent(now time.Time, bytes int) *Request {
+	return &Request{Service: testService, Work: testWork, Received: now, Deadline: now.Add(20 * time.Second), PromptTokens: 1000, BodyBytes: bytes}
+}
+
+// idle returns a summary of alex with the given free slots.
+func idle(now time.Time, free int) RegionSummary {
+	return RegionSummary{Region: "alex", Service: testService.Name, Servers: 18, Slots: 144, FreeSlots: free, PrefillRate: simRate, At: now}
+}
+
+// sent sends perSecond requests for d, with fresh summaries each second, and
+// returns the number sent to another region in each second.
+func sent(router *Router, now *time.Time, table *SummaryTable, perSecond, bytes int, d time.Duration) []int {
+	var counts []int
+	for range int(d / time.Second) {
+		count := 0
+		table.Put(idle(*now, 1000))
+		for range perSecond {
+			if router.Decide(urgent(*now, bytes)).Region != "" {
+				count++
+			}
+			*now = now.Add(time.Second / time.Duration(perSecond))
+		}
+		counts = append(counts, count)
+	}
+	return counts
+}
+
+// TestLinkHealsToColdCaches cuts the link for a minute. What is sent after the
+// heal begins small, as the caches on the other side are cold.
+func TestLinkHealsToColdCaches(t *testing.T) {
+	c := qt.New(t)
+	run := func(spill *Spiller) (before, after []int) {
+		table := &SummaryTable{}
+		spill.Summaries = table
+		router, now := overloaded(spill)
+		before = sent(router, now, table, 100, 0, 20*time.Second)
+		router.Regions = reachable{}
+		for range 60 {
+			c.Assert(router.Decide(urgent(*now, 0)).Region, qt.Equals, "")
+			*now = now.Add(time.Second)
+		}
+		router.Regions = reachable{"alex"}
+		return before, sent(router, now, table, 100, 0, 20*time.Second)
+	}
+	before, after := run(&Spiller{})
+	_, flood := run(&Spiller{RampStart: 1e6, RampMax: 1e6})
+	t.Logf("a second before the cut %d; after the heal %v; without the ramp %v", before[len(before)-1], after, flood)
+	c.Assert(flood[1], qt.Equals, 100)
+	c.Assert(after[1] <= 4, qt.IsTrue)
+	c.Assert(after[len(after)-1] >= 60, qt.IsTrue)
+}
+
+func TestLinkCap(t *testing.T) {
+	c := qt.New(t)
+	const bytes = 1 << 20
+	run := func(link *LinkBudget) int {
+		table := &SummaryTable{}
+		router, now := overloaded(&Spiller{Summaries: table, Link: link, RampStart: 1e6, RampMax: 1e6})
+		total := 0
+		for _, n := range sent(router, now, table, 400, bytes, 10*time.Second) {
+			total += n
+		}
+		return total * bytes / 10
+	}
+	seventh := &LinkBudget{Share: func() float64 { return 1.0 / 7 }}
+	on, off := run(seventh), run(nil)
+	t.Logf("bytes a second with the cap %d, without %d", on, off)
+	c.Assert(float64(off) > 250e6/7, qt.IsTrue)
+	c.Assert(float64(on) < 250e6/7*1.05, qt.IsTrue)
+	c.Assert(float64(on) > 250e6/7*0.8, qt.IsTrue)
+	// Answers are not held back, but paid for before the next request.
+	seventh.Spend(start.Add(time.Minute), 250e6)
+	c.Assert(seventh.Take(start.Add(61*time.Second), 1), qt.IsFalse)
+	c.Assert(seventh.Take(start.Add(68*time.Second), 1), qt.IsTrue)
+}
+
+// TestSpillHysteresis has a local cost that goes above the target for 300 ms
+// of each second.
+func TestSpillHysteresis(t *testing.T) {
+	c := qt.New(t)
+	run := func(enter time.Duration) int {
+		table := &SummaryTable{}
+		router, now := overloaded(&Spiller{Summaries: table, Enter: enter})
+		count := 0
+		for i := range 600 {
+			table.Put(idle(*now, 1000))
+			waiting := 0
+			if i%20 < 6 {
+				waiting = 24
+			}
+			for _, server := range router.Registry.All() {
+				server.SetLoad(backend.Load{Running: 7, Waiting: waiting, Slots: 8, At: *now})
+			}
+			if router.Decide(urgent(*now, 0)).Region != "" {
+				count++
+			}
+			*now = now.Add(50 * time.Millisecond)
+		}
+		return count
+	}
+	on, off := run(0), run(time.Nanosecond)
+	t.Logf("sent elsewhere with hysteresis %d, without %d of 600", on, off)
+	c.Assert(off > 0, qt.IsTrue)
+	c.Assert(on, qt.Equals, 0)
+}
+
+func TestSpillOnlyIfWorthIt(t *testing.T) {
+	now := start.Add(time.Minute)
+	batch := catalog.Work{Name: "draft", Rank: catalog.Batch, Repeatable: true}
+	home := catalog.Work{Name: "ministry-draft", Home: "cairo", Repeatable: true}
+	stale := idle(now, 100)
+	stale.At = now.Add(-time.Minute)
+	busy := idle(now, 100)
+	busy.Wait = 3 * time.Second
+	for _, test := range []struct {
+		name    string
+		summary RegionSummary
+		change  func(*Request)
+		want    string
+	}{
+		{"worth it", idle(now, 100), func(*Request) {}, "alex"},
+		{"target of batch work is met here", idle(now, 100), func(r *Request) { r.Work = batch }, ""},
+		{"home", idle(now, 100), func(r *Request) { r.Work = home }, ""},
+		{"forwarded", idle(now, 100), func(r *Request) { r.Forwarded = true }, ""},
+		{"another region was tried", idle(now, 100), func(r *Request) { r.StayLocal = true }, ""},
+		{"suspect", idle(now, 100), func(r *Request) { r.Alone = true }, ""},
+		{"stale summary", stale, func(*Request) {}, ""},
+		{"remote wait", busy, func(*Request) {}, ""},
+		{"no free slot", idle(now, 0), func(*Request) {}, ""},
+		{"cold prefill too long", idle(now, 100), func(r *Request) { r.PromptTokens = 13000 }, ""},
+		{"transfer too long", idle(now, 100), func(r *Request) { r.BodyBytes = 400 << 20 }, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table := &SummaryTable{}
+			router, clock := overloaded(&Spiller{Summaries: table, Enter: time.Nanosecond})
+			router.Decide(urgent(*clock, 0)) // the first miss
+			*clock = now
+			router.Decide(urgent(*clock, 0))
+			*clock = now.Add(time.Millisecond)
+			table.Put(test.summary)
+			req := urgent(*clock, 0)
+			test.change(req)
+			qt.Assert(t, router.Decide(req).Region, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestContradictingViews has two overloaded regions, each of which believes
+// that the other is idle.
+func TestContradictingViews(t *testing.T) {
+	c := qt.New(t)
+	hops := func(forwardedCounts bool) int {
+		routers := make(map[string]*Router)
+		for _, pair := range [][2]string{{"cairo", "alex"}, {"alex", "cairo"}} {
+			table := &SummaryTable{}
+			router, _ := overloaded(&Spiller{Summaries: table, Enter: time.Nanosecond})
+			other := idle(start, 100)
+			other.Region = pair[1]
+			table.Put(other)
+			router.Region, router.Regions = pair[0], reachable{pair[1]}
+			now := start
+			router.Now = func() time.Time { return now }
+			router.Decide(urgent(now, 0))
+			now = now.Add(time.Millisecond)
+			routers[pair[0]] = router
+		}
+		req := urgent(start, 0)
+		region := "cairo"
+		for hop := range 10 {
+			d := routers[region].Decide(req)
+			if d.Region == "" {
+				return hop
+			}
+			region = d.Region
+			req.Forwarded = forwardedCounts
+		}
+		return 10
+	}
+	on, off := hops(true), hops(false)
+	t.Logf("borders crossed %d, without the mark of a forwarded request %d", on, off)
+	c.Assert(on, qt.Equals, 1)
+	c.Assert(off > 1, qt.IsTrue)
+}
+
+func TestSummarize(t *testing.T) {
+	c := qt.New(t)
+	router := newRouter(newRegistry(4, 8), 1)
+	servers := router.Registry.Of(testService.Name)
+	servers[0].SetLoad(backend.Load{Running: 8, Waiting: 2, Slots: 8, At: start})
+	servers[1].SetLeaving()
+	servers[2].Health().Eject(start.Add(time.Minute))
+	summary := router.Summarize(testService.Name)
+	c.Assert(summary.Servers, qt.Equals, 2)
+	c.Assert(summary.FreeSlots, qt.Equals, 8)
+	c.Assert(summary.Wait, qt.Equals, time.Duration(0))
+}
+
+func TestSampleIsUniformAndFallsBack(t *testing.T) {
+	c := qt.New(t)
+	router := newRouter(newRegistry(100, 8), 1)
+	router.Random = rand.New(rand.NewPCG(1, 1))
+	seen := make(map[string]bool)
+	for range 2000 {
+		seen[router.Decide(urgent(start, 0)).Server.ID] = true
+	}
+	c.Assert(len(seen) > 45, qt.IsTrue) // zone a
+	for _, server := range router.Registry.All() {
+		server.Health().Eject(start.Add(time.Minute))
+	}
+	d := router.Decide(urgent(start, 0))
+	c.Assert(d.Server, qt.IsNotNil)
+	c.Assert(d.Reason, qt.Equals, ReasonNoHealthy)
+}
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -88,5 +88,5 @@
 }
 
 func serverWait(server *backend.Server) time.Duration {
-	return slotWait(server) + prefillTime(server.PendingPrefill(), server.PrefillRate())
+	return slotWait(server, float64(server.Occupied())) + prefillTime(server.PendingPrefill(), server.PrefillRate())
 }
