--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -59,12 +59,15 @@
 	if refusal := r.suspect.admit(); refusal != nil {
 		return routing.Decision{}, refusal
 	}
-	if r.req.Alone {
+	for r.req.Alone {
 		decision, refusal := r.suspect.reserve()
-		if refusal == nil {
+		if refusal != nil {
+			return decision, refusal
+		}
+		if decision.Server != nil {
 			r.Observer.Decided(r.x, number, decision)
+			return decision, nil
 		}
-		return decision, refusal
 	}
 	decision := r.Router.Decide(r.req)
 	r.Observer.Decided(r.x, number, decision)
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -17,6 +17,10 @@
 // idle for a trial.
 const isolationStep = 50 * time.Millisecond
 
+// silenceLimit is the time without a load report after which a server is taken
+// to be lost.
+const silenceLimit = 3 * time.Second
+
 // suspect follows what the quarantine knows of one request.
 type suspect struct {
 	run    *run
@@ -72,13 +76,19 @@
 	return outcome.Refuse(status, outcome.CodeQuarantined, "%s", text).WithRetryAfter(after)
 }
 
-// reserve waits until a server runs nothing else.
+// reserve waits until a server runs nothing else. It returns no server if the
+// request has been cleared meanwhile: another one was found to be the cause.
 func (s *suspect) reserve() (routing.Decision, *outcome.Error) {
 	r := s.run
 	for {
-		servers := r.Router.Registry.Of(r.x.Service.Name)
-		server := r.Quarantine.Reserve(time.Now(), servers)
-		if server != nil && r.Quarantine.Ready(time.Now(), server) {
+		now := time.Now()
+		switch r.Quarantine.State(now, s.digest) {
+		case quarantine.Cleared, quarantine.Quarantined:
+			s.finish(quarantine.TrialNotRun)
+			return routing.Decision{}, s.admit()
+		}
+		server := r.Quarantine.Reserve(now, r.Router.Registry.Of(r.x.Service.Name), s.usable)
+		if server != nil && r.Quarantine.Begin(now, s.digest, server) {
 			cost := r.Router.Scorer.Score(r.req, server, 0)
 			return routing.Decision{Server: server, Reason: ReasonSuspect, Candidates: 1, Cost: cost}, nil
 		}
@@ -89,6 +99,14 @@
 	}
 }
 
+// usable reports whether a server can be expected to run the request. One that
+// has failed or does not report may be the one that crashed.
+func (s *suspect) usable(server *backend.Server) bool {
+	health := server.Health()
+	return server.Accepts() && !health.Ejected() && health.Failures() == 0 &&
+		server.Silence(time.Now()) <= silenceLimit && !s.run.req.Tried[server.ID]
+}
+
 // crashed records that the request was in flight on a server that crashed,
 // and waits until the other instances know of it.
 func (s *suspect) crashed(server *backend.Server, begun time.Time) {
--- a/quarantine/reserve.go
+++ b/quarantine/reserve.go
@@ -20,10 +20,11 @@
 	until  time.Time
 }
 
-// Reserve asks for a server for the trial that this instance holds, among the
-// given ones. The server may be used once Ready reports so. It returns nil
-// while other instances have reserved as many servers as may be.
-func (t *Table) Reserve(now time.Time, servers []*backend.Server) *backend.Server {
+// Reserve asks for a server for the trial that this instance holds, among
+// those of a service that usable accepts. The server may be used once Begin
+// reports so. It returns nil while other instances have reserved as many
+// servers as may be.
+func (t *Table) Reserve(now time.Time, servers []*backend.Server, usable func(*backend.Server) bool) *backend.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropReservations(now)
@@ -37,12 +38,12 @@
 		return nil
 	}
 	own, held := t.reservations[t.Instance]
-	if s := listed[own.server]; held && s != nil && s.Accepts() {
+	if s := listed[own.server]; held && s != nil && usable(s) {
 		own.until = now.Add(reservationLife)
 		t.reserve(t.Instance, own)
 		return s
 	}
-	best := leastOccupied(servers, taken)
+	best := leastOccupied(servers, taken, usable)
 	if best != nil {
 		t.reserve(t.Instance, reservation{best.Key, now, now.Add(reservationLife)})
 	}
@@ -68,10 +69,10 @@
 	return taken, before
 }
 
-func leastOccupied(servers []*backend.Server, taken map[uint64]bool) *backend.Server {
+func leastOccupied(servers []*backend.Server, taken map[uint64]bool, usable func(*backend.Server) bool) *backend.Server {
 	var best *backend.Server
 	for _, s := range servers {
-		if taken[s.Key] || !s.Accepts() || s.Health().Ejected() {
+		if taken[s.Key] || !usable(s) {
 			continue
 		}
 		if best == nil || s.Occupied() < best.Occupied() {
@@ -81,12 +82,22 @@
 	return best
 }
 
-// Ready reports whether the server reserved by this instance runs nothing
-// else: every instance has had the time to learn of the reservation, and a
-// load report received since shows no work.
-func (t *Table) Ready(now time.Time, server *backend.Server) bool {
+// Begin starts the trial of a digest on the server that this instance has
+// reserved, if the server runs nothing else: every instance has had the time
+// to learn of the reservation, and a load report received since shows no work.
+// It reports false if the server is not idle yet.
+func (t *Table) Begin(now time.Time, digest Digest, server *backend.Server) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	e := t.live(now, digest)
+	if e == nil || e.state != Suspect || !t.idle(now, server) {
+		return false
+	}
+	e.state = Trial
+	return true
+}
+
+func (t *Table) idle(now time.Time, server *backend.Server) bool {
 	own, ok := t.reservations[t.Instance]
 	if !ok || own.server != server.Key || now.Sub(own.since) < t.spread() || server.InFlight() > 0 {
 		return false
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -151,8 +151,8 @@
 // alone runs a suspect on a reserved server.
 func (r *region) alone(t *Table, digest Digest, end time.Time) result {
 	for ; r.now.Before(end); r.pass(200 * time.Millisecond) {
-		server := t.Reserve(r.now, r.alive())
-		if server == nil || !t.Ready(r.now, server) {
+		server := t.Reserve(r.now, r.alive(), func(*backend.Server) bool { return true })
+		if server == nil || !t.Begin(r.now, digest, server) {
 			continue
 		}
 		if digest == poison {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -105,7 +105,8 @@
 const (
 	// Run: the digest is not suspect.
 	Run Action = iota
-	// RunAlone: run on a server that runs nothing else, then call Done.
+	// RunAlone: it is the turn of this request. Reserve a server, run once
+	// Begin reports true, then call Done.
 	RunAlone
 	// Wait: ask again after Verdict.Wait.
 	Wait
@@ -158,7 +159,7 @@
 	case e == nil || e.state == Cleared:
 		t.put(now, digest, &entry{state: Suspect, owner: t.Instance, crash: c, since: now, begun: begun, expires: now.Add(t.suspectLife())})
 		return Suspect
-	case e.state != Quarantined && !e.crash.same(c):
+	case e.state != Quarantined && (e.state == Trial || !e.crash.same(c)):
 		t.quarantine(now, digest, e)
 	}
 	return e.state
@@ -215,7 +216,7 @@
 	if t.trialing || t.next(now) != digest {
 		return Verdict{Action: Wait, Wait: waitStep}
 	}
-	e.state, t.trial, t.trialing = Trial, digest, true
+	t.trial, t.trialing = digest, true
 	return Verdict{Action: RunAlone}
 }
 
@@ -263,12 +264,12 @@
 	if e.state == Quarantined {
 		return Quarantined
 	}
-	switch end {
-	case TrialServed:
+	switch {
+	case end == TrialServed:
 		e.clear(now)
-	case TrialCrashed:
+	case end == TrialCrashed:
 		t.quarantine(now, digest, e)
-	default:
+	case e.state == Trial:
 		e.state = Suspect
 	}
 	return e.state
--- a/routing/machine_test.go
+++ b/routing/machine_test.go
@@ -48,8 +48,10 @@
 				}
 			},
 			"evaluate": func(*rapid.T) { e.Evaluate(now, testService.Name) },
-			"wait":     func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond) },
-			"leave":    func(t *rapid.T) { server.Draw(t, "server").SetLeaving() },
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"leave": func(t *rapid.T) { server.Draw(t, "server").SetLeaving() },
 			"decide": func(t *rapid.T) {
 				d := router.Decide(&Request{Service: testService, Work: testWork, Deadline: now.Add(time.Minute)})
 				if d.Server == nil {
