Find out when a slow backend server has recovered

Cause: a server that had been slow was never asked again: its learned prefill rate kept it last, and nothing but a request teaches a new one. A flapping server was allowed three failures after each return. The prefix index recorded all 32 blocks of a prompt: 65,536 digests took 10.5 MB and held 45 s of an instance's traffic at 46 requests/s.

Ruled out: ejecting by the learned rate (six instances learn from one request each, too few to call it an outlier); a default rate for servers not heard of (below the others, so that they are not chosen either).

Change: a rate that is not known or was not learned for 2 min (30 s for batch work) is taken to be the best of the candidates. One failure ejects a server that was ejected not long ago. Prefixes are recorded at 10 depths; 32,768 digests, 5.2 MB as measured.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -44,7 +44,7 @@
 		return
 	}
 	if a.tokens >= minPrefillSample {
-		a.server.rate.add(float64(a.tokens) / elapsed)
+		a.server.learnRate(now, float64(a.tokens)/elapsed)
 	} else if a.tokens == 0 {
 		a.server.base.add(elapsed)
 	}
@@ -65,3 +65,15 @@
 		a.server.hold.add(elapsed)
 	}
 }
+
+// staleRate is the age from which a learned prefill rate is replaced by the
+// next sample instead of averaged with it.
+const staleRate = 30 * time.Second
+
+func (s *Server) learnRate(now time.Time, sample float64) {
+	if s.PrefillRateAge(now) > staleRate {
+		s.rate.bits.Store(0)
+	}
+	s.rate.add(sample)
+	s.rateAt.Store(now.UnixNano())
+}
--- a/backend/health.go
+++ b/backend/health.go
@@ -55,6 +55,9 @@
 // Strike counts an ejection and returns the number of ejections in a row.
 func (h *Health) Strike() int { return int(h.strikes.Add(1)) }
 
+// Strikes returns the number of ejections in a row.
+func (h *Health) Strikes() int { return int(h.strikes.Load()) }
+
 // TakeProbe reserves the probe that is due. It reports false if another
 // request took it. A probe whose end is not reported is due again at next.
 func (h *Health) TakeProbe(now, next time.Time) bool {
--- a/backend/server.go
+++ b/backend/server.go
@@ -48,9 +48,10 @@
 	prefill  atomic.Int64 // prompt tokens sent whose first token has not come
 	report   atomic.Pointer[report]
 	leaving  atomic.Bool
-	rate     average // prefill rate, tokens per second
-	hold     average // time a slot is held, seconds
-	base     average // time to first byte of a request without a prompt, seconds
+	rate     average      // prefill rate, tokens per second
+	rateAt   atomic.Int64 // when the rate was last learned, in nanoseconds
+	hold     average      // time a slot is held, seconds
+	base     average      // time to first byte of a request without a prompt, seconds
 	health   Health
 }
 
@@ -154,6 +155,11 @@
 // PrefillRate returns the learned rate in tokens per second, or 0 if unknown.
 func (s *Server) PrefillRate() float64 { return s.rate.value() }
 
+// PrefillRateAge returns the time since the prefill rate was last learned.
+func (s *Server) PrefillRateAge(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - s.rateAt.Load())
+}
+
 // HoldTime returns the learned time a request holds a slot, or 0 if unknown.
 func (s *Server) HoldTime() time.Duration { return seconds(s.hold.value()) }
 
--- a/routing/eject.go
+++ b/routing/eject.go
@@ -69,7 +69,8 @@
 	if health.Ejected() {
 		return e.eject(now, server, CauseProbe), true
 	}
-	if failures < e.failures() || !e.room(server.Service) {
+	// A server that was ejected not long ago is ejected by its first failure.
+	if failures < e.failures() && health.Strikes() == 0 || !e.room(server.Service) {
 		return Ejection{}, false
 	}
 	return e.eject(now, server, CauseFailures), true
--- a/routing/faults_test.go
+++ b/routing/faults_test.go
@@ -54,6 +54,23 @@
 	c.Assert(slow(on)*100 < 2*len(on.first), qt.IsTrue)
 }
 
+// TestSlowReplicaRecovers has a replica that is slow for a minute.
+func TestSlowReplicaRecovers(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(6, 9, 500*time.Millisecond, 1)
+	e := s.engines["engine-3"]
+	e.rate = simRate / 20
+	s.arrive(24, 6*time.Minute, s.randomPrompt)
+	s.run(time.Minute)
+	e.rate = simRate
+	s.run(4 * time.Minute)
+	before := e.served
+	s.run(time.Minute)
+	t.Logf("in the last minute it ran %d of 1440, p99 %v", e.served-before, s.percentile(.99))
+	c.Assert(e.served-before > 1440/9/2, qt.IsTrue)
+	c.Assert(s.percentile(.99) < target, qt.IsTrue)
+}
+
 func TestFlappingReplica(t *testing.T) {
 	c := qt.New(t)
 	on, off := onAndOff(func(off bool) *sim {
--- a/routing/plugins.go
+++ b/routing/plugins.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 )
 
 // AcceptingFilter keeps servers that accept new work.
@@ -59,7 +60,7 @@
 // Score implements Scorer.
 func (s FirstTokenScorer) Score(req *Request, server *backend.Server, cached int) time.Duration {
 	tokens := server.PendingPrefill() + max(0, req.PromptTokens-cached)
-	cost := slotWait(server, req.Occupied(server)) + server.BaseLatency() + prefillTime(tokens, server.PrefillRate())
+	cost := slotWait(server, req.Occupied(server)) + server.BaseLatency() + prefillTime(tokens, req.PrefillRate(server))
 	if server.Zone != s.Zone {
 		cost += 2 * s.zoneLatency()
 	}
@@ -82,6 +83,36 @@
 	return time.Duration(float64(tokens) / rate * float64(time.Second))
 }
 
+// rateLife is how long a learned prefill rate holds without a new sample. A
+// server that was slow gets nothing as long as it is believed to be slow; then
+// one request finds out. Urgent work does so less often.
+var rateLife = [catalog.RankCount]time.Duration{catalog.Urgent: 2 * time.Minute, catalog.Batch: 30 * time.Second}
+
+// PrefillRate returns the server's prefill rate in tokens per second. One that
+// is not known, or has not been learned for long, is taken to be the best of
+// the candidates.
+func (r *Request) PrefillRate(server *backend.Server) float64 {
+	if known(r.scratch.now, r.Work.Rank, server) {
+		return server.PrefillRate()
+	}
+	return r.scratch.bestRate
+}
+
+func known(now time.Time, rank catalog.Rank, server *backend.Server) bool {
+	return server.PrefillRate() > 0 && server.PrefillRateAge(now) <= rateLife[rank]
+}
+
+// bestRate returns the best known prefill rate of the candidates, or 0.
+func bestRate(now time.Time, rank catalog.Rank, candidates []Candidate) float64 {
+	best := 0.0
+	for i := range candidates {
+		if server := candidates[i].Server; known(now, rank, server) {
+			best = max(best, server.PrefillRate())
+		}
+	}
+	return best
+}
+
 // slotWait returns the expected wait for a slot of the server's batch. With
 // all slots held one is freed each hold/slots on average.
 func slotWait(server *backend.Server, occupied float64) time.Duration {
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -11,7 +11,7 @@
 // Bounds of a PrefixIndex.
 const (
 	prefixShards       = 64
-	DefaultPrefixLimit = 1 << 16 // digests
+	DefaultPrefixLimit = 1 << 15 // digests
 	serversPerDigest   = 4
 	evictionTries      = 4 // entries looked at to find an old one
 )
@@ -20,6 +20,11 @@
 // has asked for.
 const prefixLife = 10 * time.Minute
 
+// depths are the numbers of leading blocks at which a prompt is looked up and
+// dispatches are recorded. A longer prefix is rarely shared up to an exact
+// block, and each depth takes memory and time.
+var depths = [...]int{1, 2, 3, 4, 6, 8, 12, 16, 24, 32}
+
 // PrefixIndex tells which servers may have the prefix of a prompt in their
 // cache. It is fed by this instance's own dispatches and by the cache events
 // of the engines. Both are hints: events come late and with gaps, and a wrong
@@ -50,7 +55,7 @@
 }
 
 // NewPrefixIndex returns an index of at most limit digests; 0 stands for
-// DefaultPrefixLimit, which takes about 6 MB.
+// DefaultPrefixLimit.
 func NewPrefixIndex(limit int) *PrefixIndex {
 	if limit <= 0 {
 		limit = DefaultPrefixLimit
@@ -73,6 +78,17 @@
 	}
 }
 
+// addPrompt records a dispatch at the depths that are looked up.
+func (x *PrefixIndex) addPrompt(at time.Time, server uint64, prefix []uint64) {
+	for _, depth := range depths {
+		if depth > len(prefix) {
+			return
+		}
+		digest := prefix[depth-1]
+		x.shard(digest).add(digest, server, at.UnixNano(), x.limit)
+	}
+}
+
 // Remove records an event of a server's cache: the digests were evicted at the
 // given time. What this instance has sent there since stays.
 func (x *PrefixIndex) Remove(at time.Time, server uint64, prefix []uint64) {
@@ -194,22 +210,31 @@
 // match appends the servers that may hold the longest known prefix. Digests
 // are cumulative, so that the longest known one is found by bisection.
 func (x *PrefixIndex) match(now time.Time, prefix []uint64, to []match) []match {
-	low, high := 0, len(prefix) // the longest match has low to high blocks
+	low, high := 0, len(depths) // the longest match is at one of the first low to high depths
 	for low < high {
 		middle := (low + high + 1) / 2
-		found := x.shard(prefix[middle-1]).live(now, prefix[middle-1], middle, nil)
-		if found {
+		if x.known(now, prefix, depths[middle-1], nil) {
 			low = middle
 		} else {
 			high = middle - 1
 		}
 	}
 	if low > 0 {
-		x.shard(prefix[low-1]).live(now, prefix[low-1], low, &to)
+		x.known(now, prefix, depths[low-1], &to)
 	}
 	return to
 }
 
+// known reports whether a server may hold the first blocks of a prompt, and
+// appends those that may.
+func (x *PrefixIndex) known(now time.Time, prefix []uint64, blocks int, to *[]match) bool {
+	if blocks > len(prefix) {
+		return false
+	}
+	digest := prefix[blocks-1]
+	return x.shard(digest).live(now, digest, blocks, to)
+}
+
 // live reports whether a server may hold the digest, and appends those that
 // may.
 func (s *prefixShard) live(now time.Time, digest uint64, blocks int, to *[]match) bool {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -200,7 +200,7 @@
 func (r *Router) local(now time.Time, req *Request) Decision {
 	group := r.Registry.Group(req.Service.Name)
 	s := &req.scratch
-	s.reset()
+	s.reset(now)
 	random := r.random()
 	if r.Prefix != nil {
 		s.matches = r.Prefix.match(now, req.Prefix, s.matches[:0])
@@ -226,6 +226,7 @@
 	s := &req.scratch
 	candidates := s.candidates[:s.count]
 	s.sharers = sharers(candidates)
+	s.bestRate = bestRate(s.now, req.Work.Rank, candidates)
 	for i := range candidates {
 		candidates[i].Occupied = req.Occupied(candidates[i].Server)
 	}
@@ -257,6 +258,6 @@
 // later requests with the same prefix may be sent there too.
 func (r *Router) Dispatched(req *Request, server *backend.Server) {
 	if r.Prefix != nil {
-		r.Prefix.Add(r.now(), server.Key, req.Prefix)
+		r.Prefix.addPrompt(r.now(), server.Key, req.Prefix)
 	}
 }
--- a/routing/sample.go
+++ b/routing/sample.go
@@ -26,12 +26,14 @@
 	matches    []match
 	probe      *backend.Server
 	sharers    float64
+	bestRate   float64 // prefill rate of a server whose own is not known
+	now        time.Time
 }
 
-func (s *scratch) reset() {
+func (s *scratch) reset(now time.Time) {
 	s.count = 0
 	s.probe = nil
-	s.sharers = 0
+	s.sharers, s.bestRate, s.now = 0, 0, now
 	s.matches = s.matchSpace[:0]
 }
 
