--- /dev/null
+++ b/telemetry/routing_test.go
@@ -0,0 +1,62 @@
+package telemetry
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
+	"github.com/fuchsiastack/fuchsiastack/retry"
+	"github.com/fuchsiastack/fuchsiastack/routing"
+)
+
+// TestDecisionsAreReported checks that each decision is one log line and
+// counted, and that none holds content of the request.
+func TestDecisionsAreReported(t *testing.T) {
+	c := qt.New(t)
+	metrics, err := NewMetrics()
+	c.Assert(err, qt.IsNil)
+	var out bytes.Buffer
+	o := &Observer{Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &out}}, Metrics: metrics}
+	x := &filters.Exchange{
+		ID: "request-1", Caller: "nile-press", Service: &catalog.Service{Name: "drafting-desk"},
+		Work: catalog.Work{Name: "grade-enquiry"}, Snapshot: &catalog.Snapshot{Revision: 7}, Body: []byte("secret grade"),
+	}
+	server := backend.NewServer(backend.Info{ID: "engine-3", Service: "drafting-desk"})
+	decision := routing.Decision{Server: server, Reason: routing.ReasonPrefix, Candidates: 9, Cost: 250 * time.Millisecond, CachedTokens: 64, Spill: routing.SpillTargetMet}
+	o.Decided(x, 1, decision)
+	o.Attempted(x, 1, decision, outcome.MayHaveRun, errors.New("connection reset"))
+	o.Retried(x, 1, retry.Verdict{Reason: retry.ReasonBudget})
+	o.Suspected(x, quarantine.Key("key").Digest("drafting-desk", "/", x.Body), quarantine.Suspect, server.ID)
+	o.Ejected(routing.Ejection{Server: server, Cause: routing.CauseSlow, ProbeAt: time.Now()})
+
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	c.Assert(lines, qt.HasLen, 5)
+	for _, want := range []string{
+		`"event":"route"`, `"reason":"prefix_cached"`, `"server":"engine-3"`, `"candidates":9`, `"cached_tokens":64`,
+		`"spill":"local_target_met"`, `"event":"retry"`, `"reason":"budget"`, `"event":"suspect"`, `"state":"suspect"`,
+		`"event":"eject"`, `"cause":"slow"`,
+	} {
+		c.Assert(out.String(), qt.Contains, want)
+	}
+	c.Assert(out.String(), qt.Not(qt.Contains), "secret")
+	page := httptest.NewRecorder()
+	metrics.ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, want := range []string{
+		"fuchsia_routing_decisions_total", "fuchsia_routing_cost_seconds", "fuchsia_retries_total",
+		"fuchsia_ejections_total", "fuchsia_suspects_total", `reason="prefix_cached"`, `state="suspect"`,
+	} {
+		c.Assert(page.Body.String(), qt.Contains, want)
+	}
+}
