Tell a closed idle connection from a crash

Cause: servers close idle connections after some seconds. A request that meets the close looked like a crash: its error was held back for 2 s and the request became a suspect.

Ruled out: ignoring every early cut on a reused connection, as a request that crashes its server at once would then never be suspected.

Change: a cut within 50 ms on a reused connection is confirmed by a new connection: a server that crashed refuses it.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -148,7 +151,11 @@
 		err.Code = outcome.CodeBackendFailed
 	}
 	failed := err != nil && err.Code == outcome.CodeBackendFailed && r.ctx.Err() == nil
-	end.crashed = w.crashed || failed && err.Outcome == outcome.MayHaveRun && !w.answered && !end.stalled
+	cut := failed && err.Outcome == outcome.MayHaveRun && !w.answered && !end.stalled
+	if cut && w.closedIdle() {
+		cut, failed = false, false
+	}
+	end.crashed = w.crashed || cut
 	if end.crashed && !w.crashed {
 		r.suspect.crashed(server, w.begun)
 	}
@@ -182,9 +189,10 @@
 	attempt     *backend.Attempt
 	begun       time.Time
 	stall       *time.Timer
-	answered    bool // the header of the answer has come
-	serverError bool // the server answered that it failed
-	crashed     bool // the answer was cut
+	reused      atomic.Bool // the connection had been idle
+	answered    bool        // the header of the answer has come
+	serverError bool        // the server answered that it failed
+	crashed     bool        // the answer was cut
 	bytes       int64
 }
 
@@ -212,6 +220,43 @@
 // first token. A whole answer of a model begins at its end.
 func (r *run) beginsEarly() bool { return r.x.Stream || r.x.Service.Kind != catalog.Model }
 
+// trace watches which connection the request gets.
+func (w *watch) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { w.reused.Store(info.Reused) },
+	})
+}
+
+// Bounds of what may be an idle connection that the server closed.
+const (
+	idleCloseLimit = 50 * time.Millisecond // after the request was sent
+	confirmTimeout = time.Second           // of the connection that tells whether the server lives
+)
+
+// closedIdle reports whether a cut connection is taken for an idle one that the
+// server closed just when the request was sent, as servers do after some
+// seconds. A server that crashed refuses new connections.
+func (w *watch) closedIdle() bool {
+	if !w.reused.Load() || time.Since(w.begun) > idleCloseLimit {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(w.run.ctx, confirmTimeout)
+	defer cancel()
+	return w.run.dial(ctx, w.server.Addr) == nil
+}
+
+// dial opens and closes a connection.
+func (d *Dispatcher) dial(ctx context.Context, addr string) error {
+	if d.Dial != nil {
+		return d.Dial(ctx, addr)
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // header is called when the header of the answer has come. It replaces the
 // body by one that is watched.
 func (w *watch) header(resp *http.Response) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,6 +65,8 @@
 	Quarantine *quarantine.Table   // nil for none
 	DigestKey  quarantine.Key      // of the digests in Quarantine
 	Link       *routing.LinkBudget // nil for no cap on the links between regions
+	// Dial tells whether a backend server accepts connections; nil for TCP.
+	Dial func(ctx context.Context, addr string) error
 	// OwnerURL returns the URL for callers of the instance, or of one in the
 	// region, that examines a suspect; "" if unknown. Nil for none.
 	OwnerURL func(owner string) string
@@ -97,7 +99,7 @@
 
 // exchange sends the request to a backend server and relays the answer.
 func (d *Dispatcher) exchange(ctx context.Context, x *filters.Exchange, server *backend.Server, w *watch) *outcome.Error {
-	req, err := newRequest(ctx, x, "http://"+server.Addr+x.Path)
+	req, err := newRequest(w.trace(ctx), x, "http://"+server.Addr+x.Path)
 	if err != nil {
 		return badPath(err)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -84,6 +84,22 @@
 	})
 }
 
+// TestClosedIdleConnectionIsNoCrash has servers that close idle connections
+// just when a request comes, and one request that crashes at once.
+func TestClosedIdleConnectionIsNoCrash(t *testing.T) {
+	inVirtualTime(t, 1, 3, func(c *qt.C, e *engines, all []*instance) {
+		e.closes = true
+		began := time.Now()
+		_, err := all[0].send("question", once)
+		c.Assert(err.Outcome, qt.Equals, outcome.MayHaveRun)
+		c.Assert(time.Since(began), qt.Equals, time.Duration(0))
+		c.Assert(all[0].Quarantine.Empty(), qt.IsTrue)
+		e.take = time.Millisecond
+		_, _ = all[0].send("poison", once)
+		c.Assert(all[0].Quarantine.Len(), qt.Equals, 1)
+	})
+}
+
 // TestMayHaveRunIsNeverTakenBack has a first try that may have run and a
 // second one that surely did not.
 func TestMayHaveRunIsNeverTakenBack(t *testing.T) {
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -37,6 +37,7 @@
 	beside  bool           // two runs of one body overlapped
 	active  map[string]int // by body
 	take    time.Duration  // time to the answer
+	closes  bool           // closes idle connections when a request comes
 	hang    map[string]bool
 }
 
@@ -71,7 +72,10 @@
 	e.mu.Unlock()
 	defer e.leave(addr, body)
 	if trace := httptrace.ContextClientTrace(req.Context()); trace != nil && trace.GotConn != nil {
-		trace.GotConn(httptrace.GotConnInfo{})
+		trace.GotConn(httptrace.GotConnInfo{Reused: e.closes})
+	}
+	if e.closes && body != "poison" {
+		return nil, io.EOF
 	}
 	return e.run(req.Context(), addr, body, crash)
 }
@@ -95,6 +99,16 @@
 	}
 }
 
+// dial implements Dispatcher.Dial.
+func (e *engines) dial(_ context.Context, addr string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.up[addr] {
+		return errReset
+	}
+	return nil
+}
+
 func (e *engines) leave(addr, body string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -133,7 +147,7 @@
 	registry.Replace(infos)
 	table := &quarantine.Table{Instance: id}
 	return &instance{registry: registry, Dispatcher: &Dispatcher{
-		Instance: id, Region: "cairo", Transport: e, PeerScheme: "http", Observer: silent{},
+		Instance: id, Region: "cairo", Transport: e, PeerScheme: "http", Observer: silent{}, Dial: e.dial,
 		Router: &routing.Router{
 			Region: "cairo", Registry: registry, Scorer: routing.FirstTokenScorer{},
 			Filters: []routing.Filter{routing.AcceptingFilter{}, routing.UntriedFilter{}, quarantine.Filter{Table: table}},
