--- a/cmd/fuchsiad/flags.go
+++ b/cmd/fuchsiad/flags.go
@@ -57,5 +57,9 @@
 		number("queue-entries", "requests of one service and rank that wait", &s.QueueEntries),
 		duration("body-timeout", "time for a caller to send its body", &s.BodyTimeout),
 		duration("write-timeout", "time for a caller to take one piece of an answer", &s.WriteTimeout),
+		text("digest-key", "secret of the deployment for digests of requests, the same for all instances", &s.DigestKey),
+		duration("quarantine-spread", "time until every instance knows of a crash", &s.QuarantineSpread),
+		&cli.FloatFlag{Name: "link-megabits", Usage: "cap of the region's links to other regions, each way, in Mbit/s", Value: s.LinkMegabits, Destination: &s.LinkMegabits, Sources: env("link-megabits")},
+		duration("link-latency", "one-way latency between regions", &s.LinkLatency),
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,13 +15,11 @@
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/configsync"
-	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
-	"github.com/fuchsiastack/fuchsiastack/routing"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
@@ -48,6 +46,8 @@
 	peers    *peerTable
 	config   *configsync.Follower
 	platform *platform.Client
+	routes   *routes
+	observer *telemetry.Observer
 	draining atomic.Bool
 
 	admission *admissionControl
@@ -88,6 +88,8 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
+	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
+	d.routes = d.newRoutes()
 	d.handlers = d.newHandlers()
 	return d, nil
 }
@@ -182,7 +184,7 @@
 type handlers struct{ caller, peer, admin http.Handler }
 
 func (d *Daemon) newHandlers() *handlers {
-	observer := &telemetry.Observer{Log: d.log, Metrics: d.metrics}
+	observer := d.observer
 	dispatcher := d.newDispatcher(observer)
 	callerMux := http.NewServeMux()
 	callerMux.Handle("GET "+entry.Path, http.HandlerFunc(d.answerEntry))
@@ -198,24 +200,6 @@
 	}
 }
 
-func (d *Daemon) newDispatcher(observer dispatch.Observer) *dispatch.Dispatcher {
-	return &dispatch.Dispatcher{
-		Instance: d.settings.Instance,
-		Region:   d.settings.Region,
-		Router: &routing.Router{
-			Region:   d.settings.Region,
-			Registry: d.registry,
-			Regions:  d.peers,
-			Filters:  []routing.Filter{routing.AcceptingFilter{}, routing.UntriedFilter{}},
-			Scorer:   routing.QueueScorer{ServiceTime: time.Second},
-		},
-		Peers:      d.peers,
-		Transport:  newTransport(),
-		PeerScheme: "http",
-		Observer:   observer,
-	}
-}
-
 // Status is what an instance tells of itself.
 type Status struct {
 	Instance string `json:"instance"`
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -31,13 +31,17 @@
 	DirectoryTTL  time.Duration // life of the entry in the directory
 	DrainDeadline time.Duration // longest graceful shutdown
 
-	MaxConnections int           // open connections of callers
-	MaxInFlight    int           // requests held at once, waiting ones included
-	MaxHeldBytes   int64         // memory of the request bodies held at once
-	MaxHeapBytes   int64         // live heap from which requests are shed
-	QueueEntries   int           // requests of one service and rank that wait
-	BodyTimeout    time.Duration // for a caller to send its body
-	WriteTimeout   time.Duration // for a caller to take one piece of an answer
+	MaxConnections   int           // open connections of callers
+	MaxInFlight      int           // requests held at once, waiting ones included
+	MaxHeldBytes     int64         // memory of the request bodies held at once
+	MaxHeapBytes     int64         // live heap from which requests are shed
+	QueueEntries     int           // requests of one service and rank that wait
+	BodyTimeout      time.Duration // for a caller to send its body
+	WriteTimeout     time.Duration // for a caller to take one piece of an answer
+	DigestKey        string        // secret of the deployment, for digests of requests
+	QuarantineSpread time.Duration // until all instances know of a crash
+	LinkMegabits     float64       // cap of the region's links to others, each way, in Mbit/s
+	LinkLatency      time.Duration // one way, between regions
 }
 
 // DefaultSettings returns the settings that have defaults.
@@ -53,13 +57,16 @@
 		DirectoryTTL:  10 * time.Second,
 		DrainDeadline: 10 * time.Minute,
 
-		MaxConnections: 8192,
-		MaxInFlight:    4096,
-		MaxHeldBytes:   256 << 20,
-		MaxHeapBytes:   1 << 30,
-		QueueEntries:   2048,
-		BodyTimeout:    30 * time.Second,
-		WriteTimeout:   30 * time.Second,
+		MaxConnections:   8192,
+		MaxInFlight:      4096,
+		MaxHeldBytes:     256 << 20,
+		MaxHeapBytes:     1 << 30,
+		QueueEntries:     2048,
+		BodyTimeout:      30 * time.Second,
+		WriteTimeout:     30 * time.Second,
+		QuarantineSpread: 2 * time.Second,
+		LinkMegabits:     2000,
+		LinkLatency:      80 * time.Millisecond,
 	}
 }
 
@@ -94,6 +101,10 @@
 	fault(s.QueueEntries < 1, "queue-entries: want 1 or more")
 	fault(s.BodyTimeout < time.Second || s.BodyTimeout > 10*time.Minute, "body-timeout: want 1s to 10m")
 	fault(s.WriteTimeout < time.Second || s.WriteTimeout > 10*time.Minute, "write-timeout: want 1s to 10m")
+	fault(s.DigestKey != "" && len(s.DigestKey) < 16, "digest-key: want 16 characters or more")
+	fault(s.QuarantineSpread < 100*time.Millisecond || s.QuarantineSpread > time.Minute, "quarantine-spread: want 100ms to 1m")
+	fault(s.LinkMegabits < 1, "link-megabits: want 1 or more")
+	fault(s.LinkLatency < 0 || s.LinkLatency > time.Second, "link-latency: want 0s to 1s")
 	if len(faults) > 0 {
 		return errors.New("bad settings: " + strings.Join(faults, "; "))
 	}
