Add control messages between instances under mutual TLS

Cause: instances had no channel for control messages, and the listener for forwarded requests believed the headers of anyone who reached it.

Ruled out: HTTP with JSON for control messages (about 300 bytes of headers a call against a budget of 5 KB/s); leaving a lost call on its connection (keeps its goroutine and its place on the peer as long as the peer hangs).

Change: package peer carries net/rpc over one connection to each peer, with a deadline for every call, at most 64 pending calls a connection, the caller's identity in the arguments, mutual TLS bound to instance and region, and keys that are read again when their files change.

Tests with the mechanism off, then on: - deadline off: TestLostDeadline times out after 20 s; on: passes - bound off: TestPendingCallsAreBounded fails; on: passes - expected name, claimed name, addressee off: TestWrongIdentityIsRefused (twice) and TestInsecureCallForAnotherInstance fail; on: pass - reading changed files off: TestRotation fails; on: passes - sender check off: TestForwardUnderTLS fails; on: passes - refusal in production off: TestInsecurePeersAreRefusedInProduction fails; on: passes

Conclusion: net/rpc fits small control messages once these bounds are added; docs/design/peer.md says where it does not.

--- a/cmd/fuchsia-dev/system.go
+++ b/cmd/fuchsia-dev/system.go
@@ -142,7 +142,8 @@
 	if i == 0 {
 		settings.Listen = firstEntry
 	}
-	settings.PeerListen, settings.AdminListen = anyPort, anyPort
+	settings.PeerListen, settings.AdminListen, settings.ControlListen = anyPort, anyPort, anyPort
+	settings.PeerInsecure = true
 	settings.StoreURL, settings.PlatformURL = s.storeURL, s.platURL
 	logger := &log.Logger{Level: s.level, Writer: &log.IOWriter{Writer: os.Stderr}}
 	d, err := daemon.New(settings, logger)
--- a/cmd/fuchsiad/flags.go
+++ b/cmd/fuchsiad/flags.go
@@ -24,13 +24,24 @@
 	return &cli.DurationFlag{Name: name, Usage: usage, Value: *to, Destination: to, Sources: env(name)}
 }
 
+func boolean(name, usage string, to *bool) cli.Flag {
+	return &cli.BoolFlag{Name: name, Usage: usage, Value: *to, Destination: to, Sources: env(name)}
+}
+
 func flags(s *daemon.Settings) []cli.Flag {
 	return []cli.Flag{
 		text("instance", "unique id of this instance", &s.Instance),
 		text("region", "region of this instance", &s.Region),
 		text("zone", "availability zone of this instance", &s.Zone),
 		text("listen", "host:port for callers", &s.Listen),
-		text("peer-listen", "host:port for other instances", &s.PeerListen),
+		text("peer-listen", "host:port for requests of other instances", &s.PeerListen),
+		text("control-listen", "host:port for control messages of other instances", &s.ControlListen),
+		text("control-addr", "host:port for control messages that other instances are told (default: from control-listen)", &s.ControlAddr),
+		text("peer-cert", "file with the certificate of this instance (PEM)", &s.PeerCert),
+		text("peer-key", "file with the key of this instance (PEM)", &s.PeerKey),
+		text("peer-ca", "file with the authorities that issue certificates of instances (PEM)", &s.PeerCA),
+		boolean("peer-insecure", "no authentication among instances, for development only", &s.PeerInsecure),
+		boolean("production", "refuse settings that are for development only", &s.Production),
 		text("admin-listen", "host:port for metrics and status", &s.AdminListen),
 		text("public-url", "base URL that callers are told (default: from listen)", &s.PublicURL),
 		text("peer-addr", "host:port that other instances are told (default: from peer-listen)", &s.PeerAddr),
--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -37,7 +37,7 @@
 	return filters.Chain(
 		last,
 		filters.Ready{Table: d.table},
-		filters.AcceptHop{Instance: d.settings.Instance, Region: d.settings.Region},
+		filters.AcceptHop{Instance: d.settings.Instance, Region: d.settings.Region, Sender: d.peering.hopSender()},
 		filters.Home{Region: d.settings.Region, EntryOf: d.peers.URL},
 		drainFilter{d},
 		filters.ReadBody{MaxBytes: d.settings.MaxBodyBytes},
@@ -62,8 +62,9 @@
 	return refusal
 }
 
-func newTransport() *http.Transport {
+func (d *Daemon) newTransport() *http.Transport {
 	return &http.Transport{
+		DialTLSContext:      d.peering.dialTLS(d.peers.identityAt),
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -129,11 +129,12 @@
 
 func (d *Daemon) self() platform.Instance {
 	return platform.Instance{
-		ID:       d.settings.Instance,
-		URL:      d.settings.PublicURL,
-		PeerAddr: d.settings.PeerAddr,
-		Region:   d.settings.Region,
-		Zone:     d.settings.Zone,
+		ID:          d.settings.Instance,
+		URL:         d.settings.PublicURL,
+		PeerAddr:    d.settings.PeerAddr,
+		ControlAddr: d.settings.ControlAddr,
+		Region:      d.settings.Region,
+		Zone:        d.settings.Zone,
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,10 +42,11 @@
 	peers    *peerTable
 	store    store.Store
 	platform *platform.Client
+	peering  *peering
 	draining atomic.Bool
 
-	callers, peerSide, admin net.Listener
-	handlers                 *handlers
+	callers, peerSide, admin, control net.Listener
+	handlers                          *handlers
 }
 
 // New checks the settings and opens the listeners, so that the addresses are
@@ -68,6 +69,9 @@
 		store:    consul.New(settings.StoreURL),
 		platform: platform.New(settings.PlatformURL),
 	}
+	if d.peering, err = newPeering(&settings); err != nil {
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -79,7 +83,7 @@
 	for _, l := range []struct {
 		addr string
 		to   *net.Listener
-	}{{d.settings.Listen, &d.callers}, {d.settings.PeerListen, &d.peerSide}, {d.settings.AdminListen, &d.admin}} {
+	}{{d.settings.Listen, &d.callers}, {d.settings.PeerListen, &d.peerSide}, {d.settings.AdminListen, &d.admin}, {d.settings.ControlListen, &d.control}} {
 		listener, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
@@ -92,6 +96,9 @@
 	if d.settings.PeerAddr == "" {
 		d.settings.PeerAddr = d.peerSide.Addr().String()
 	}
+	if d.settings.ControlAddr == "" {
+		d.settings.ControlAddr = d.control.Addr().String()
+	}
 	return nil
 }
 
@@ -109,15 +116,17 @@
 	var group errgroup.Group
 	servers := []*http.Server{
 		d.serve(&group, d.callers, d.handlers.caller),
-		d.serve(&group, d.peerSide, d.handlers.peer),
+		d.serve(&group, d.peering.secure(d.peerSide), d.handlers.peer),
 		d.serve(&group, d.admin, d.handlers.admin),
 	}
+	group.Go(func() error { return d.peering.server.Serve(d.control) })
 	d.startControllers(background, &group)
 	d.log.Info().Str("event", "started").Str("instance", d.settings.Instance).Str("region", d.settings.Region).
 		Str("zone", d.settings.Zone).Str("url", d.settings.PublicURL).Msg("")
 	<-ctx.Done()
 	d.drain(servers)
 	stop()
+	d.peering.close(d.control)
 	return group.Wait()
 }
 
@@ -188,8 +197,8 @@
 			Scorer:   routing.QueueScorer{ServiceTime: time.Second},
 		},
 		Peers:      d.peers,
-		Transport:  newTransport(),
-		PeerScheme: "http",
+		Transport:  d.newTransport(),
+		PeerScheme: d.peering.scheme(),
 		Observer:   observer,
 	}
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/fuchsiastack/fuchsiastack/entry"
+	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
@@ -64,6 +65,16 @@
 	return regions
 }
 
+// identityAt returns the instance that takes requests at addr.
+func (t *peerTable) identityAt(addr string) (peer.Identity, bool) {
+	for _, i := range t.all() {
+		if i.PeerAddr == addr {
+			return identityOf(i), true
+		}
+	}
+	return peer.Identity{}, false
+}
+
 func (t *peerTable) all() []platform.Instance {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -17,7 +17,7 @@
 	Region      string
 	Zone        string
 	Listen      string // host:port for callers
-	PeerListen  string // host:port for other instances
+	PeerListen  string // host:port for requests of other instances
 	AdminListen string // host:port for metrics and status
 	PublicURL   string // base URL that callers are told; default from Listen
 	PeerAddr    string // host:port that instances are told; default from PeerListen
@@ -25,6 +25,14 @@
 	PlatformURL string
 	Log         string // "debug", "info", "warn" or "error"
 
+	ControlListen string // host:port for control messages of other instances
+	ControlAddr   string // host:port that instances are told; default from ControlListen
+	PeerCert      string // file with the certificate of this instance
+	PeerKey       string // file with its key
+	PeerCA        string // file with the authorities that issue certificates of instances
+	PeerInsecure  bool   // no authentication among instances
+	Production    bool   // refuses settings that are for development only
+
 	MaxBodyBytes  int64
 	ListInterval  time.Duration // between reads of the list of backend servers
 	LoadInterval  time.Duration // between load reports of a backend server
@@ -38,6 +46,7 @@
 		Listen:        "127.0.0.1:8080",
 		PeerListen:    "127.0.0.1:8081",
 		AdminListen:   "127.0.0.1:8082",
+		ControlListen: "127.0.0.1:8083",
 		Log:           "info",
 		MaxBodyBytes:  8 << 20,
 		ListInterval:  time.Second,
@@ -58,7 +67,7 @@
 	fault(s.Instance == "", "instance: must be set")
 	fault(s.Region == "", "region: must be set")
 	fault(s.Zone == "", "zone: must be set")
-	for name, addr := range map[string]string{"listen": s.Listen, "peer-listen": s.PeerListen, "admin-listen": s.AdminListen} {
+	for name, addr := range map[string]string{"listen": s.Listen, "peer-listen": s.PeerListen, "admin-listen": s.AdminListen, "control-listen": s.ControlListen} {
 		_, _, err := net.SplitHostPort(addr)
 		fault(err != nil, name+": want host:port")
 	}
@@ -66,6 +75,9 @@
 		u, err := url.Parse(raw)
 		fault(err != nil || u.Host == "", name+": want a URL such as http://10.0.0.1:8500")
 	}
+	files := s.PeerCert != "" && s.PeerKey != "" && s.PeerCA != ""
+	fault(!files && !s.PeerInsecure, "peer-cert, peer-key, peer-ca: must be set, or peer-insecure for development")
+	fault(s.PeerInsecure && s.Production, "peer-insecure: refused in production")
 	fault(s.MaxBodyBytes < 1<<10 || s.MaxBodyBytes > 64<<20, "max-body-bytes: want 1024 to 67108864")
 	fault(s.ListInterval < 100*time.Millisecond || s.ListInterval > 10*time.Second, "list-interval: want 100ms to 10s")
 	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > 10*time.Second, "load-interval: want 50ms to 10s")
--- a/filters/hop.go
+++ b/filters/hop.go
@@ -50,6 +50,9 @@
 type AcceptHop struct {
 	Instance string // id of this instance
 	Region   string // its region
+	// Sender returns the instance that a connection is authenticated for. Nil
+	// believes the headers, for development.
+	Sender func(*http.Request) (instance, region string, err error)
 }
 
 // Name implements Filter.
@@ -62,6 +65,9 @@
 	if x.Hop.Origin == "" || x.Hop.Region == "" {
 		return outcome.Refuse(http.StatusBadRequest, outcome.CodeBadRequest, "forwarded request without origin")
 	}
+	if err := f.authenticate(x); err != nil {
+		return err
+	}
 	if x.Hop.Origin == f.Instance || x.Hop.Region == f.Region {
 		return outcome.Refuse(http.StatusLoopDetected, outcome.CodeLoop, "request came back to its origin %s", x.Hop.Origin)
 	}
@@ -80,3 +86,15 @@
 	x.Path = x.Request.URL.RequestURI()
 	return next(x)
 }
+
+// authenticate compares the origin with the instance that sends.
+func (f AcceptHop) authenticate(x *Exchange) *outcome.Error {
+	if f.Sender == nil {
+		return nil
+	}
+	instance, region, err := f.Sender(x.Request)
+	if err != nil || instance != x.Hop.Origin || region != x.Hop.Region {
+		return outcome.Refuse(http.StatusForbidden, outcome.CodeBadRequest, "the origin is not the instance that sends")
+	}
+	return nil
+}
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -116,6 +116,7 @@
 	all := append([]string{
 		"--instance", name, "--region", region, "--zone", zone,
 		"--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
+		"--control-listen", "127.0.0.1:0", "--peer-insecure",
 		"--store-url", f.storeURL, "--platform-url", f.platURL,
 		"--list-interval", "100ms", "--load-interval", "100ms", "--directory-ttl", "2s",
 	}, args...)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -24,12 +24,13 @@
 
 // Instance is an entry of the directory.
 type Instance struct {
-	ID       string    `json:"id"`
-	URL      string    `json:"url"`       // for callers
-	PeerAddr string    `json:"peer_addr"` // host:port for other instances
-	Region   string    `json:"region"`
-	Zone     string    `json:"zone"`
-	Expires  time.Time `json:"expires"`
+	ID          string    `json:"id"`
+	URL         string    `json:"url"`          // for callers
+	PeerAddr    string    `json:"peer_addr"`    // host:port for requests of other instances
+	ControlAddr string    `json:"control_addr"` // host:port for control messages
+	Region      string    `json:"region"`
+	Zone        string    `json:"zone"`
+	Expires     time.Time `json:"expires"`
 }
 
 // Platform serves the list and the directory over HTTP.
