Let instances find and watch each other

Cause: every instance read the whole directory every second and saw a failed instance only when its entry lapsed, after 10 s.

Ruled out: one random probe a second (the time to the first probe has a long tail, so 3 s cannot be promised beside a pause of 2 s); heartbeats to everyone (n messages); a lease for each instance in the store (350 writes every few seconds, and no membership in an outage).

Change: package membership. Each instance probes 2 neighbors on a ring of its region and one random member; suspicions spread on probes, are refuted by incarnation, and everyone probes a suspect itself before removing it. Two bridges of a region compare digests with other regions every second. The peer table follows the view; readPeers is gone. /status shows members and control traffic.

--- a/cmd/fuchsiad/flags.go
+++ b/cmd/fuchsiad/flags.go
@@ -41,6 +41,7 @@
 		text("peer-key", "file with the key of this instance (PEM)", &s.PeerKey),
 		text("peer-ca", "file with the authorities that issue certificates of instances (PEM)", &s.PeerCA),
 		boolean("peer-insecure", "no authentication among instances, for development only", &s.PeerInsecure),
+		&cli.StringSliceFlag{Name: "seeds", Usage: "host:port for control messages of instances to join, beside the directory", Destination: &s.Seeds, Sources: env("seeds")},
 		boolean("production", "refuse settings that are for development only", &s.Production),
 		text("admin-listen", "host:port for metrics and status", &s.AdminListen),
 		text("public-url", "base URL that callers are told (default: from listen)", &s.PublicURL),
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -30,7 +30,8 @@
 	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readList); return nil })
 	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.readLoads); return nil })
 	group.Go(func() error { every(ctx, d.settings.DirectoryTTL/3, d.register); return nil })
-	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readPeers); return nil })
+	group.Go(func() error { d.members.Run(ctx); return nil })
+	group.Go(func() error { d.announceReady(ctx); return nil })
 }
 
 // every calls f at once and then each interval until ctx ends.
@@ -146,12 +147,3 @@
 		d.log.Warn().Str("event", "register_failed").Err(err).Msg("")
 	}
 }
-
-func (d *Daemon) readPeers(ctx context.Context) {
-	instances, err := d.platform.Instances(ctx, "")
-	if err != nil {
-		d.log.Warn().Str("event", "directory_failed").Err(err).Msg("")
-		return
-	}
-	d.peers.replace(d.settings.Instance, instances)
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,8 @@
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
+	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 	"github.com/fuchsiastack/fuchsiastack/store"
@@ -43,6 +45,7 @@
 	store    store.Store
 	platform *platform.Client
 	peering  *peering
+	members  *membership.Runner
 	draining atomic.Bool
 
 	callers, peerSide, admin, control net.Listener
@@ -75,6 +78,9 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
+	if err := d.newMembers(); err != nil {
+		return nil, err
+	}
 	d.handlers = d.newHandlers()
 	return d, nil
 }
@@ -125,6 +131,7 @@
 		Str("zone", d.settings.Zone).Str("url", d.settings.PublicURL).Msg("")
 	<-ctx.Done()
 	d.drain(servers)
+	d.endMembership()
 	stop()
 	d.peering.close(d.control)
 	return group.Wait()
@@ -154,6 +161,7 @@
 	if err := d.platform.Deregister(ctx, d.settings.Instance); err != nil {
 		d.log.Warn().Str("event", "deregister_failed").Err(err).Msg("")
 	}
+	d.members.SetServing(ctx, false)
 	cancel()
 	ctx, cancel = context.WithTimeout(context.Background(), d.settings.DrainDeadline)
 	defer cancel()
@@ -211,6 +219,9 @@
 	Revision uint64 `json:"revision"`
 	Servers  int    `json:"backend_servers"`
 	Draining bool   `json:"draining"`
+	Members  int    `json:"members"` // instances known, with this one
+
+	Control peer.Counts `json:"control"` // traffic with other instances
 }
 
 func (d *Daemon) answerStatus(w http.ResponseWriter, _ *http.Request) {
@@ -220,6 +231,8 @@
 		Zone:     d.settings.Zone,
 		Servers:  len(d.registry.All()),
 		Draining: d.draining.Load(),
+		Members:  d.members.Machine.View().Size(),
+		Control:  d.peering.traffic.Counts(),
 	}
 	if snapshot := d.table.Current(); snapshot != nil {
 		status.Revision = snapshot.Revision
--- /dev/null
+++ b/daemon/members.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/membership"
+)
+
+// readyPoll is how often an instance without configuration looks for one.
+const readyPoll = 100 * time.Millisecond
+
+// newMembers prepares the membership. The peer table follows its view.
+func (d *Daemon) newMembers() error {
+	self := membership.Member{Instance: d.self(), Generation: uint64(time.Now().UnixNano())}
+	machine := membership.NewMachine(self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	machine.OnChange(func(view *membership.View) { d.peers.replace(view.Others()) })
+	d.members = membership.NewRunner(machine, d.peering.client, d.platform, d.settings.Seeds, d.settings.DirectoryTTL)
+	return d.peering.server.Register(membership.ServiceName, d.members.Service())
+}
+
+// announceReady tells the other instances once this one has a configuration.
+func (d *Daemon) announceReady(ctx context.Context) {
+	for d.table.Current() == nil {
+		sleep(ctx, readyPoll)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	if !d.draining.Load() {
+		d.members.SetServing(ctx, true)
+	}
+}
+
+// endMembership tells the other instances that this one has no work any more.
+func (d *Daemon) endMembership() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	d.members.End(ctx)
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -20,12 +20,10 @@
 	next     atomic.Uint32
 }
 
-func (t *peerTable) replace(self string, instances []platform.Instance) {
+func (t *peerTable) replace(instances []platform.Instance) {
 	byRegion := make(map[string][]platform.Instance)
 	for _, i := range instances {
-		if i.ID != self {
-			byRegion[i.Region] = append(byRegion[i.Region], i)
-		}
+		byRegion[i.Region] = append(byRegion[i.Region], i)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -33,6 +33,8 @@
 	PeerInsecure  bool   // no authentication among instances
 	Production    bool   // refuses settings that are for development only
 
+	Seeds []string // control addresses of instances to join, beside the directory
+
 	MaxBodyBytes  int64
 	ListInterval  time.Duration // between reads of the list of backend servers
 	LoadInterval  time.Duration // between load reports of a backend server
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,114 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsiastack/fuchsiastack/platform"
+)
+
+// View is the membership at one time. It must not be modified.
+type View struct {
+	self    Member
+	regions map[string][]Member // live, by id, with self
+	digests map[string]uint64   // of the live members of each region
+	hash    uint64              // of the digests
+	alone   bool                // no other instance is known
+}
+
+// View returns the current view.
+func (m *Machine) View() *View { return m.view.Load() }
+
+// newView builds a view. The caller holds the lock.
+func (m *Machine) newView() *View {
+	v := &View{self: m.self.member, regions: make(map[string][]Member), digests: make(map[string]uint64), alone: true}
+	for _, r := range m.records {
+		if !r.live() {
+			continue
+		}
+		region := r.member.Instance.Region
+		v.regions[region] = append(v.regions[region], r.member)
+		v.digests[region] += recordDigest(r)
+		v.alone = v.alone && r == m.self
+	}
+	for region, members := range v.regions {
+		slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) })
+		v.hash += regionDigest(region, v.digests[region])
+	}
+	return v
+}
+
+// recordDigest covers what a live record says, but not a suspicion, which
+// does not concern other regions.
+func recordDigest(r *record) uint64 {
+	text := append([]byte(r.member.Instance.ID), 0)
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(text, r.incarnation))
+}
+
+func regionDigest(region string, digest uint64) uint64 {
+	text := append([]byte(region), 0)
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(text, digest))
+}
+
+// Regions returns the regions with a live member.
+func (v *View) Regions() []string {
+	regions := make([]string, 0, len(v.regions))
+	for region := range v.regions {
+		regions = append(regions, region)
+	}
+	slices.Sort(regions)
+	return regions
+}
+
+// Members returns the live members of a region, with this instance and with
+// those that take no new work.
+func (v *View) Members(region string) []Member { return v.regions[region] }
+
+// Size returns the number of live members of all regions, with this instance.
+func (v *View) Size() int {
+	size := 0
+	for _, members := range v.regions {
+		size += len(members)
+	}
+	return size
+}
+
+// Others returns all other instances that take new work.
+func (v *View) Others() []platform.Instance {
+	var others []platform.Instance
+	for _, region := range v.Regions() {
+		for _, member := range v.regions[region] {
+			if member.Serving && member.Instance.ID != v.self.Instance.ID {
+				others = append(others, member.Instance)
+			}
+		}
+	}
+	return others
+}
+
+// Bridges returns the instances of a region that talk to other regions.
+func (v *View) Bridges(region string) []platform.Instance {
+	members := v.regions[region]
+	ids := make([]string, len(members))
+	for i, member := range members {
+		ids[i] = member.Instance.ID
+	}
+	var bridges []platform.Instance
+	for _, id := range Top(ids, purposeBridge, bridgeCount) {
+		bridges = append(bridges, members[slices.Index(ids, id)].Instance)
+	}
+	return bridges
+}
+
+// IsBridge reports whether this instance talks to other regions.
+func (v *View) IsBridge() bool {
+	for _, bridge := range v.Bridges(v.self.Instance.Region) {
+		if bridge.ID == v.self.Instance.ID {
+			return true
+		}
+	}
+	return false
+}
