--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fuchsiastack/fuchsiastack/internal/testlink"
 	"github.com/fuchsiastack/fuchsiastack/membership"
 )
 
@@ -40,8 +41,8 @@
 func TestFailureIsSeenInZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		l := newLink()
-		nodes := l.startRegion(t.Context(), "cairo", 3, 21)
+		l := testlink.New()
+		nodes := startRegion(t.Context(), l, "cairo", 3, 21)
 		await(c, 30*time.Second, allKnow(nodes, 21))
 		slowest := time.Duration(0)
 		for len(nodes) > 5 {
@@ -60,17 +61,17 @@
 func TestNoFalseRemoval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		l := newLink()
-		nodes := l.startRegion(t.Context(), "cairo", 3, 20)
+		l := testlink.New()
+		nodes := startRegion(t.Context(), l, "cairo", 3, 20)
 		await(c, 30*time.Second, allKnow(nodes, 20))
-		l.set(func() { l.loss = 0.01 })
+		l.Set(func(s *testlink.State) { s.Loss = 0.01 })
 		random := rand.New(rand.NewPCG(5, 6))
 		for range 16 {
-			nodes[random.IntN(len(nodes))].pause(2 * time.Second)
+			nodes[random.IntN(len(nodes))].Pause(2 * time.Second)
 			for range 500 {
 				time.Sleep(10 * time.Millisecond)
 				for _, n := range nodes {
-					c.Assert(n.size(), qt.Equals, 20, qt.Commentf("%s", n.self.Instance.ID))
+					c.Assert(n.size(), qt.Equals, 20, qt.Commentf("%s", n.Instance.ID))
 				}
 			}
 		}
@@ -82,14 +83,14 @@
 func TestReplacedInstance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		l := newLink()
-		nodes := l.startRegion(t.Context(), "cairo", 1, 6)
+		l := testlink.New()
+		nodes := startRegion(t.Context(), l, "cairo", 1, 6)
 		await(c, 30*time.Second, allKnow(nodes, 6))
 		nodes[0].kill()
-		nodes[0] = l.start(t.Context(), "cairo-0", "cairo", "cairo-0", "cairo-0:1")
+		nodes[0] = start(t.Context(), l, "cairo-0", "cairo", "cairo-0", "cairo-0:1")
 		await(c, 5*time.Second, allKnow(nodes[:1], 6))
 		nodes[1].kill()
-		nodes[1] = l.start(t.Context(), "other", "cairo", "cairo-0", "cairo-1:1")
+		nodes[1] = start(t.Context(), l, "other", "cairo", "cairo-0", "cairo-1:1")
 		await(c, 2*time.Second, func() bool {
 			for _, n := range nodes[2:] {
 				if n.knows("cairo-1") || !n.knows("other") {
@@ -108,8 +109,8 @@
 func TestLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		l := newLink()
-		nodes := l.startRegion(t.Context(), "cairo", 2, 16)
+		l := testlink.New()
+		nodes := startRegion(t.Context(), l, "cairo", 2, 16)
 		await(c, 30*time.Second, allKnow(nodes, 16))
 		leaver := nodes[0]
 		leaver.runner.SetServing(t.Context(), false)
@@ -129,25 +130,23 @@
 func TestRegionCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		l := newLink()
+		l := testlink.New()
 		var nodes []*node
 		for i := range 3 {
-			nodes = append(nodes, l.startRegion(t.Context(), fmt.Sprintf("r%d", i), 2, 2)...)
+			nodes = append(nodes, startRegion(t.Context(), l, fmt.Sprintf("r%d", i), 2, 2)...)
 		}
 		await(c, time.Minute, allKnow(nodes, 6))
-		l.set(func() {
-			l.cut = func(from, to *node) bool {
-				return (from.self.Instance.Region == "r0") != (to.self.Instance.Region == "r0")
-			}
+		l.Set(func(s *testlink.State) {
+			s.Cut = func(from, to *testlink.Node) bool { return (from.Instance.Region == "r0") != (to.Instance.Region == "r0") }
 		})
 		nodes[1].kill()
 		nodes[3].kill()
-		nodes = append(nodes, l.start(t.Context(), "new", "r0", "r0-0", "new:1"))
+		nodes = append(nodes, start(t.Context(), l, "new", "r0", "r0-0", "new:1"))
 		await(c, 30*time.Second, func() bool { return nodes[0].knows("new") })
-		l.set(func() { l.listed = false })
+		l.Set(func(s *testlink.State) { s.Listed = false })
 		time.Sleep(time.Hour)
 		c.Assert(nodes[0].machine.View().Members("r0"), qt.HasLen, 2)
-		l.set(func() { l.cut = nil })
+		l.Set(func(s *testlink.State) { s.Cut = nil })
 		nodes = append(append(nodes[:1:1], nodes[2]), nodes[4:]...)
 		took := await(c, 30*time.Second, allKnow(nodes, 5))
 		t.Logf("healed after %v", took)
@@ -159,16 +158,16 @@
 func TestHalvesOfRegion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		l := newLink()
-		nodes := l.startRegion(t.Context(), "cairo", 2, 12)
+		l := testlink.New()
+		nodes := startRegion(t.Context(), l, "cairo", 2, 12)
 		await(c, 30*time.Second, allKnow(nodes, 12))
-		l.set(func() {
-			l.listed = false
-			l.cut = func(a, b *node) bool { return a.self.Instance.Zone != b.self.Instance.Zone }
+		l.Set(func(s *testlink.State) {
+			s.Listed = false
+			s.Cut = func(a, b *testlink.Node) bool { return a.Instance.Zone != b.Instance.Zone }
 		})
 		await(c, 30*time.Second, allKnow(nodes, 6))
 		time.Sleep(time.Minute)
-		l.set(func() { l.cut = nil })
+		l.Set(func(s *testlink.State) { s.Cut = nil })
 		t.Logf("healed after %v", await(c, time.Minute, allKnow(nodes, 12)))
 	})
 }
@@ -177,17 +176,22 @@
 func TestMessagesDoNotGrow(t *testing.T) {
 	rate := func(regions, size int) (rate float64) {
 		synctest.Test(t, func(t *testing.T) {
-			l := newLink()
+			l := testlink.New()
 			var nodes []*node
 			for i := range regions {
-				nodes = append(nodes, l.startRegion(t.Context(), fmt.Sprintf("r%d", i), 2, size)...)
+				nodes = append(nodes, startRegion(t.Context(), l, fmt.Sprintf("r%d", i), 2, size)...)
 			}
 			await(qt.New(t), 2*time.Minute, allKnow(nodes, regions*size))
 			time.Sleep(10 * time.Second)
 			const seconds = 10
-			l.set(func() { l.calls = 0 })
+			for _, n := range nodes {
+				n.Cost()
+			}
 			time.Sleep(seconds * time.Second)
-			l.set(func() { rate = float64(l.calls) / seconds / float64(len(nodes)) })
+			for _, n := range nodes {
+				calls, _ := n.Cost()
+				rate += float64(calls) / seconds / float64(len(nodes))
+			}
 		})
 		return rate
 	}
