--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -28,8 +28,9 @@
 	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.updateSlots); return nil })
 	group.Go(func() error { every(ctx, tickInterval, d.tickLimits); return nil })
 	group.Go(func() error { every(ctx, d.settings.DirectoryTTL/3, d.register); return nil })
-	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readPeers); return nil })
 	group.Go(func() error { every(ctx, evaluateInterval, d.evaluateServers); return nil })
+	group.Go(func() error { d.members.Run(ctx); return nil })
+	group.Go(func() error { d.announceReady(ctx); return nil })
 }
 
 // every calls f at once and then each interval until ctx ends.
@@ -89,11 +90,12 @@
 
 func (d *Daemon) self() platform.Instance {
 	return platform.Instance{
-		ID:       d.settings.Instance,
-		URL:      d.settings.PublicURL,
-		PeerAddr: d.settings.PeerAddr,
-		Region:   d.settings.Region,
-		Zone:     d.settings.Zone,
+		ID:          d.settings.Instance,
+		URL:         d.settings.PublicURL,
+		PeerAddr:    d.settings.PeerAddr,
+		ControlAddr: d.settings.ControlAddr,
+		Region:      d.settings.Region,
+		Zone:        d.settings.Zone,
 	}
 }
 
@@ -106,11 +108,12 @@
 	}
 }
 
-func (d *Daemon) readPeers(ctx context.Context) {
-	instances, err := d.platform.Instances(ctx, "")
-	if err != nil {
-		d.log.Warn().Str("event", "directory_failed").Err(err).Msg("")
-		return
+// sleep waits for interval or until ctx ends.
+func sleep(ctx context.Context, interval time.Duration) {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	d.peers.replace(d.settings.Instance, instances)
 }
