Spread the quarantine among the instances of a region

Cause: main has brought the exchange's list of topics, and publish now reports pending, which the new scenario did not expect. The merge of main left it not building.

Change: quarantine.Topic is one of the topics. The scenario waits until the configuration is in force.

Conclusion: go test ./scenario passes three times in a row.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
 	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
@@ -90,6 +91,7 @@
 	}
 	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
 	d.routes = d.newRoutes()
+	d.topics = append(d.topics, quarantine.Topic{Table: d.routes.quarantine, Now: time.Now})
 	d.handlers = d.newHandlers()
 	return d, nil
 }
--- a/scenario/crash_test.go
+++ b/scenario/crash_test.go
@@ -24,13 +24,14 @@
 func TestPoisonRequest(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(t)
-	f.ctl("publish", "../examples/swatch-guild")
+	f.ctl(ctlPending, "publish", "--bootstrap", "--wait", "0s", "../examples/swatch-guild")
 	const engines = 5
 	for i := range engines {
 		f.backend("engine", fmt.Sprintf("engine-%d", i), "drafting-desk", "cairo", "--crash-on", crashWord, "--decode", "20ms")
 	}
 	url := f.daemon("entry-cairo", "cairo", "cairo-a", "--quarantine-spread", "300ms")
 	f.awaitInstances(url, 1)
+	f.ctl(ctlPending, "status", "--wait", "1s") // until the configuration is in force
 	client := openai.NewClient(
 		option.WithBaseURL("http://entry.invalid/v1"), option.WithAPIKey("nile-press-key"), option.WithMaxRetries(0),
 		option.WithHTTPClient(&http.Client{Transport: &entry.Client{Bootstrap: []string{url}, Region: "cairo", Zone: "cairo-a"}}),
