Claim the key of a call that must not be repeated

Cause: work with repeatable=false was dispatched without any check, so a resend ran again.

Change: package claim claims a dated idempotency key by compare-and-swap before the dispatch, in shared transactions, settles lost answers by reading back the attempt's id, and deletes records only after their keys are refused by age. The filter claim stands last in the callers' chain.

Ruled out: leases, undated keys, one write for each claim, bisecting refused transactions, release without a version.

--- a/cmd/fuchsia-dev/system.go
+++ b/cmd/fuchsia-dev/system.go
@@ -34,6 +34,7 @@
 	decodePerToken  = 20 * time.Millisecond
 	plainDelay      = 10 * time.Millisecond
 	publishTimeout  = 10 * time.Second
+	claimSecret     = "for local development only"
 )
 
 // system is a running set of parts.
@@ -142,6 +143,7 @@
 	if i == 0 {
 		settings.Listen = firstEntry
 	}
+	settings.ClaimSecret = claimSecret
 	settings.PeerListen, settings.AdminListen = anyPort, anyPort
 	settings.StoreURL, settings.PlatformURL = s.storeURL, s.platURL
 	logger := &log.Logger{Level: s.level, Writer: &log.IOWriter{Writer: os.Stderr}}
--- a/cmd/fuchsiad/flags.go
+++ b/cmd/fuchsiad/flags.go
@@ -42,5 +42,7 @@
 		duration("load-interval", "time between two load reports of a backend server", &s.LoadInterval),
 		duration("directory-ttl", "life of this instance's entry in the directory", &s.DirectoryTTL),
 		duration("drain-deadline", "longest graceful shutdown", &s.DrainDeadline),
+		text("claim-secret", "key of the digests of idempotency keys, 16 bytes or more, the same on all instances; prefer the environment variable", &s.ClaimSecret),
+		duration("claim-retention", "how long an idempotency key can be used, the same on all instances", &s.ClaimRetention),
 	}
 }
--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -29,6 +29,7 @@
 		drainFilter{d},
 		filters.ReadBody{MaxBytes: d.settings.MaxBodyBytes},
 		home,
+		d.claimFilter(),
 	)
 }
 
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -31,6 +31,7 @@
 	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.readLoads); return nil })
 	group.Go(func() error { every(ctx, d.settings.DirectoryTTL/3, d.register); return nil })
 	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readPeers); return nil })
+	d.startClaims(ctx, group)
 }
 
 // every calls f at once and then each interval until ctx ends.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/claim"
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
@@ -41,6 +42,7 @@
 	registry *backend.Registry
 	peers    *peerTable
 	store    store.Store
+	claims   *claim.Claimer // nil without a claim secret
 	platform *platform.Client
 	draining atomic.Bool
 
@@ -68,6 +70,9 @@
 		store:    consul.New(settings.StoreURL),
 		platform: platform.New(settings.PlatformURL),
 	}
+	if err := d.newClaims(); err != nil {
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -154,6 +159,9 @@
 			_ = server.Close()
 		}
 	}
+	ctx, cancelFlush := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelFlush()
+	d.flushClaims(ctx)
 	d.log.Info().Str("event", "stopped").Str("instance", d.settings.Instance).Msg("")
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/claim"
 )
 
 // Settings configure an instance.
@@ -25,6 +27,9 @@
 	PlatformURL string
 	Log         string // "debug", "info", "warn" or "error"
 
+	ClaimSecret    string        // key of the digests of idempotency keys; the same on all instances
+	ClaimRetention time.Duration // how long an idempotency key can be used; the same on all instances
+
 	MaxBodyBytes  int64
 	ListInterval  time.Duration // between reads of the list of backend servers
 	LoadInterval  time.Duration // between load reports of a backend server
@@ -44,6 +49,8 @@
 		LoadInterval:  500 * time.Millisecond,
 		DirectoryTTL:  10 * time.Second,
 		DrainDeadline: 10 * time.Minute,
+
+		ClaimRetention: claim.DefaultRetention,
 	}
 }
 
@@ -71,6 +78,8 @@
 	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > 10*time.Second, "load-interval: want 50ms to 10s")
 	fault(s.DirectoryTTL < 2*time.Second || s.DirectoryTTL > time.Minute, "directory-ttl: want 2s to 1m")
 	fault(s.DrainDeadline < time.Second || s.DrainDeadline > time.Hour, "drain-deadline: want 1s to 1h")
+	fault(s.ClaimSecret != "" && len(s.ClaimSecret) < claim.MinSecretBytes, "claim-secret: want 16 bytes or more, or none")
+	fault(s.ClaimRetention < 10*time.Minute || s.ClaimRetention > 7*24*time.Hour, "claim-retention: want 10m to 168h")
 	if len(faults) > 0 {
 		return errors.New("bad settings: " + strings.Join(faults, "; "))
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -79,6 +79,7 @@
 	CodeCanceled         Code = "canceled"
 	CodeKeyRequired      Code = "idempotency_key_required"
 	CodeKeyExpired       Code = "idempotency_key_expired"
+	CodeKeyReused        Code = "idempotency_key_reused"
 	CodeDuplicate        Code = "duplicate"
 	CodeClaimUnavailable Code = "claim_unavailable"
 	CodeQuarantined      Code = "quarantined"
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -118,6 +118,7 @@
 		"--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
 		"--store-url", f.storeURL, "--platform-url", f.platURL,
 		"--list-interval", "100ms", "--load-interval", "100ms", "--directory-ttl", "2s",
+		"--claim-secret", "secret of the scenarios",
 	}, args...)
 	return f.start(name, "fuchsiad", all...).addr
 }
--- a/store/consul/consul.go
+++ b/store/consul/consul.go
@@ -38,6 +38,11 @@
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     time.Minute,
 	}
+	return NewWithTransport(base, transport)
+}
+
+// NewWithTransport returns a client that sends its calls through transport.
+func NewWithTransport(base string, transport http.RoundTripper) *Client {
 	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
 }
 
