Say "not run" only if no byte of the request left

Cause: an attempt counted as sent once it had a connection, net/http could send a request without a body twice by itself, and a last attempt that never left hid earlier ones that may have run.

Change: connections of the transport pass writes through a gate for each attempt. One connection may send, none after the attempt was given up or its deadline passed. Outcomes of all attempts are combined.

Ruled out: WroteHeaders, missing GetBody alone, byte counts of connections.

--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
@@ -65,7 +66,7 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dispatch.GuardDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,10 +60,15 @@
 	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
 	defer cancel()
 	req := routeRequest(x)
+	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
 		decision := d.Router.Decide(req)
 		d.Observer.Decided(x, attempt, decision)
 		err := d.attempt(ctx, x, decision, attempt)
+		if err != nil {
+			mayHaveRun = mayHaveRun || err.Outcome == outcome.MayHaveRun
+			err = afterAttempts(err, mayHaveRun)
+		}
 		if err == nil || !retryable(x, err) || attempt == maxAttempts || ctx.Err() != nil {
 			return err
 		}
@@ -73,6 +78,17 @@
 	}
 }
 
+// afterAttempts returns the error of a request whose attempts so far may have
+// run: a last attempt that did not run says nothing of the earlier ones.
+func afterAttempts(err *outcome.Error, mayHaveRun bool) *outcome.Error {
+	if !mayHaveRun || err.Outcome != outcome.NotRun {
+		return err
+	}
+	combined := *err
+	combined.Outcome = outcome.MayHaveRun
+	return &combined
+}
+
 func routeRequest(x *filters.Exchange) *routing.Request {
 	return &routing.Request{
 		ID:           x.ID,
@@ -205,15 +221,16 @@
 	return refusal
 }
 
-// send does one round trip. An error before any connection was had is NotRun.
+// send does one round trip. An error is NotRun if no byte of the request left.
 func (d *Dispatcher) send(req *http.Request) (*http.Response, *outcome.Error) {
-	trace := &sentTrace{}
-	resp, err := d.Transport.RoundTrip(req.WithContext(trace.attach(req.Context())))
+	deadline, _ := req.Context().Deadline()
+	gate := &gate{deadline: deadline}
+	resp, err := d.Transport.RoundTrip(req.WithContext(gate.attach(req.Context())))
 	if err == nil {
 		return resp, nil
 	}
 	failure := outcome.Fail(outcome.CodeBackendFailed, err, "the backend server did not answer")
-	if !trace.mayHaveSent() {
+	if gate.close() {
 		failure.Outcome = outcome.NotRun
 		failure.Status = http.StatusServiceUnavailable
 	}
--- a/dispatch/wire.go
+++ b/dispatch/wire.go
@@ -1,27 +1,13 @@
 package dispatch
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
-// sentTrace records whether a request may have left on a connection.
-type sentTrace struct{ gotConn atomic.Bool }
-
-func (t *sentTrace) attach(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.gotConn.Store(true) },
-	})
-}
-
-func (t *sentTrace) mayHaveSent() bool { return t.gotConn.Load() }
-
 // dropped are the request headers that stay at the gateway.
 var dropped = map[string]bool{
 	"Authorization": true, "Connection": true, "Keep-Alive": true, "Proxy-Authorization": true,
