--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -20,7 +20,7 @@
 var testConfig = claim.Config{Secret: []byte("0123456789abcdef"), Retention: time.Hour}
 
 func newClaimer(tb testing.TB, server *kv.Server) *claim.Claimer {
-	c, err := claim.New(consul.NewWithTransport("http://kv", kv.Transport{Server: server}), testConfig)
+	c, err := claim.New(consul.NewWithTransport("http://kv", server.Transport()), testConfig)
 	qt.Assert(tb, err, qt.IsNil)
 	return c
 }
@@ -166,7 +166,7 @@
 			{Secret: []byte("another secret..."), Retention: time.Hour},
 			{Secret: testConfig.Secret, Retention: 2 * time.Hour},
 		} {
-			c, err := claim.New(consul.NewWithTransport("http://kv", kv.Transport{Server: server}), config)
+			c, err := claim.New(consul.NewWithTransport("http://kv", server.Transport()), config)
 			qt.Assert(t, err, qt.IsNil)
 			_, err = c.Claim(context.Background(), request(newKey(1)))
 			qt.Assert(t, err, qt.ErrorMatches, ".*secret or retention differ.*")
@@ -180,7 +180,7 @@
 		server := kv.New()
 		_, err := newClaimer(t, server).Claim(context.Background(), request(newKey(0)))
 		qt.Assert(t, err, qt.IsNil)
-		var s store.Store = consul.NewWithTransport("http://kv", kv.Transport{Server: server})
+		var s store.Store = consul.NewWithTransport("http://kv", server.Transport())
 		entries, _, err := s.List(context.Background(), "claims/")
 		qt.Assert(t, err, qt.IsNil)
 		for _, entry := range entries {
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -12,7 +12,7 @@
 )
 
 func Example() {
-	client := consul.NewWithTransport("http://kv", kv.Transport{Server: kv.New()})
+	client := consul.NewWithTransport("http://kv", kv.New().Transport())
 	claims, err := claim.New(client, claim.Config{Secret: []byte("the same everywhere"), Retention: time.Hour})
 	if err != nil {
 		panic(err)
--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -129,7 +129,7 @@
 		h.keys = append(h.keys, claim.NewKey(time.Now().Add(-age), "random-"+strconv.Itoa(i)))
 	}
 	for range historyInstances {
-		client := consul.NewWithTransport("http://kv", kv.Transport{Server: h.server})
+		client := consul.NewWithTransport("http://kv", h.server.Transport())
 		paused := pausing{Store: client, pause: func() { h.sometimes(8, 20*time.Second) }}
 		claims, err := claim.New(paused, claim.Config{Secret: []byte("0123456789abcdef"), Retention: historyRetention})
 		qt.Assert(tb, err, qt.IsNil)
--- a/cmd/fuchsia-dev/system.go
+++ b/cmd/fuchsia-dev/system.go
@@ -15,8 +15,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiastack/fuchsiastack/config"
+	"github.com/fuchsiastack/fuchsiastack/configlog"
 	"github.com/fuchsiastack/fuchsiastack/daemon"
 	"github.com/fuchsiastack/fuchsiastack/examples"
+	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/standin/engine"
 	"github.com/fuchsiastack/fuchsiastack/standin/kv"
 	"github.com/fuchsiastack/fuchsiastack/standin/plain"
@@ -34,7 +36,7 @@
 	decodePerToken  = 20 * time.Millisecond
 	plainDelay      = 10 * time.Millisecond
 	publishTimeout  = 10 * time.Second
-	claimSecret     = "for local development only"
+	digestKey       = "for local development only"
 )
 
 // system is a running set of parts.
@@ -99,7 +101,8 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, publishTimeout)
 	defer cancel()
-	_, err = config.Publish(ctx, consul.New(s.storeURL), tree, 0)
+	publisher := &rollout.Publisher{Log: &configlog.Log{Store: consul.New(s.storeURL)}}
+	_, err = publisher.Publish(ctx, tree, nil)
 	return err
 }
 
@@ -143,7 +146,7 @@
 	if i == 0 {
 		settings.Listen = firstEntry
 	}
-	settings.ClaimSecret = claimSecret
+	settings.DigestKey = digestKey
 	settings.PeerListen, settings.AdminListen = anyPort, anyPort
 	settings.StoreURL, settings.PlatformURL = s.storeURL, s.platURL
 	logger := &log.Logger{Level: s.level, Writer: &log.IOWriter{Writer: os.Stderr}}
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -9,16 +9,17 @@
 
 	"github.com/fuchsiastack/fuchsiastack/claim"
 	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/store"
 )
 
 // newClaims prepares the claims of calls that must not be repeated.
-func (d *Daemon) newClaims() error {
-	if d.settings.ClaimSecret == "" {
-		d.log.Warn().Str("event", "claims_off").Msg("no claim secret: calls that must not be repeated are refused")
+func (d *Daemon) newClaims(kv store.Store) error {
+	if d.settings.DigestKey == "" {
+		d.log.Warn().Str("event", "claims_off").Msg("no digest key: calls that must not be repeated are refused")
 		return nil
 	}
-	claims, err := claim.New(d.store, claim.Config{
-		Secret:    []byte(d.settings.ClaimSecret),
+	claims, err := claim.New(kv, claim.Config{
+		Secret:    []byte(d.settings.DigestKey),
 		Retention: d.settings.ClaimRetention,
 	})
 	if err != nil {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -27,7 +27,6 @@
 	PlatformURL string
 	Log         string // "debug", "info", "warn" or "error"
 
-	ClaimSecret    string        // key of the digests of idempotency keys; the same on all instances
 	ClaimRetention time.Duration // how long an idempotency key can be used; the same on all instances
 
 	MaxBodyBytes  int64
@@ -35,6 +34,18 @@
 	LoadInterval  time.Duration // between load reports of a backend server
 	DirectoryTTL  time.Duration // life of the entry in the directory
 	DrainDeadline time.Duration // longest graceful shutdown
+
+	MaxConnections   int           // open connections of callers
+	MaxInFlight      int           // requests held at once, waiting ones included
+	MaxHeldBytes     int64         // memory of the request bodies held at once
+	MaxHeapBytes     int64         // live heap from which requests are shed
+	QueueEntries     int           // requests of one service and rank that wait
+	BodyTimeout      time.Duration // for a caller to send its body
+	WriteTimeout     time.Duration // for a caller to take one piece of an answer
+	DigestKey        string        // secret of the deployment, for digests of requests
+	QuarantineSpread time.Duration // until all instances know of a crash
+	LinkMegabits     float64       // cap of the region's links to others, each way, in Mbit/s
+	LinkLatency      time.Duration // one way, between regions
 }
 
 // DefaultSettings returns the settings that have defaults.
@@ -50,7 +61,17 @@
 		DirectoryTTL:  10 * time.Second,
 		DrainDeadline: 10 * time.Minute,
 
-		ClaimRetention: claim.DefaultRetention,
+		MaxConnections:   8192,
+		MaxInFlight:      4096,
+		MaxHeldBytes:     256 << 20,
+		MaxHeapBytes:     1 << 30,
+		QueueEntries:     2048,
+		BodyTimeout:      30 * time.Second,
+		WriteTimeout:     30 * time.Second,
+		QuarantineSpread: 2 * time.Second,
+		LinkMegabits:     2000,
+		LinkLatency:      80 * time.Millisecond,
+		ClaimRetention:   claim.DefaultRetention,
 	}
 }
 
@@ -78,8 +99,18 @@
 	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > 10*time.Second, "load-interval: want 50ms to 10s")
 	fault(s.DirectoryTTL < 2*time.Second || s.DirectoryTTL > time.Minute, "directory-ttl: want 2s to 1m")
 	fault(s.DrainDeadline < time.Second || s.DrainDeadline > time.Hour, "drain-deadline: want 1s to 1h")
-	fault(s.ClaimSecret != "" && len(s.ClaimSecret) < claim.MinSecretBytes, "claim-secret: want 16 bytes or more, or none")
 	fault(s.ClaimRetention < 10*time.Minute || s.ClaimRetention > 7*24*time.Hour, "claim-retention: want 10m to 168h")
+	fault(s.MaxConnections < 16, "max-connections: want 16 or more")
+	fault(s.MaxInFlight < 16, "max-in-flight: want 16 or more")
+	fault(s.MaxHeldBytes < s.MaxBodyBytes, "max-held-bytes: want max-body-bytes or more")
+	fault(s.MaxHeapBytes < 64<<20, "max-heap-bytes: want 67108864 or more")
+	fault(s.QueueEntries < 1, "queue-entries: want 1 or more")
+	fault(s.BodyTimeout < time.Second || s.BodyTimeout > 10*time.Minute, "body-timeout: want 1s to 10m")
+	fault(s.WriteTimeout < time.Second || s.WriteTimeout > 10*time.Minute, "write-timeout: want 1s to 10m")
+	fault(s.DigestKey != "" && len(s.DigestKey) < 16, "digest-key: want 16 characters or more")
+	fault(s.QuarantineSpread < 100*time.Millisecond || s.QuarantineSpread > time.Minute, "quarantine-spread: want 100ms to 1m")
+	fault(s.LinkMegabits < 1, "link-megabits: want 1 or more")
+	fault(s.LinkLatency < 0 || s.LinkLatency > time.Second, "link-latency: want 0s to 1s")
 	if len(faults) > 0 {
 		return errors.New("bad settings: " + strings.Join(faults, "; "))
 	}
--- a/dispatch/notrun_test.go
+++ b/dispatch/notrun_test.go
@@ -1,4 +1,4 @@
-package dispatch_test
+package dispatch
 
 import (
 	"fmt"
@@ -13,10 +13,10 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
-	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/internal/faultconn"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/retry"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 	"github.com/fuchsiastack/fuchsiastack/standin/plain"
 )
@@ -27,13 +27,6 @@
 	largeRequestSize = 64 << 10
 )
 
-type noObserver struct{}
-
-func (noObserver) Decided(*filters.Exchange, int, routing.Decision) {}
-func (noObserver) FirstByte(*filters.Exchange)                      {}
-func (noObserver) Attempted(*filters.Exchange, int, routing.Decision, outcome.Outcome, error) {
-}
-
 type noRegions struct{}
 
 func (noRegions) Reachable() []string { return nil }
@@ -44,7 +37,7 @@
 	random     *rand.Rand
 	density    int // of failing connections, in quarters
 	services   []*plain.Service
-	dispatcher *dispatch.Dispatcher
+	dispatcher *Dispatcher
 }
 
 // plan draws the failure of a connection. Most fail late, so that they are
@@ -81,19 +74,20 @@
 		w.services = append(w.services, service)
 		list = append(list, backend.Info{
 			ID: fmt.Sprint("orders-", i), Addr: server.Listener.Addr().String(),
-			Region: "cairo", Service: "orders", State: backend.StateLive,
+			Region: "cairo", Service: testService.Name, State: backend.StateLive,
 		})
 	}
 	registry.Replace(list)
 	dialer := &faultconn.Dialer{Next: w.plan}
-	transport := &http.Transport{DialContext: dispatch.GuardDial(dialer.DialContext)}
+	transport := &http.Transport{DialContext: GuardDial(dialer.DialContext)}
 	tb.Cleanup(transport.CloseIdleConnections)
-	w.dispatcher = &dispatch.Dispatcher{
-		Instance: "entry", Region: "cairo", Peers: noRegions{}, Transport: transport, PeerScheme: "http", Observer: noObserver{},
+	w.dispatcher = &Dispatcher{
+		Instance: "entry", Region: "cairo", Peers: noRegions{}, Transport: transport, PeerScheme: "http", Observer: silent{},
 		Router: &routing.Router{
 			Region: "cairo", Registry: registry, Regions: noRegions{},
-			Filters: []routing.Filter{routing.UntriedFilter{}}, Scorer: routing.QueueScorer{ServiceTime: time.Second},
+			Filters: []routing.Filter{routing.UntriedFilter{}}, Scorer: routing.FirstTokenScorer{},
 		},
+		Retry: &retry.Policy{MaxTries: 3, Random: rand.New(rand.NewPCG(seed, 3))},
 	}
 	return w
 }
@@ -109,8 +103,8 @@
 	}
 	x := &filters.Exchange{
 		Writer: httptest.NewRecorder(), Request: httptest.NewRequest(method, "/order", http.NoBody), ID: id,
-		Snapshot: &catalog.Snapshot{}, Service: &catalog.Service{Name: "orders"}, Path: "/order",
-		Work: catalog.Work{Repeatable: repeatable}, Body: []byte(body), Deadline: time.Now().Add(time.Minute),
+		Snapshot: &catalog.Snapshot{}, Service: testService, Path: "/order",
+		Received: time.Now(), Work: catalog.Work{Repeatable: repeatable}, Body: []byte(body), Deadline: time.Now().Add(time.Minute),
 	}
 	// Requests with this header are those that net/http repeats by itself.
 	x.Request.Header.Set(filters.IdempotencyHeader, id)
--- a/filters/claim.go
+++ b/filters/claim.go
@@ -27,7 +27,7 @@
 // Claim lets a call that must not be repeated run at most once: the rest of
 // the chain is called only by the attempt that holds the idempotency key.
 type Claim struct {
-	// Claimer is nil if the instance has no secret for keys; calls that must
+	// Claimer is nil if the instance has no digest key; calls that must
 	// not be repeated are refused then.
 	Claimer Claimer
 }
@@ -44,7 +44,7 @@
 		return outcome.Refuse(http.StatusBadRequest, outcome.CodeKeyRequired, "this work needs an %s header", IdempotencyHeader)
 	}
 	if f.Claimer == nil {
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeClaimUnavailable, "this instance has no claim secret")
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeClaimUnavailable, "this instance has no digest key")
 	}
 	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
 	defer cancel()
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -118,7 +118,7 @@
 		"--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
 		"--store-url", f.storeURL, "--platform-url", f.platURL,
 		"--list-interval", "100ms", "--load-interval", "100ms", "--directory-ttl", "2s",
-		"--claim-secret", "secret of the scenarios",
+		"--digest-key", "secret of the scenarios",
 	}, args...)
 	return f.start(name, "fuchsiad", all...).addr
 }
@@ -134,14 +134,14 @@
 	return f.start(name, "fuchsia-standin", all...).addr
 }
 
-// ctl runs fuchsiactl and returns its output.
-func (f *fleet) ctl(args ...string) string {
+// ctl runs fuchsiactl and returns its output. Its exit status must be want.
+func (f *fleet) ctl(want int, args ...string) string {
 	f.tb.Helper()
 	cmd := exec.Command("fuchsiactl", args...)
-	cmd.Env = append(os.Environ(), "FUCHSIA_STORE_URL="+f.storeURL)
-	out, err := cmd.CombinedOutput()
-	if err != nil {
-		f.tb.Fatalf("fuchsiactl %s: %v\n%s", strings.Join(args, " "), err, out)
+	cmd.Env = append(os.Environ(), "FUCHSIA_STORE_URL="+f.storeURL, "FUCHSIA_PLATFORM_URL="+f.platURL)
+	out, _ := cmd.CombinedOutput()
+	if got := cmd.ProcessState.ExitCode(); got != want {
+		f.tb.Fatalf("fuchsiactl %s: exit status %d, want %d\n%s", strings.Join(args, " "), got, want, out)
 	}
 	return string(out)
 }
