--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -31,6 +31,7 @@
 	group.Go(func() error { every(ctx, evaluateInterval, d.evaluateServers); return nil })
 	group.Go(func() error { d.members.Run(ctx); return nil })
 	group.Go(func() error { d.announceReady(ctx); return nil })
+	d.startClaims(ctx, group)
 }
 
 // every calls f at once and then each interval until ctx ends.
--- a/daemon/peering.go
+++ b/daemon/peering.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -55,11 +54,11 @@
 
 // dialTLS returns the dial function of requests to other instances, which
 // refuses an address where another instance than expected answers.
-func (p *peering) dialTLS(expect func(addr string) (peer.Identity, bool)) func(context.Context, string, string) (net.Conn, error) {
+func (p *peering) dialTLS(dial peer.DialFunc, expect func(addr string) (peer.Identity, bool)) peer.DialFunc {
 	if p.creds == nil {
 		return nil
 	}
-	return p.creds.DialTLS(expect)
+	return p.creds.DialTLS(dial, expect)
 }
 
 // hopSender returns the function that tells which instance forwards a
--- a/peer/credentials.go
+++ b/peer/credentials.go
@@ -143,16 +143,27 @@
 	}
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // DialTLS returns a dial function for an http.Transport. expect returns the
 // instance behind an address; an address without one is not dialed.
-func (c *Credentials) DialTLS(expect func(addr string) (Identity, bool)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+func (c *Credentials) DialTLS(dial DialFunc, expect func(addr string) (Identity, bool)) DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		id, ok := expect(addr)
 		if !ok {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: errors.Wrapf(ErrIdentity, "no instance known at %s", addr)}
 		}
-		dialer := &tls.Dialer{Config: c.ClientConfig(id)}
-		return dialer.DialContext(ctx, network, addr)
+		raw, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		conn := tls.Client(raw, c.ClientConfig(id))
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+		}
+		return conn, nil
 	}
 }
 
