Model engines, network and callers for a bench of decisions

The decisions of routing, admission and retries have to be measured under load and faults against simple policies, without a cluster simulator.

policybench runs in virtual time on one goroutine: an event queue, an engine that batches continuously with a prefix cache in limited memory, links, zones, late load reports, crashes, slow engines and cut links, and requests drawn from a seed. Two baselines: round robin, and least outstanding requests, both with the engines' FIFO queues. Load is stated relative to the capacity of one engine, which is measured by saturating it.

The first engine started a step while the last one was still being applied, if a finished sequence was replaced at once.

--- /dev/null
+++ b/policybench/bench_test.go
@@ -0,0 +1,68 @@
+package policybench
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/policybench/workload"
+)
+
+// testHorizon is the length of the day in tests.
+const testHorizon = 2 * time.Minute
+
+const testSeed = 1
+
+func runNamed(name string) Run {
+	for _, r := range Runs() {
+		if r.Name == name {
+			return r
+		}
+	}
+	panic("no run " + name)
+}
+
+// TestEveryRequestEndsOnce checks all runs; the cluster panics if a request or
+// a task ends twice.
+func TestEveryRequestEndsOnce(t *testing.T) {
+	bench := New(workload.SwatchGuild(), testHorizon, testSeed)
+	for _, run := range Runs() {
+		for _, policy := range PolicyNames() {
+			t.Run(run.Name+"/"+policy, func(t *testing.T) {
+				c := qt.New(t)
+				e, err := bench.execute(run, policy)
+				c.Assert(err, qt.IsNil)
+				arrivals := workload.Generate(bench.Setup, bench.shape(run), bench.capacity.Requests, bench.Seed)
+				resent := 0
+				for _, r := range e.cluster.Requests {
+					c.Assert(r.Ended, qt.IsTrue)
+					c.Assert(!r.WithinTarget() || r.Answered, qt.IsTrue)
+					resent += min(r.Resend, 1)
+				}
+				c.Check(len(e.cluster.Requests)-resent, qt.Equals, len(arrivals))
+				c.Check(ranTwice(e.cluster.Requests), qt.Equals, 0)
+			})
+		}
+	}
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	for _, policy := range PolicyNames() {
+		t.Run(policy, func(t *testing.T) {
+			c := qt.New(t)
+			measure := func(seed uint64) *Report {
+				r, err := New(workload.SwatchGuild(), testHorizon, seed).Measure(runNamed(RunLinkCut), policy)
+				c.Assert(err, qt.IsNil)
+				return r
+			}
+			c.Check(measure(testSeed), qt.DeepEquals, measure(testSeed))
+			c.Check(measure(testSeed), qt.Not(qt.DeepEquals), measure(testSeed+1))
+		})
+	}
+}
+
+func TestUnknownPolicy(t *testing.T) {
+	_, err := New(workload.SwatchGuild(), testHorizon, testSeed).Measure(runNamed(RunPeak), "none")
+	qt.Assert(t, err, qt.ErrorMatches, `no policy "none"`)
+}
--- /dev/null
+++ b/policybench/engine/engine_test.go
@@ -0,0 +1,140 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/policybench/engine"
+	"github.com/fuchsiastack/fuchsiastack/policybench/sim"
+)
+
+var config = engine.Config{
+	Slots: 2, KVTokens: 1024, BlockTokens: 64, StepPrefillTokens: 256,
+	StepTime: 10 * time.Millisecond, SequenceTime: time.Millisecond, PrefillTime: 100 * time.Microsecond,
+}
+
+// recorder submits sequences and records when they answered and how they ended.
+type recorder struct {
+	clock  sim.Clock
+	engine *engine.Engine
+	first  map[*engine.Sequence]time.Duration
+	ended  map[*engine.Sequence]engine.End
+	order  []*engine.Sequence
+}
+
+func newRecorder(config engine.Config) *recorder {
+	r := &recorder{first: make(map[*engine.Sequence]time.Duration), ended: make(map[*engine.Sequence]engine.End)}
+	r.engine = engine.New(config, &r.clock)
+	return r
+}
+
+func (r *recorder) submit(s *engine.Sequence) *engine.Sequence {
+	s.OnFirstToken = func() { r.first[s] = r.clock.Elapsed(); r.order = append(r.order, s) }
+	s.OnEnd = func(how engine.End) { r.ended[s] = how }
+	r.engine.Submit(s)
+	return s
+}
+
+func TestTimeOfOneSequence(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder(config)
+	s := r.submit(&engine.Sequence{PromptTokens: 300, OutputTokens: 3})
+	r.clock.RunUntil(time.Minute)
+	// Two steps compute 256 and 44 prompt tokens, two more generate.
+	c.Check(r.first[s], qt.Equals, 2*10*time.Millisecond+300*100*time.Microsecond)
+	c.Check(r.ended[s], qt.Equals, engine.Finished)
+	c.Check(r.engine.Usage(), qt.Equals, engine.Usage{Prefilled: 300, Generated: 2})
+}
+
+func TestThroughputOfFullBatch(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder(config)
+	var refill func()
+	refill = func() {
+		s := &engine.Sequence{PromptTokens: 1, OutputTokens: 100}
+		s.OnEnd = func(engine.End) { refill() }
+		r.engine.Submit(s)
+	}
+	for range 3 * config.Slots {
+		refill()
+	}
+	r.clock.RunUntil(100 * time.Second)
+	// A step of two sequences takes 12 ms.
+	c.Check(r.engine.Usage().Generated > 16000, qt.IsTrue)
+	c.Check(r.engine.Usage().Generated <= 16667, qt.IsTrue)
+}
+
+func TestPrefixCacheSavesPrefill(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder(config)
+	prefix := []uint64{1, 2, 3, 4}
+	r.submit(&engine.Sequence{Prefix: prefix, PromptTokens: 300, OutputTokens: 1})
+	r.clock.RunUntil(time.Second)
+	r.submit(&engine.Sequence{Prefix: []uint64{1, 2, 3, 5}, PromptTokens: 300, OutputTokens: 1})
+	r.clock.RunUntil(2 * time.Second)
+	c.Check(r.engine.Usage(), qt.Equals, engine.Usage{Prefilled: 300 + 300 - 3*64, Cached: 3 * 64})
+}
+
+func TestPrefixCacheIsLimited(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder(config)
+	// 1,024 tokens hold sixteen blocks: five prefixes of four do not fit.
+	for i := range uint64(10) {
+		base := i % 5 * 10
+		r.submit(&engine.Sequence{Prefix: []uint64{base, base + 1, base + 2, base + 3}, PromptTokens: 257, OutputTokens: 1})
+		r.clock.RunUntil(time.Duration(i+1) * time.Second)
+	}
+	c.Check(r.engine.Usage().Cached, qt.Equals, 0)
+}
+
+func TestPriorityGoesFirst(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder(config)
+	for range 4 {
+		r.submit(&engine.Sequence{Priority: 1, PromptTokens: 10, OutputTokens: 50})
+	}
+	r.clock.RunUntil(100 * time.Millisecond) // the batch is full
+	urgent := r.submit(&engine.Sequence{PromptTokens: 10, OutputTokens: 50})
+	r.clock.RunUntil(time.Minute)
+	c.Check(r.order[2], qt.Equals, urgent)
+}
+
+func TestPreemptedSequenceFinishes(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder(config)
+	a := r.submit(&engine.Sequence{PromptTokens: 300, OutputTokens: 400})
+	b := r.submit(&engine.Sequence{Priority: 1, PromptTokens: 300, OutputTokens: 400})
+	r.clock.RunUntil(time.Minute)
+	c.Check(r.ended[a], qt.Equals, engine.Finished)
+	c.Check(r.ended[b], qt.Equals, engine.Finished)
+	c.Check(r.engine.Usage().Wasted > 300, qt.IsTrue)
+}
+
+func TestCancelStopsWork(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder(config)
+	s := r.submit(&engine.Sequence{PromptTokens: 10, OutputTokens: 1000})
+	r.clock.RunUntil(time.Second)
+	r.engine.Cancel(s)
+	computed := s.Computed()
+	r.clock.RunUntil(time.Minute)
+	c.Check(r.ended[s], qt.Equals, engine.Canceled)
+	c.Check(r.engine.Usage().Wasted, qt.Equals, computed)
+	c.Check(r.engine.Load().Running, qt.Equals, 0)
+}
+
+func TestPoisonCrashesAndRestarts(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder(config)
+	neighbor := r.submit(&engine.Sequence{PromptTokens: 10, OutputTokens: 1000})
+	r.clock.RunUntil(time.Second)
+	poison := r.submit(&engine.Sequence{PromptTokens: 10, OutputTokens: 10, Poison: true, Restart: 20 * time.Second})
+	r.clock.RunUntil(2 * time.Second)
+	c.Check(r.ended[neighbor], qt.Equals, engine.Crashed)
+	c.Check(r.ended[poison], qt.Equals, engine.Crashed)
+	c.Check(r.engine.Submit(&engine.Sequence{PromptTokens: 1, OutputTokens: 1}), qt.IsFalse)
+	r.clock.RunUntil(22 * time.Second)
+	c.Check(r.engine.Up(), qt.IsTrue)
+}
