Count the slot time of each rank in the bench

The minimum share of a rank is a part of the slots, and a share of tokens is no measure of it: prompts and answers of the ranks differ in length.

Engines count the time that sequences of each class hold a slot; reports give it as a part of the slot time of the engines that are up.

--- a/policybench/cluster/leg.go
+++ b/policybench/cluster/leg.go
@@ -77,7 +77,7 @@
 	r := l.task.Request
 	s := &engine.Sequence{
 		Prefix: r.Prefix, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
-		Priority: l.task.Priority, Poison: r.Poison, Restart: crashRestart,
+		Priority: l.task.Priority, Class: int(r.Work.Rank), Poison: r.Poison, Restart: crashRestart,
 	}
 	s.OnFirstToken = func() { c.reply(l, eventBytes, func() { c.firstToken(l) }) }
 	s.OnEnd = func(how engine.End) { c.sequenceEnded(l, how) }
--- a/policybench/engine/engine_test.go
+++ b/policybench/engine/engine_test.go
@@ -45,7 +45,10 @@
 	// Two steps compute 256 and 44 prompt tokens, two more generate.
 	c.Check(r.first[s], qt.Equals, 2*10*time.Millisecond+300*100*time.Microsecond)
 	c.Check(r.ended[s], qt.Equals, engine.Finished)
-	c.Check(r.engine.Usage(), qt.Equals, engine.Usage{Prefilled: 300, Generated: 2})
+	usage := r.engine.Usage()
+	c.Check(usage.Prefilled, qt.Equals, 300)
+	c.Check(usage.Generated, qt.Equals, 2)
+	c.Check(usage.SlotTime[0], qt.Equals, 4*10*time.Millisecond+2*time.Millisecond+300*100*time.Microsecond)
 }
 
 func TestThroughputOfFullBatch(t *testing.T) {
@@ -74,7 +77,8 @@
 	r.clock.RunUntil(time.Second)
 	r.submit(&engine.Sequence{Prefix: []uint64{1, 2, 3, 5}, PromptTokens: 300, OutputTokens: 1})
 	r.clock.RunUntil(2 * time.Second)
-	c.Check(r.engine.Usage(), qt.Equals, engine.Usage{Prefilled: 300 + 300 - 3*64, Cached: 3 * 64})
+	c.Check(r.engine.Usage().Prefilled, qt.Equals, 300+300-3*64)
+	c.Check(r.engine.Usage().Cached, qt.Equals, 3*64)
 }
 
 func TestPrefixCacheIsLimited(t *testing.T) {
--- a/policybench/engine/sequence.go
+++ b/policybench/engine/sequence.go
@@ -27,6 +27,7 @@
 	PromptTokens int
 	OutputTokens int
 	Priority     int           // lower runs first
+	Class        int           // that its usage is counted for
 	Poison       bool          // crashes the engine when it is first computed
 	Restart      time.Duration // time until an engine crashed by Poison is back
 	OnFirstToken func()
--- a/policybench/engine/step.go
+++ b/policybench/engine/step.go
@@ -26,6 +26,7 @@
 	generation := e.generation
 	e.clock.After(duration, func() {
 		if e.generation == generation {
+			e.countSlots(duration)
 			e.finishStep(plan)
 		}
 	})
@@ -88,6 +89,13 @@
 	return plan, time.Duration(float64(duration) * e.slowdown)
 }
 
+// countSlots adds the duration of a step to the time that slots were held.
+func (e *Engine) countSlots(duration time.Duration) {
+	for _, s := range e.running {
+		e.usage.SlotTime[s.Class] += duration
+	}
+}
+
 // finishStep applies a step. The engine counts as stepping until the whole plan
 // is applied, so that a sequence submitted meanwhile starts no other step.
 func (e *Engine) finishStep(plan []work) {
--- a/policybench/engine/usage.go
+++ b/policybench/engine/usage.go
@@ -1,5 +1,10 @@
 package engine
 
+import "time"
+
+// Classes is the number of classes of sequences that usage is counted for.
+const Classes = 2
+
 // Usage counts what an engine computed, in tokens.
 type Usage struct {
 	Prefilled int // prompt tokens computed
@@ -7,6 +12,7 @@
 	Generated int // answer tokens
 	Wasted    int // computed for sequences that did not finish, or computed again
 	Crashes   int
+	SlotTime  [Classes]time.Duration // that sequences of a class held a slot
 }
 
 // Computed returns all tokens computed.
@@ -20,6 +26,7 @@
 		Generated: u.Generated + o.Generated,
 		Wasted:    u.Wasted + o.Wasted,
 		Crashes:   u.Crashes + o.Crashes,
+		SlotTime:  [Classes]time.Duration{u.SlotTime[0] + o.SlotTime[0], u.SlotTime[1] + o.SlotTime[1]},
 	}
 }
 
@@ -31,5 +38,6 @@
 		Generated: u.Generated - o.Generated,
 		Wasted:    u.Wasted - o.Wasted,
 		Crashes:   u.Crashes - o.Crashes,
+		SlotTime:  [Classes]time.Duration{u.SlotTime[0] - o.SlotTime[0], u.SlotTime[1] - o.SlotTime[1]},
 	}
 }
--- a/policybench/execute.go
+++ b/policybench/execute.go
@@ -9,6 +9,7 @@
 // execution is a finished run.
 type execution struct {
 	cluster  *cluster.Cluster
+	up       int          // model engines that are up at the end of the measured part
 	before   engine.Usage // of all model engines when the measured part began
 	after    engine.Usage // and when it ended
 	possible float64      // tokens of answers a second that the engines up can give
@@ -47,7 +48,8 @@
 	c.Clock.After(start(b.Horizon), func() { e.before = c.Usage(b.Setup.Model.Name) })
 	c.Clock.After(end(b.Horizon), func() {
 		e.after = c.Usage(b.Setup.Model.Name)
-		e.possible = capacity.Answer * float64(c.Up(b.Setup.Model.Name))
+		e.up = c.Up(b.Setup.Model.Name)
+		e.possible = capacity.Answer * float64(e.up)
 	})
 	c.Run(workload.Generate(b.Setup, shape, b.capacity.Requests, b.Seed), shape.Poison, b.Horizon)
 	return e, nil
--- a/policybench/report.go
+++ b/policybench/report.go
@@ -20,6 +20,7 @@
 	P50Millis    float64  `json:"ttft_p50_ms"`   // time to first token of the answered ones
 	P99Millis    float64  `json:"ttft_p99_ms"`
 	TokenShare   float64  `json:"token_share"` // of the answer tokens of both ranks
+	SlotShare    float64  `json:"slot_share"`  // of the time of all slots of the engines that are up
 	Fairness     Fairness `json:"fairness"`
 }
 
@@ -56,6 +57,9 @@
 	r.TokensPerAnswer = ratio(float64(usage.Computed()), delivered)
 	r.Wasted = ratio(float64(usage.Wasted), float64(usage.Computed()))
 	r.CacheHits = ratio(float64(usage.Cached), float64(usage.Cached+usage.Prefilled))
+	slots := float64(e.up*cluster.ModelEngine().Slots) * b.window().Seconds()
+	r.Urgent.SlotShare = ratio(usage.SlotTime[catalog.Urgent].Seconds(), slots)
+	r.Batch.SlotShare = ratio(usage.SlotTime[catalog.Batch].Seconds(), slots)
 	b.goodput(r, model, e)
 	r.RanTwice = ranTwice(e.cluster.Requests)
 	if run.Name == RunPoison {
@@ -79,8 +83,11 @@
 	return model, plain
 }
 
+// window returns the length of the measured part.
+func (b *Bench) window() time.Duration { return end(b.Horizon) - start(b.Horizon) }
+
 func (b *Bench) goodput(r *Report, model []*cluster.Request, e *execution) {
-	seconds := (end(b.Horizon) - start(b.Horizon)).Seconds()
+	seconds := b.window().Seconds()
 	r.Goodput = answerTokens(model, (*cluster.Request).WithinTarget) / seconds
 	offered := answerTokens(model, func(*cluster.Request) bool { return true }) / seconds
 	possible := min(offered, e.possible)
--- a/policybench/table.go
+++ b/policybench/table.go
@@ -40,6 +40,7 @@
 	row(name+" TTFT p50 (ms)", func(r *Report) string { return fmt.Sprintf("%.0f", of(r).P50Millis) })
 	row(name+" TTFT p99 (ms)", func(r *Report) string { return fmt.Sprintf("%.0f", of(r).P99Millis) })
 	row(name+" share of answer tokens", func(r *Report) string { return percent(of(r).TokenShare) })
+	row(name+" share of slots", func(r *Report) string { return percent(of(r).SlotShare) })
 	row(name+" Jain's index", func(r *Report) string { return fmt.Sprintf("%.3f", of(r).Fairness.Jain) })
 	row(name+" worst caller", func(r *Report) string { return percent(of(r).Fairness.Worst) })
 }
