--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,12 +14,12 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
-	"github.com/fuchsiastack/fuchsiastack/dispatch"
+	"github.com/fuchsiastack/fuchsiastack/configsync"
 	"github.com/fuchsiastack/fuchsiastack/entry"
+	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
 	"github.com/fuchsiastack/fuchsiastack/platform"
-	"github.com/fuchsiastack/fuchsiastack/routing"
-	"github.com/fuchsiastack/fuchsiastack/store"
+	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
@@ -30,6 +30,10 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
 	stopTimeout       = 5 * time.Second
+	// answerTimeout bounds a whole answer. It also renews the deadline of a
+	// connection's writes with each request, so that the shorter one of the
+	// last answer does not reach the next.
+	answerTimeout = catalog.MaxDeadline + time.Minute
 )
 
 // Daemon is one entry instance.
@@ -40,10 +44,15 @@
 	table    *catalog.Table
 	registry *backend.Registry
 	peers    *peerTable
-	store    store.Store
+	config   *configsync.Follower
 	platform *platform.Client
+	routes   *routes
+	observer *telemetry.Observer
 	draining atomic.Bool
 
+	admission *admissionControl
+	topics    []exchange.Topic // what the instances of the region exchange
+
 	callers, peerSide, admin net.Listener
 	handlers                 *handlers
 }
@@ -65,12 +74,22 @@
 		table:    &catalog.Table{},
 		registry: backend.NewRegistry(),
 		peers:    &peerTable{},
-		store:    consul.New(settings.StoreURL),
 		platform: platform.New(settings.PlatformURL),
 	}
+	d.config = d.newConfigFollower(consul.New(settings.StoreURL))
+	admissionObserver, err := telemetry.NewAdmission(logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	if d.admission, err = newAdmissionControl(&d.settings, admissionObserver); err != nil {
+		return nil, err
+	}
+	d.topics = append(d.topics, d.admission.slots, d.admission.limits, d.config)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
+	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
+	d.routes = d.newRoutes()
 	d.handlers = d.newHandlers()
 	return d, nil
 }
@@ -127,6 +146,10 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		WriteTimeout:      answerTimeout,
+	}
+	if listener == d.callers {
+		listener = d.admission.boundConnections(server, listener)
 	}
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -161,10 +184,11 @@
 type handlers struct{ caller, peer, admin http.Handler }
 
 func (d *Daemon) newHandlers() *handlers {
-	observer := &telemetry.Observer{Log: d.log, Metrics: d.metrics}
+	observer := d.observer
 	dispatcher := d.newDispatcher(observer)
 	callerMux := http.NewServeMux()
 	callerMux.Handle("GET "+entry.Path, http.HandlerFunc(d.answerEntry))
+	callerMux.HandleFunc("GET "+rollout.RevisionPath, d.answerRevision)
 	callerMux.Handle("/", &gateway.Handler{Chain: d.callerChain(dispatcher.Handle), Observer: observer})
 	adminMux := http.NewServeMux()
 	adminMux.Handle("GET /metrics", d.metrics)
@@ -176,24 +200,6 @@
 	}
 }
 
-func (d *Daemon) newDispatcher(observer dispatch.Observer) *dispatch.Dispatcher {
-	return &dispatch.Dispatcher{
-		Instance: d.settings.Instance,
-		Region:   d.settings.Region,
-		Router: &routing.Router{
-			Region:   d.settings.Region,
-			Registry: d.registry,
-			Regions:  d.peers,
-			Filters:  []routing.Filter{routing.AcceptingFilter{}, routing.UntriedFilter{}},
-			Scorer:   routing.QueueScorer{ServiceTime: time.Second},
-		},
-		Peers:      d.peers,
-		Transport:  newTransport(),
-		PeerScheme: "http",
-		Observer:   observer,
-	}
-}
-
 // Status is what an instance tells of itself.
 type Status struct {
 	Instance string `json:"instance"`
