Tell a lost deadline also when the expiry runs before the context

Cause: TestLostDeadline failed once in a loaded run: the timer that closes the connection and the timer of the context have the same deadline, and the call then told a closed connection. Change: a call whose expiry has run returns the lost deadline.

--- a/peer/client.go
+++ b/peer/client.go
@@ -260,9 +260,14 @@
 	pending := c.rpc.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-pending.Done:
-		expiry.Stop()
+		expired := !expiry.Stop()
 		c.release()
-		return c.finish(ctx, pending, reply, answer)
+		err := c.finish(ctx, pending, reply, answer)
+		if err != nil && expired {
+			// The expiry may run before ctx ends by the same deadline.
+			return context.DeadlineExceeded
+		}
+		return err
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.close()
