Hold leases on one session and order engines under fencing numbers

Cause: orders to engines (model, version, adapters, role) need one holder, and some engines do not check who gives them an order.

Change: lease keeps all leases of an instance on one session, judged by the monotonic clock with a margin; a keeper without leases writes nothing. orders reconciles the engines of a region level by level: the lease is checked when the body of the order is read to be written out, the number travels with the order, and for an engine that ignores it the new holder first waits for the session's time and the longest order. At most max-loading engines load at once.

Ruled out: a lease for each engine (writes grow with the fleet); telling engines what to change instead of the end state (harmful when late).

Not prevented: an unfenced engine obeys an order that was frozen on the wire for longer than the order timeout; the next look at the engine orders it again.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -91,6 +91,21 @@
 	InFlight          int     `json:"in_flight,omitempty"`
 }
 
+// EngineState is what a model engine has loaded and does.
+type EngineState struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"` // such as "prefill", "decode" or ""
+}
+
+// Equal reports whether both states are the same. The order of the adapters
+// does not matter.
+func (s EngineState) Equal(o EngineState) bool {
+	return s.Model == o.Model && s.Version == o.Version && s.Role == o.Role &&
+		slices.Equal(slices.Sorted(slices.Values(s.Adapters)), slices.Sorted(slices.Values(o.Adapters)))
+}
+
 // Service is one service behind the gateway.
 type Service struct {
 	Name    string                `json:"name"`
@@ -101,6 +116,7 @@
 	Default string                `json:"default,omitempty"` // work of a request that names none
 	Limits  Limits                `json:"limits"`            // of a caller without an entry in Callers
 	Callers map[string]Limits     `json:"callers,omitempty"`
+	Engine  *EngineState          `json:"engine,omitempty"` // wanted state of its engines; nil: not managed
 }
 
 // LimitsOf returns the limits of the named caller.
--- a/cmd/fuchsiad/flags.go
+++ b/cmd/fuchsiad/flags.go
@@ -63,6 +63,7 @@
 		duration("directory-ttl", "life of this instance's entry in the directory", &s.DirectoryTTL),
 		duration("drain-deadline", "longest graceful shutdown", &s.DrainDeadline),
 		duration("claim-retention", "how long an idempotency key can be used, the same on all instances", &s.ClaimRetention),
+		number("max-loading", "engines of a service that load a model at the same time, in the region", &s.MaxLoading),
 		number("max-connections", "open connections of callers", &s.MaxConnections),
 		number("max-in-flight", "requests held at once, waiting ones included", &s.MaxInFlight),
 		size("max-held-bytes", "memory of the request bodies held at once, in bytes", &s.MaxHeldBytes),
--- a/config/compile.go
+++ b/config/compile.go
@@ -64,9 +64,24 @@
 	_, known := f.Work[f.Default]
 	c.check(known || f.Default == "", f.Default, "a name below work", "default")
 	c.callers(f, s)
+	s.Engine = c.engine(f)
 	return s
 }
 
+func (c *compiler) engine(f *ServiceFile) *catalog.EngineState {
+	if f.Engine == nil {
+		return nil
+	}
+	c.check(f.Kind == string(catalog.Model), "engine of a plain service", "engine only with kind model", "engine")
+	c.check(f.Engine.Model != "", f.Engine.Model, "a name", "engine", "model")
+	c.check(f.Engine.Version != "", f.Engine.Version, "a version", "engine", "version")
+	for i, adapter := range f.Engine.Adapters {
+		c.check(adapter != "" && slices.Index(f.Engine.Adapters, adapter) == i, adapter, "each adapter once", "engine", "adapters", i)
+	}
+	state := catalog.EngineState(*f.Engine)
+	return &state
+}
+
 func (c *compiler) regions(regions []string) {
 	for i, region := range regions {
 		c.name(region, "regions", i)
--- a/config/file.go
+++ b/config/file.go
@@ -29,6 +29,15 @@
 	Default string                   `yaml:"default"`
 	Limits  LimitsSection            `yaml:"limits"`
 	Callers map[string]LimitsSection `yaml:"callers"`
+	Engine  *EngineSection           `yaml:"engine"`
+}
+
+// EngineSection is what the engines of a model service shall have loaded.
+type EngineSection struct {
+	Model    string   `yaml:"model"`
+	Version  string   `yaml:"version"`
+	Adapters []string `yaml:"adapters"`
+	Role     string   `yaml:"role"`
 }
 
 // RankSection is the policy of a rank. Durations are written as "1.9s".
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -12,7 +12,6 @@
 	"github.com/fuchsiastack/fuchsiastack/config"
 	"github.com/fuchsiastack/fuchsiastack/configlog"
 	"github.com/fuchsiastack/fuchsiastack/configsync"
-	"github.com/fuchsiastack/fuchsiastack/membership"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/store"
@@ -32,7 +31,7 @@
 	return configsync.New(configsync.Options{
 		Log:     &configlog.Log{Store: s},
 		Peers:   configPeers{d},
-		Watches: d.watchesConfig,
+		Watches: func() bool { return d.isTop(purposeConfig, configWatchers) },
 		Logger:  d.log,
 		Apply: func(state *configlog.State) error {
 			snapshot, err := builder.Build(state)
@@ -45,17 +44,6 @@
 	})
 }
 
-// watchesConfig reports whether this instance is one of the few of its region
-// that watch the store.
-func (d *Daemon) watchesConfig() bool {
-	members := d.members.Machine.View().Members(d.settings.Region)
-	ids := make([]string, len(members))
-	for i, member := range members {
-		ids[i] = member.Instance.ID
-	}
-	return slices.Contains(membership.Top(ids, purposeConfig, configWatchers), d.settings.Instance)
-}
-
 // configPeers reaches the other instances for their configuration.
 type configPeers struct{ daemon *Daemon }
 
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -23,6 +23,8 @@
 // startControllers runs every controller until ctx ends.
 func (d *Daemon) startControllers(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { d.config.Run(ctx); return nil })
+	group.Go(func() error { d.orders.Keeper.Run(ctx); return nil })
+	group.Go(func() error { d.orders.Run(ctx); return nil })
 	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readList); return nil })
 	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.readLoads); return nil })
 	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.updateSlots); return nil })
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
 	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/orders"
 	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
@@ -49,6 +50,7 @@
 	peers    *peerTable
 	claims   *claim.Claimer // nil without a digest key
 	config   *configsync.Follower
+	orders   *orders.Controller
 	platform *platform.Client
 	routes   *routes
 	observer *telemetry.Observer
@@ -84,6 +86,7 @@
 	}
 	kv := consul.New(settings.StoreURL)
 	d.config = d.newConfigFollower(kv)
+	d.orders = d.newOrders(kv)
 	if err := d.newClaims(kv); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/daemon/orders.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/lease"
+	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/orders"
+	"github.com/fuchsiastack/fuchsiastack/store"
+)
+
+const (
+	ordersInterval = 5 * time.Second
+	orderTimeout   = 5 * time.Second
+	purposeOrders  = "orders/"
+)
+
+// newOrders returns the controller that brings the engines of the region to
+// the state that the configuration wants.
+func (d *Daemon) newOrders(s store.Store) *orders.Controller {
+	return &orders.Controller{
+		Region:       d.settings.Region,
+		Keeper:       lease.NewKeeper(s, lease.DefaultConfig),
+		Engines:      orders.HTTPEngines{Client: &http.Client{Timeout: orderTimeout}},
+		Services:     d.services,
+		Servers:      d.serverInfos,
+		Candidate:    func(service string) bool { return d.isTop(purposeOrders+service, 1) },
+		Interval:     ordersInterval,
+		OrderTimeout: orderTimeout,
+		LeaseTTL:     lease.DefaultConfig.TTL,
+		MaxLoading:   d.settings.MaxLoading,
+		Logger:       d.log,
+	}
+}
+
+// isTop reports whether this instance is among the first n of its region for a
+// purpose.
+func (d *Daemon) isTop(purpose string, n int) bool {
+	members := d.members.Machine.View().Members(d.settings.Region)
+	ids := make([]string, len(members))
+	for i, member := range members {
+		ids[i] = member.Instance.ID
+	}
+	return slices.Contains(membership.Top(ids, purpose, n), d.settings.Instance)
+}
+
+// services returns the services in force.
+func (d *Daemon) services() map[string]*catalog.Service {
+	snapshot := d.table.Current()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.Services
+}
+
+func (d *Daemon) serverInfos(service string) []backend.Info {
+	servers := d.registry.Of(service)
+	infos := make([]backend.Info, len(servers))
+	for i, server := range servers {
+		infos[i] = server.Info
+	}
+	return infos
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -43,6 +43,7 @@
 	LoadInterval  time.Duration // between load reports of a backend server
 	DirectoryTTL  time.Duration // life of the entry in the directory
 	DrainDeadline time.Duration // longest graceful shutdown
+	MaxLoading    int           // engines of a service that load a model at the same time, in the region
 
 	MaxConnections   int           // open connections of callers
 	MaxInFlight      int           // requests held at once, waiting ones included
@@ -70,6 +71,7 @@
 		LoadInterval:  500 * time.Millisecond,
 		DirectoryTTL:  10 * time.Second,
 		DrainDeadline: 10 * time.Minute,
+		MaxLoading:    2,
 
 		MaxConnections:   8192,
 		MaxInFlight:      4096,
@@ -113,6 +115,7 @@
 	fault(s.DirectoryTTL < 2*time.Second || s.DirectoryTTL > time.Minute, "directory-ttl: want 2s to 1m")
 	fault(s.DrainDeadline < time.Second || s.DrainDeadline > time.Hour, "drain-deadline: want 1s to 1h")
 	fault(s.ClaimRetention < 10*time.Minute || s.ClaimRetention > 7*24*time.Hour, "claim-retention: want 10m to 168h")
+	fault(s.MaxLoading < 1, "max-loading: want 1 or more")
 	fault(s.MaxConnections < 16, "max-connections: want 16 or more")
 	fault(s.MaxInFlight < 16, "max-in-flight: want 16 or more")
 	fault(s.MaxHeldBytes < s.MaxBodyBytes, "max-held-bytes: want max-body-bytes or more")
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,152 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/lease"
+	"github.com/fuchsiastack/fuchsiastack/standin/kv"
+	"github.com/fuchsiastack/fuchsiastack/store"
+	"github.com/fuchsiastack/fuchsiastack/store/consul"
+)
+
+const key = "fuchsia/orders/cairo/desk"
+
+func newStore(server *kv.Server) store.Store {
+	return consul.NewWithTransport("http://kv", server.Transport())
+}
+
+// start runs a keeper until the returned function is called.
+func start(ctx context.Context, server *kv.Server) (*lease.Keeper, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	k := lease.NewKeeper(newStore(server), lease.DefaultConfig)
+	go k.Run(ctx)
+	_, _ = k.Acquire(ctx, "fuchsia/opens/the/session")
+	synctest.Wait()
+	return k, cancel
+}
+
+func inVirtualTime(t *testing.T, test func(c *qt.C, ctx context.Context, server *kv.Server)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		test(qt.New(t), ctx, kv.New())
+	})
+}
+
+func TestOneHolderAndRisingFence(t *testing.T) {
+	inVirtualTime(t, func(c *qt.C, ctx context.Context, server *kv.Server) {
+		a, stopA := start(ctx, server)
+		b, _ := start(ctx, server)
+		first, err := a.Acquire(ctx, key)
+		c.Assert(err, qt.IsNil)
+		_, err = b.Acquire(ctx, key)
+		c.Assert(err, qt.ErrorIs, lease.ErrHeld)
+		stopA()
+		synctest.Wait()
+		c.Assert(first.Valid(), qt.IsFalse)
+		second, err := b.Acquire(ctx, key)
+		c.Assert(err, qt.IsNil)
+		c.Assert(second.Fence > first.Fence, qt.IsTrue)
+	})
+}
+
+// An instance that is cut off from the store gives its lease up before another
+// one can have it.
+func TestNeverTwoHolders(t *testing.T) {
+	inVirtualTime(t, func(c *qt.C, ctx context.Context, server *kv.Server) {
+		var cut atomic.Bool
+		link := roundTripper(func(req *http.Request) (*http.Response, error) {
+			if cut.Load() {
+				return nil, errors.New("cut off")
+			}
+			return server.Transport().RoundTrip(req)
+		})
+		a := lease.NewKeeper(consul.NewWithTransport("http://kv", link), lease.DefaultConfig)
+		go a.Run(ctx)
+		_, _ = a.Acquire(ctx, key)
+		b, _ := start(ctx, server)
+		first, err := a.Acquire(ctx, key)
+		c.Assert(err, qt.IsNil)
+		cut.Store(true)
+		var given time.Time
+		for {
+			time.Sleep(100 * time.Millisecond)
+			if given.IsZero() && !first.Valid() {
+				given = time.Now()
+			}
+			if _, err := b.Acquire(ctx, key); err == nil {
+				break
+			}
+		}
+		c.Assert(first.Valid(), qt.IsFalse)
+		c.Assert(time.Since(given) >= lease.DefaultConfig.Margin-200*time.Millisecond, qt.IsTrue)
+		<-first.Lost()
+	})
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(req *http.Request) (*http.Response, error) { return f(req) }
+
+func TestLostAnswerOfAcquire(t *testing.T) {
+	inVirtualTime(t, func(c *qt.C, ctx context.Context, server *kv.Server) {
+		a, _ := start(ctx, server)
+		server.SetFaults(kv.Faults{LoseWrites: 1})
+		held, err := a.Acquire(ctx, key)
+		c.Assert(err, qt.IsNil)
+		c.Assert(held.Valid(), qt.IsTrue)
+	})
+}
+
+// The writes that keep leases do not grow with their number.
+func TestWritesDoNotGrowWithLeases(t *testing.T) {
+	inVirtualTime(t, func(c *qt.C, ctx context.Context, server *kv.Server) {
+		a, _ := start(ctx, server)
+		for i := range 100 {
+			_, err := a.Acquire(ctx, fmt.Sprint(key, i))
+			c.Assert(err, qt.IsNil)
+		}
+		before := server.Counters().Writes
+		time.Sleep(time.Minute)
+		renewals := uint64(time.Minute / (lease.DefaultConfig.TTL / 3))
+		c.Assert(server.Counters().Writes-before <= renewals, qt.IsTrue)
+	})
+}
+
+// An instance without leases costs the store nothing.
+func TestIdleKeeperDoesNotWrite(t *testing.T) {
+	inVirtualTime(t, func(c *qt.C, ctx context.Context, server *kv.Server) {
+		k := lease.NewKeeper(newStore(server), lease.DefaultConfig)
+		go k.Run(ctx)
+		time.Sleep(time.Hour)
+		c.Assert(server.Counters().Writes, qt.Equals, uint64(0))
+	})
+}
+
+// ExampleKeeper holds a lease and checks it before an action.
+func ExampleKeeper() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	keeper := lease.NewKeeper(newStore(kv.New()), lease.DefaultConfig)
+	go keeper.Run(ctx)
+	for {
+		held, err := keeper.Acquire(ctx, "fuchsia/example")
+		if err != nil {
+			time.Sleep(time.Millisecond) // the session is being opened
+			continue
+		}
+		fmt.Println("held:", held.Valid())
+		return
+	}
+	// Output: held: true
+}
--- /dev/null
+++ b/orders/http.go
@@ -0,0 +1,86 @@
+package orders
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+)
+
+// Path is where engines take orders (PUT) and report their state (GET).
+const Path = "/orders"
+
+// maxReportBytes bounds the report of an engine.
+const maxReportBytes = 64 << 10
+
+// ErrRefused means that the engine knows a higher fencing number.
+var ErrRefused = errors.New("engine refused the fencing number")
+
+// HTTPEngines reaches engines over HTTP.
+type HTTPEngines struct{ Client *http.Client }
+
+// Report implements Engines.
+func (e HTTPEngines) Report(ctx context.Context, server backend.Info) (Report, error) {
+	var report Report
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Addr+Path, http.NoBody)
+	if err != nil {
+		return report, err
+	}
+	resp, err := e.Client.Do(req)
+	if err != nil {
+		return report, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return report, errors.Errorf("orders: status %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report)
+	return report, err
+}
+
+// Send implements Engines. The engine can act only on the whole body, and the
+// lease is checked when the body is read to be written out.
+func (e HTTPEngines) Send(ctx context.Context, server backend.Info, order Order, valid func() bool) error {
+	text, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	body := checkedBody{content: bytes.NewReader(text), valid: valid}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+server.Addr+Path, body)
+	if err != nil {
+		return err
+	}
+	req.ContentLength = int64(len(text))
+	resp, err := e.Client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return ErrRefused
+	}
+	return errors.Errorf("orders: status %d", resp.StatusCode)
+}
+
+// checkedBody is a request body that ends with ErrLeaseLost if the lease is
+// not valid when it is sent.
+type checkedBody struct {
+	content io.Reader
+	valid   func() bool
+}
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	if !b.valid() {
+		return 0, ErrLeaseLost
+	}
+	return b.content.Read(p)
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -24,6 +24,8 @@
 	PrefillPerToken time.Duration // time to compute one prompt token
 	DecodePerToken  time.Duration // time between two tokens of an answer
 	LoadLag         time.Duration // age of the load report
+	Fenced          bool          // refuse orders with an old fencing number
+	ModelLoadTime   time.Duration // time to obey an order
 }
 
 // Execution is a request that the engine ran.
@@ -46,6 +48,8 @@
 	mux    *http.ServeMux
 	slots  chan struct{}
 
+	control control
+
 	mu         sync.Mutex
 	waiting    int
 	running    int
@@ -62,6 +66,8 @@
 	e.mux.HandleFunc("GET /load", e.load)
 	e.mux.HandleFunc("GET /standin/executions", e.listExecutions)
 	e.mux.HandleFunc("POST /standin/leave", e.leave)
+	e.control.fenced, e.control.loadTime = config.Fenced, config.ModelLoadTime
+	e.control.register(e.mux)
 	return e
 }
 
