Weigh another region for requests that get no slot here

Cause: admission holds requests until a slot is free, so that routing hardly ever saw a local server by which the target would be missed: nothing left an overloaded region. Admission had a hook for it that nothing was connected to.

Ruled out: routing before admission (a decision made before a wait is stale when it ends); sending away whatever waits (work that is served in time leaves too).

Change: Router.CouldLeave weighs a request that admission refuses as late, with the same hysteresis, and Decide with NoSlot sends it to another region or refuses it as overloaded. It never runs here, and never blindly elsewhere.

Conclusion: go test ./routing ./dispatch ./filters ./scenario passes.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -77,7 +77,7 @@
 }
 
 func (d *Daemon) admitFilter() filters.Filter {
-	return filters.Admit{Queue: d.admission.queue, Serves: d.serves, Observer: d.admission.observer}
+	return filters.Admit{Queue: d.admission.queue, Serves: d.serves, Elsewhere: d.couldLeave, Observer: d.admission.observer}
 }
 
 // serves reports whether a backend server of this region accepts work.
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
+	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/retry"
 	"github.com/fuchsiastack/fuchsiastack/routing"
@@ -83,6 +84,12 @@
 	}
 }
 
+// couldLeave reports whether another region may serve a request that gets no
+// slot here in time.
+func (d *Daemon) couldLeave(x *filters.Exchange) bool {
+	return d.routes.router.CouldLeave(dispatch.RouteRequest(x))
+}
+
 // ownerURL returns the URL for callers of the owner of a suspect: an instance,
 // or "@" and a region.
 func (d *Daemon) ownerURL(owner string) string {
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -75,12 +75,20 @@
 	decision := r.Router.Decide(r.req)
 	r.Observer.Decided(r.x, number, decision)
 	if decision.Server == nil && decision.Region == "" {
-		return decision, outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoBackend,
-			"no backend server can serve this request now").WithRetryAfter(time.Second)
+		return decision, r.nowhere()
 	}
 	return decision, nil
 }
 
+// nowhere refuses a request that no server and no region takes.
+func (r *run) nowhere() *outcome.Error {
+	code, text := outcome.CodeNoBackend, "no backend server can serve this request now"
+	if r.req.NoSlot {
+		code, text = outcome.CodeOverloaded, "no slot becomes free in time, here or in another region"
+	}
+	return outcome.Refuse(http.StatusServiceUnavailable, code, "%s", text).WithRetryAfter(time.Second)
+}
+
 // final returns the error that the caller is told.
 func (r *run) final(err *outcome.Error) *outcome.Error {
 	if r.mayHaveRun && err.Outcome == outcome.NotRun {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -76,12 +76,13 @@
 func (d *Dispatcher) Handle(x *filters.Exchange) *outcome.Error {
 	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
 	defer cancel()
-	r := &run{Dispatcher: d, ctx: ctx, x: x, req: routeRequest(x)}
+	r := &run{Dispatcher: d, ctx: ctx, x: x, req: RouteRequest(x)}
 	r.suspect.run = r
 	return r.attempts()
 }
 
-func routeRequest(x *filters.Exchange) *routing.Request {
+// RouteRequest returns what routing needs to know of a request.
+func RouteRequest(x *filters.Exchange) *routing.Request {
 	return &routing.Request{
 		ID:           x.ID,
 		Service:      x.Service,
@@ -93,6 +94,7 @@
 		PromptTokens: x.PromptTokens,
 		Prefix:       x.Prefix,
 		Forwarded:    x.Hop != nil,
+		NoSlot:       x.NoSlot,
 		Tried:        make(map[string]bool),
 	}
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -183,6 +183,15 @@
 func (*regions) Peer(region string) string { return "peer-" + region }
 func (*regions) Reachable() []string       { return []string{"alex", "delta"} }
 
+func TestNoSlotIsNeverServedHere(t *testing.T) {
+	inVirtualTime(t, 1, 2, func(c *qt.C, e *engines, all []*instance) {
+		_, err := all[0].send("question", func(x *filters.Exchange) { x.NoSlot = true })
+		c.Assert(err.Code, qt.Equals, outcome.CodeOverloaded)
+		c.Assert(err.Outcome, qt.Equals, outcome.NotRun)
+		c.Assert(e.ran["question"], qt.Equals, 0)
+	})
+}
+
 // TestRefusalOfRegionIsServedHere has summaries that show idle regions which
 // refuse. The request is served here, late, and no second region is asked.
 func TestRefusalOfRegionIsServedHere(t *testing.T) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -27,6 +27,7 @@
 	Forwarded    bool            // arrived from another region; must be decided here
 	StayLocal    bool            // another region was tried; no second one is
 	Alone        bool            // a suspect that must not run beside other requests
+	NoSlot       bool            // no slot of this region becomes free in time; another region or none
 	Tried        map[string]bool // ids of backend servers that attempts have used
 
 	scratch scratch
@@ -52,6 +53,7 @@
 	ReasonProbe       Reason = "probe"                // probe of an ejected server
 	ReasonNoHealthy   Reason = "no_healthy_server"    // every server is ejected or silent; one is used anyway
 	ReasonNoServer    Reason = "no_backend_server"    // nothing accepts the request
+	ReasonNoSlot      Reason = "no_slot"              // no slot becomes free in time, here or elsewhere
 	ReasonNotHere     Reason = "region_not_permitted" // the service is not permitted in this region
 	ReasonOtherRegion Reason = "other_region"         // the target would be missed here and met there
 )
@@ -149,6 +151,9 @@
 	if !req.Service.Permits(req.Work, r.Region) {
 		return r.elsewhere(now, req, Decision{Reason: ReasonNotHere})
 	}
+	if req.NoSlot {
+		return r.elsewhere(now, req, Decision{Reason: ReasonNoSlot})
+	}
 	local := r.local(now, req)
 	if !r.mayLeave(req) {
 		return local
@@ -159,6 +164,17 @@
 	return r.elsewhere(now, req, local)
 }
 
+// CouldLeave reports whether another region would be worth it for a request
+// that gets no slot here. It uses up nothing: Decide with NoSlot may come to
+// another result a moment later.
+func (r *Router) CouldLeave(req *Request) bool {
+	if !r.mayLeave(req) || r.Regions == nil || r.Spill == nil {
+		return false
+	}
+	now := r.now()
+	return r.Spill.couldLeave(now, req, r)
+}
+
 func (r *Router) now() time.Time {
 	if r.Now == nil {
 		return time.Now()
@@ -188,6 +204,9 @@
 	if r.Spill != nil {
 		return r.Spill.decide(now, req, local, r)
 	}
+	if req.NoSlot {
+		return local
+	}
 	for _, region := range r.Regions.Reachable() {
 		if region != r.Region && req.Service.Permits(req.Work, region) {
 			return Decision{Region: region, Reason: ReasonOtherRegion}
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -85,7 +85,8 @@
 func (s *Spiller) decide(now time.Time, req *Request, local Decision, r *Router) Decision {
 	remaining := remainingTarget(now, req)
 	missed := local.Server == nil || local.Cost > remaining
-	leave := s.hysteresis(now, req, missed, local.Server == nil)
+	gone := local.Server == nil && !req.NoSlot
+	leave := s.hysteresis(now, req, missed, gone)
 	if !missed {
 		local.Spill = SpillTargetMet
 		return local
@@ -151,14 +152,30 @@
 	return state
 }
 
-// best picks the region with the least expected time to first token among
+// couldLeave reports whether a request without a local slot would be sent to
+// another region.
+func (s *Spiller) couldLeave(now time.Time, req *Request, r *Router) bool {
+	if !s.hysteresis(now, req, true, false) {
+		return false
+	}
+	choice := s.choose(now, req, Decision{}, remainingTarget(now, req), r)
+	return choice.summary.Region != "" && !choice.blind
+}
+
+// choice is the best other region for a request.
+type choice struct {
+	summary RegionSummary // of the chosen region; without a Region if there is none
+	cost    time.Duration
+	blind   bool        // the load of the region is not known
+	why     SpillReason // if there is none
+}
+
+// choose finds the region with the least expected time to first token among
 // those that meet the target. With no local server left, a region of unknown
 // load is better than a refusal.
-func (s *Spiller) best(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router) Decision {
-	chosen := Decision{Reason: ReasonOtherRegion, LocalCost: local.Cost, Candidates: local.Candidates, Spill: SpillSent}
-	var summary RegionSummary
+func (s *Spiller) choose(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router) choice {
+	best := choice{why: SpillNoRegion}
 	blind := ""
-	why := SpillNoRegion
 	for _, region := range r.Regions.Reachable() {
 		if region == r.Region || !req.Service.Permits(req.Work, region) {
 			continue
@@ -170,23 +187,38 @@
 		}
 		cost, worth := s.worth(req, local, next, remaining)
 		if !worth {
-			why = SpillNotBetter
-		} else if chosen.Region == "" || cost < chosen.Cost {
-			chosen.Region, chosen.Cost, summary = region, cost, next
+			best.why = SpillNotBetter
+		} else if best.summary.Region == "" || cost < best.cost {
+			best.summary, best.cost = next, cost
 		}
 	}
-	if chosen.Region == "" && local.Server == nil && blind != "" {
-		chosen.Region, chosen.Spill, summary = blind, SpillBlind, RegionSummary{Region: blind}
+	gone := local.Server == nil && !req.NoSlot
+	if best.summary.Region == "" && gone && blind != "" {
+		best.summary.Region, best.blind = blind, true
 	}
-	if chosen.Region == "" {
-		local.Spill = why
+	return best
+}
+
+// best sends the request to the best region, if there is one and its ramp and
+// the link allow it.
+func (s *Spiller) best(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router) Decision {
+	choice := s.choose(now, req, local, remaining, r)
+	if choice.summary.Region == "" {
+		local.Spill = choice.why
 		return local
 	}
-	if refusal := s.take(now, req, summary); refusal != SpillNone {
+	if refusal := s.take(now, req, choice.summary); refusal != SpillNone {
 		local.Spill = refusal
 		return local
 	}
-	return chosen
+	spill := SpillSent
+	if choice.blind {
+		spill = SpillBlind
+	}
+	return Decision{
+		Region: choice.summary.Region, Reason: ReasonOtherRegion, Candidates: local.Candidates,
+		Cost: choice.cost, LocalCost: local.Cost, Spill: spill,
+	}
 }
 
 // fresh returns a region's summary if it is not too old.
--- a/routing/spill_test.go
+++ b/routing/spill_test.go
@@ -217,6 +217,40 @@
 	c.Assert(off > 1, qt.IsTrue)
 }
 
+// TestNoSlot has requests that admission gave no slot here, before idle
+// servers: they leave or are refused, but never run here.
+func TestNoSlot(t *testing.T) {
+	c := qt.New(t)
+	table := &SummaryTable{}
+	router := newRouter(newRegistry(9, 8), 1)
+	now := start
+	router.Now = func() time.Time { return now }
+	router.Regions = reachable{"alex"}
+	request := func() *Request {
+		req := urgent(now, 0)
+		req.NoSlot = true
+		return req
+	}
+	d := router.Decide(request())
+	c.Assert(d.Server == nil && d.Region == "", qt.IsTrue) // no Spiller: the load there is not known
+	router.Spill = &Spiller{Summaries: table}
+	c.Assert(router.CouldLeave(request()), qt.IsFalse) // hysteresis
+	for range 6 {
+		now = now.Add(100 * time.Millisecond)
+		router.CouldLeave(request())
+	}
+	c.Assert(router.CouldLeave(request()), qt.IsFalse) // no summary
+	c.Assert(router.Decide(request()).Reason, qt.Equals, ReasonNoSlot)
+	table.Put(idle(now, 1))
+	c.Assert(router.CouldLeave(request()), qt.IsTrue)
+	c.Assert(router.Decide(request()).Region, qt.Equals, "alex")
+	c.Assert(router.CouldLeave(request()), qt.IsFalse) // the free slot is used
+	c.Assert(router.Decide(request()).Server, qt.IsNil)
+	stay := request()
+	stay.StayLocal = true
+	c.Assert(router.Decide(stay).Reason, qt.Equals, ReasonNoSlot)
+}
+
 func TestSummarize(t *testing.T) {
 	c := qt.New(t)
 	router := newRouter(newRegistry(4, 8), 1)
