--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/fuchsiastack/fuchsiastack/entry"
+	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
@@ -19,12 +20,10 @@
 	next     atomic.Uint32
 }
 
-func (t *peerTable) replace(self string, instances []platform.Instance) {
+func (t *peerTable) replace(instances []platform.Instance) {
 	byRegion := make(map[string][]platform.Instance)
 	for _, i := range instances {
-		if i.ID != self {
-			byRegion[i.Region] = append(byRegion[i.Region], i)
-		}
+		byRegion[i.Region] = append(byRegion[i.Region], i)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -75,6 +74,16 @@
 	return ids
 }
 
+// identityAt returns the instance that takes requests at addr.
+func (t *peerTable) identityAt(addr string) (peer.Identity, bool) {
+	for _, i := range t.all() {
+		if i.PeerAddr == addr {
+			return identityOf(i), true
+		}
+	}
+	return peer.Identity{}, false
+}
+
 func (t *peerTable) all() []platform.Instance {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
