Keep suspects of another region that its next speaker does not know

Cause: a region is spoken for by one instance at a time. One that had just joined told of its own suspects only, and what the one before had told was dropped: the request ran again.

Ruled out: telling which instance speaks (each change would drop all).

Change: what another region does not tell any more stays until it is cleared or ages out. The new test fails without it.

--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -83,6 +83,19 @@
 	c.Assert(cairo.crashes+alex.crashes, qt.Equals, 2)
 }
 
+// TestRegionIsToldByAnInstanceThatKnowsLess has a newcomer that speaks for its
+// region.
+func TestRegionIsToldByAnInstanceThatKnowsLess(t *testing.T) {
+	c := qt.New(t)
+	cairo, newcomer, alex := &Table{Instance: "a"}, &Table{Instance: "b"}, &Table{Instance: "c"}
+	cairo.Crashed(start, poison, 1, start)
+	newcomer.Crashed(start, digestOf(1), 1, start)
+	for _, table := range []*Table{cairo, newcomer} {
+		c.Assert(alex.MergeRegion(start, "cairo", table.RegionState(start)), qt.IsNil)
+	}
+	c.Assert(alex.Admit(start, poison), qt.Equals, Verdict{Action: RefuseElsewhere, Owner: "@cairo", Wait: defaultSpread})
+}
+
 func TestWideLossMakesNoSuspects(t *testing.T) {
 	c := qt.New(t)
 	table := &Table{Instance: "entry-0"}
--- a/quarantine/topic.go
+++ b/quarantine/topic.go
@@ -180,7 +180,7 @@
 // MergeRegion takes over the state of an instance of another region.
 func (t *Table) MergeRegion(now time.Time, region string, state []byte) error {
 	owner := RegionMark + region
-	header, entries, err := decode(now, state, owner)
+	_, entries, err := decode(now, state, owner)
 	if err != nil {
 		return errors.Wrap(err, "quarantine state of region "+region)
 	}
@@ -189,7 +189,9 @@
 	for i := range entries {
 		entries[i].owner, entries[i].via = owner, t.Instance
 	}
-	t.mergeAll(now, owner, entries, header.truncated)
+	// Another instance of the region may tell next time and know less, so that
+	// what is not told is not forgotten.
+	t.mergeAll(now, owner, entries, true)
 	return nil
 }
 
