--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/fuchsiastack/fuchsiastack/membership"
 	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
-	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
@@ -103,12 +102,7 @@
 	}
 	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
 	d.routes = d.newRoutes()
-	d.topics = []exchange.Topic{
-		d.admission.slots,
-		d.admission.limits,
-		d.config,
-		quarantine.Topic{Table: d.routes.quarantine, Now: time.Now},
-	}
+	d.topics = d.newTopics()
 	d.handlers = d.newHandlers()
 	return d, nil
 }
