Average load reports over longer than their lag, and count live slots only

Cause: with reports 10 s late the p99 of slot-bound work was 8.6 s at 78% load: reports were averaged over 2.5 s, so that each instance corrected again what the reports did not show corrected yet. Admission counted the slots of servers that are listed but ejected or silent: after a loss it admitted for all.

Change: reports are averaged over 10 s of time, whatever their number. Router.Healthy is what requests are sent to; admission counts their slots.

Conclusion: routing bears reports that are 10 s late.

--- a/backend/server.go
+++ b/backend/server.go
@@ -93,8 +93,9 @@
 	next := &report{Load: l, inFlight: own, baseline: own, smoothTotal: total, smoothOwn: float64(own)}
 	if last := s.report.Load(); last != nil {
 		next.baseline = min(own, last.inFlight)
-		next.smoothTotal = last.smoothTotal + (total-last.smoothTotal)*averageWeight
-		next.smoothOwn = last.smoothOwn + (float64(own)-last.smoothOwn)*averageWeight
+		weight := smoothWeight(l.At.Sub(last.At))
+		next.smoothTotal = last.smoothTotal + (total-last.smoothTotal)*weight
+		next.smoothOwn = last.smoothOwn + (float64(own)-last.smoothOwn)*weight
 	}
 	s.report.Store(next)
 }
@@ -112,6 +113,17 @@
 	return int(max(own, int64(r.Running+r.Waiting)+own-r.baseline))
 }
 
+// smoothTime is the time that load reports are averaged over. It must be well
+// above the lag of the reports: over less, instances that correct what a report
+// shows correct it again until a report shows the correction, and overshoot.
+const smoothTime = 10 * time.Second
+
+// smoothWeight is the weight of a report that came some time after the last.
+func smoothWeight(since time.Duration) float64 {
+	since = max(since, 0)
+	return float64(since) / float64(since+smoothTime)
+}
+
 // Smoothed returns averages over the last load reports: the requests on the
 // server, and those of this instance among them.
 func (s *Server) Smoothed() (total, own float64) {
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -126,13 +126,11 @@
 	})
 }
 
-// slotsOf returns the slots of the servers that accept work, and those that
-// are free by the last reports and by this instance's own work since.
+// slotsOf returns the slots of the servers that requests are sent to, and those
+// that are free by the last reports and by this instance's own work since. A
+// server that is listed but lost has none.
 func (d *Daemon) slotsOf(service string) (total, free int) {
-	for _, server := range d.registry.Of(service) {
-		if !server.Accepts() {
-			continue
-		}
+	for server := range d.routes.router.Healthy(service) {
 		load := server.Load()
 		if load.Slots == 0 {
 			load.Slots = assumedSlots
--- a/routing/faults_test.go
+++ b/routing/faults_test.go
@@ -94,18 +94,23 @@
 	c.Assert(on.percentile(.99) < target, qt.IsTrue)
 }
 
-// TestLateReportsAndHerd has reports that are 2 s old. With slots held for 4 s
-// the reports matter most; with long prompts it is the work since.
+// TestLateReportsAndHerd has reports that are 2 s and 10 s old. With slots held
+// for 4 s the reports matter most; with long prompts it is the work since.
 func TestLateReportsAndHerd(t *testing.T) {
 	for _, load := range []struct {
 		name      string
 		decode    time.Duration
 		perSecond float64
-	}{{"prefill bound", simDecode, 75}, {"slot bound", 4 * time.Second, 28}} {
+		lag       time.Duration
+	}{
+		{"prefill bound", simDecode, 75, 2 * time.Second},
+		{"slot bound", 4 * time.Second, 28, 2 * time.Second},
+		{"slot bound, very late", 4 * time.Second, 28, 10 * time.Second},
+	} {
 		t.Run(load.name, func(t *testing.T) {
 			c := qt.New(t)
 			on, off := onAndOff(func(off bool) *sim {
-				s := newSim(7, 18, 2*time.Second, 3)
+				s := newSim(7, 18, load.lag, 3)
 				for _, e := range s.engines {
 					e.decode = load.decode
 				}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -5,7 +5,9 @@
 package routing
 
 import (
+	"iter"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
@@ -164,6 +166,25 @@
 	return r.elsewhere(now, req, local)
 }
 
+// Healthy returns the servers of a service that requests are sent to: those
+// that accept them and are not ejected, silent or reserved for a trial. If
+// there are none it returns those that accept requests, as Decide does.
+func (r *Router) Healthy(service string) iter.Seq[*backend.Server] {
+	return func(yield func(*backend.Server) bool) {
+		now, req := r.now(), &Request{}
+		servers := r.Registry.Of(service)
+		use := r.usable
+		if !slices.ContainsFunc(servers, func(s *backend.Server) bool { return r.usable(now, req, s) }) {
+			use = r.permitted
+		}
+		for _, server := range servers {
+			if use(now, req, server) && !yield(server) {
+				return
+			}
+		}
+	}
+}
+
 // CouldLeave reports whether another region would be worth it for a request
 // that gets no slot here. It uses up nothing: Decide with NoSlot may come to
 // another result a moment later.
--- a/routing/spill_test.go
+++ b/routing/spill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -262,6 +263,12 @@
 	c.Assert(summary.Servers, qt.Equals, 2)
 	c.Assert(summary.FreeSlots, qt.Equals, 8)
 	c.Assert(summary.Wait, qt.Equals, time.Duration(0))
+	// With all ejected, this region goes on trying but invites nobody.
+	for _, server := range servers {
+		server.Health().Eject(start.Add(time.Minute))
+	}
+	c.Assert(router.Summarize(testService.Name).Servers, qt.Equals, 0)
+	c.Assert(slices.Collect(router.Healthy(testService.Name)), qt.HasLen, 3)
 }
 
 func TestSampleIsUniformAndFallsBack(t *testing.T) {
