--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"time"
 
+	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/peer"
 )
 
 // Bounds of the connections to backend servers and other instances.
@@ -33,6 +35,7 @@
 		d.shedFilter(),
 		d.limitFilter(),
 		d.admitFilter(),
+		d.claimFilter(),
 	)
 }
 
@@ -70,9 +73,10 @@
 }
 
 func (d *Daemon) newTransport() *http.Transport {
+	dial := dispatch.GuardDial((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &http.Transport{
-		DialTLSContext:      d.peering.dialTLS(d.peers.identityAt),
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
+		DialTLSContext:      d.peering.dialTLS(peer.DialFunc(dial), d.peers.identityAt),
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/claim"
 )
 
 // Settings configure an instance.
@@ -33,7 +35,8 @@
 	PeerInsecure  bool   // no authentication among instances
 	Production    bool   // refuses settings that are for development only
 
-	Seeds []string // control addresses of instances to join, beside the directory
+	Seeds          []string      // control addresses of instances to join, beside the directory
+	ClaimRetention time.Duration // how long an idempotency key can be used; the same on all instances
 
 	MaxBodyBytes  int64
 	ListInterval  time.Duration // between reads of the list of backend servers
@@ -78,6 +81,7 @@
 		QuarantineSpread: 2 * time.Second,
 		LinkMegabits:     2000,
 		LinkLatency:      80 * time.Millisecond,
+		ClaimRetention:   claim.DefaultRetention,
 	}
 }
 
@@ -108,6 +112,7 @@
 	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > 10*time.Second, "load-interval: want 50ms to 10s")
 	fault(s.DirectoryTTL < 2*time.Second || s.DirectoryTTL > time.Minute, "directory-ttl: want 2s to 1m")
 	fault(s.DrainDeadline < time.Second || s.DrainDeadline > time.Hour, "drain-deadline: want 1s to 1h")
+	fault(s.ClaimRetention < 10*time.Minute || s.ClaimRetention > 7*24*time.Hour, "claim-retention: want 10m to 168h")
 	fault(s.MaxConnections < 16, "max-connections: want 16 or more")
 	fault(s.MaxInFlight < 16, "max-in-flight: want 16 or more")
 	fault(s.MaxHeldBytes < s.MaxBodyBytes, "max-held-bytes: want max-body-bytes or more")
