--- a/daemon/members.go
+++ b/daemon/members.go
@@ -16,6 +16,7 @@
 	self := membership.Member{Instance: d.self(), Generation: uint64(time.Now().UnixNano())}
 	machine := membership.NewMachine(self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	machine.OnChange(func(view *membership.View) { d.peers.replace(view.Others()) })
+	machine.OnForget(func(id string) { d.carrier.Forget(id) })
 	d.members = membership.NewRunner(machine, d.peering.client, d.platform, d.settings.Seeds, d.settings.DirectoryTTL)
 	return d.peering.server.Register(membership.ServiceName, d.members.Service())
 }
@@ -23,8 +24,9 @@
 // announceReady tells the other instances once this one has a configuration.
 func (d *Daemon) announceReady(ctx context.Context) {
 	for d.table.Current() == nil {
-		sleep(ctx, readyPoll)
-		if ctx.Err() != nil {
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
 			return
 		}
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,7 @@
 type clock struct {
 	name    string
 	padding int
-	frozen  bool
+	frozen  atomic.Bool
 
 	mu     sync.Mutex
 	at     map[string]time.Time // by origin
@@ -32,7 +33,7 @@
 func (t *clock) Name() string { return t.name }
 
 func (t *clock) State() []byte {
-	if t.frozen {
+	if t.frozen.Load() {
 		return make([]byte, t.padding)
 	}
 	return binary.BigEndian.AppendUint64(make([]byte, t.padding), uint64(time.Now().UnixNano()))
@@ -146,7 +147,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			instances, clocks := fleet(t, testlink.New(), 1, 8, 64)
 			for _, clock := range clocks {
-				clock.frozen = frozen
+				clock.frozen.Store(frozen)
 			}
 			time.Sleep(30 * time.Second)
 			instances[0].Cost()
--- a/scenario/peer_test.go
+++ b/scenario/peer_test.go
@@ -30,7 +30,7 @@
 	ca, err := testca.New()
 	c.Assert(err, qt.IsNil)
 	f := newFleet(t)
-	f.ctl("publish", "../examples/swatch-guild")
+	f.ctl(ctlPending, "publish", "--bootstrap", "--wait", "0s", "../examples/swatch-guild")
 	f.backend("plain", "orders-cairo", "orders-desk", "cairo")
 	f.daemon("entry-cairo", "cairo", "cairo-a", secured(c, ca, "entry-cairo", "cairo")...)
 	alex := f.daemon("entry-alex", "alex", "alex-a", secured(c, ca, "entry-alex", "alex")...)
