--- a/cmd/fuchsiad/flags.go
+++ b/cmd/fuchsiad/flags.go
@@ -24,10 +24,6 @@
 	return &cli.DurationFlag{Name: name, Usage: usage, Value: *to, Destination: to, Sources: env(name)}
 }
 
-func boolean(name, usage string, to *bool) cli.Flag {
-	return &cli.BoolFlag{Name: name, Usage: usage, Value: *to, Destination: to, Sources: env(name)}
-}
-
 func number(name, usage string, to *int) cli.Flag {
 	return &cli.IntFlag{Name: name, Usage: usage, Value: *to, Destination: to, Sources: env(name)}
 }
@@ -36,6 +32,10 @@
 	return &cli.Int64Flag{Name: name, Usage: usage, Value: *to, Destination: to, Sources: env(name)}
 }
 
+func boolean(name, usage string, to *bool) cli.Flag {
+	return &cli.BoolFlag{Name: name, Usage: usage, Value: *to, Destination: to, Sources: env(name)}
+}
+
 func flags(s *daemon.Settings) []cli.Flag {
 	return []cli.Flag{
 		text("instance", "unique id of this instance", &s.Instance),
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -28,10 +28,10 @@
 	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.updateSlots); return nil })
 	group.Go(func() error { every(ctx, tickInterval, d.tickLimits); return nil })
 	group.Go(func() error { every(ctx, d.settings.DirectoryTTL/3, d.register); return nil })
+	group.Go(func() error { every(ctx, evaluateInterval, d.evaluateServers); return nil })
 	group.Go(func() error { d.members.Run(ctx); return nil })
 	group.Go(func() error { d.announceReady(ctx); return nil })
 	group.Go(func() error { d.carrier.Run(ctx); return nil })
-	group.Go(func() error { every(ctx, evaluateInterval, d.evaluateServers); return nil })
 }
 
 // every calls f at once and then each interval until ctx ends.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -48,11 +48,11 @@
 	peers    *peerTable
 	config   *configsync.Follower
 	platform *platform.Client
+	routes   *routes
+	observer *telemetry.Observer
 	peering  *peering
 	members  *membership.Runner
 	carrier  *exchange.Carrier
-	routes   *routes
-	observer *telemetry.Observer
 	draining atomic.Bool
 
 	admission *admissionControl
@@ -81,9 +81,6 @@
 		peers:    &peerTable{},
 		platform: platform.New(settings.PlatformURL),
 	}
-	if d.peering, err = newPeering(&settings); err != nil {
-		return nil, err
-	}
 	d.config = d.newConfigFollower(consul.New(settings.StoreURL))
 	admissionObserver, err := telemetry.NewAdmission(logger, metrics)
 	if err != nil {
@@ -92,15 +89,21 @@
 	if d.admission, err = newAdmissionControl(&d.settings, admissionObserver); err != nil {
 		return nil, err
 	}
-	d.topics = append(d.topics, d.admission.slots, d.admission.limits, d.config)
+	if d.peering, err = newPeering(&settings); err != nil {
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
 	if err := d.newMembers(); err != nil {
 		return nil, err
 	}
+	if err := d.peering.server.Register(configsync.ServiceName, configsync.Service{Follower: d.config}); err != nil {
+		return nil, err
+	}
 	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
 	d.routes = d.newRoutes()
+	d.topics = d.newTopics()
 	if err := d.newCarrier(); err != nil {
 		return nil, err
 	}
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -21,7 +21,6 @@
 		},
 	})
 	d.carrier.Add(d.topics...)
-	d.carrier.Add(quarantine.Topic{Table: d.routes.quarantine, Now: time.Now})
 	d.carrier.AddRegional(
 		quarantineRegions{d.routes.quarantine},
 		&routing.SummaryTopic{Router: d.routes.router, Table: d.routes.summaries},
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -63,16 +63,6 @@
 	return regions
 }
 
-// identityAt returns the instance that takes requests at addr.
-func (t *peerTable) identityAt(addr string) (peer.Identity, bool) {
-	for _, i := range t.all() {
-		if i.PeerAddr == addr {
-			return identityOf(i), true
-		}
-	}
-	return peer.Identity{}, false
-}
-
 // idsIn returns the ids of the instances of region.
 func (t *peerTable) idsIn(region string) []string {
 	t.mu.RLock()
@@ -84,6 +74,16 @@
 	return ids
 }
 
+// identityAt returns the instance that takes requests at addr.
+func (t *peerTable) identityAt(addr string) (peer.Identity, bool) {
+	for _, i := range t.all() {
+		if i.PeerAddr == addr {
+			return identityOf(i), true
+		}
+	}
+	return peer.Identity{}, false
+}
+
 func (t *peerTable) all() []platform.Instance {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
