Ask a share of the backend servers and exchange digests of load

Cause: every instance asked every backend server of its region every 500 ms: 1,000 requests a second of an instance at 500 servers.

Ruled out: subsets that an instance routes to (a caller bound to few instances cannot use the region); one instance that asks all.

Change: package load. Rendezvous hashing over the live instances gives each a share of about 64; the first instance of a server spreads a digest of 6 bytes through the exchange, with silence and leaving told explicitly.

Tests with the mechanism off, then on: share off, digests off: TestShareIsBounded fails; silence, leaving, slack off (each): TestSilentAndLeavingServers fails; on: pass.

Conclusion: the requests of an instance do not grow with its region; knowledge of servers that it does not ask is some seconds old.

--- a/backend/server.go
+++ b/backend/server.go
@@ -31,6 +31,10 @@
 	Waiting int       `json:"waiting"` // sequences in its queue
 	Slots   int       `json:"slots"`   // sequences that fit the batch
 	At      time.Time `json:"-"`       // when the report was received
+
+	// Slack is added to the time until the server counts as silent. A report
+	// that another instance passes on comes later.
+	Slack time.Duration `json:"-"`
 }
 
 // Server is a backend server. Its methods are safe for concurrent use. Two
@@ -143,7 +147,7 @@
 	if r == nil || r.At.IsZero() {
 		return 0
 	}
-	return now.Sub(r.At)
+	return max(0, now.Sub(r.At)-r.Slack)
 }
 
 // SetLeaving records that the server itself refuses new work.
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -48,12 +48,7 @@
 // watchesConfig reports whether this instance is one of the few of its region
 // that watch the store.
 func (d *Daemon) watchesConfig() bool {
-	members := d.members.Machine.View().Members(d.settings.Region)
-	ids := make([]string, len(members))
-	for i, member := range members {
-		ids[i] = member.Instance.ID
-	}
-	return slices.Contains(membership.Top(ids, purposeConfig, configWatchers), d.settings.Instance)
+	return slices.Contains(membership.Top(d.regionMembers(), purposeConfig, configWatchers), d.settings.Instance)
 }
 
 // configPeers reaches the other instances for their configuration.
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -2,29 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
-const (
-	loadTimeout     = time.Second
-	maxLoadBytes    = 16 << 10
-	maxLoadRequests = 32 // load reports asked for at once
-	refusedHeader   = "Fuchsia-Refused"
-)
-
 // startControllers runs every controller until ctx ends.
 func (d *Daemon) startControllers(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { d.config.Run(ctx); return nil })
 	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readList); return nil })
-	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.readLoads); return nil })
+	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.loads.Round); return nil })
 	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.updateSlots); return nil })
 	group.Go(func() error { every(ctx, tickInterval, d.tickLimits); return nil })
 	group.Go(func() error { every(ctx, d.settings.DirectoryTTL/3, d.register); return nil })
@@ -57,38 +46,6 @@
 	d.registry.Replace(list)
 }
 
-func (d *Daemon) readLoads(ctx context.Context) {
-	var group errgroup.Group
-	group.SetLimit(maxLoadRequests)
-	for _, server := range d.registry.All() {
-		group.Go(func() error { d.readLoad(ctx, server); return nil })
-	}
-	_ = group.Wait()
-}
-
-func (d *Daemon) readLoad(ctx context.Context, server *backend.Server) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Addr+"/load", http.NoBody)
-	if err != nil {
-		return
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return
-	}
-	defer resp.Body.Close()
-	if resp.Header.Get(refusedHeader) != "" {
-		server.SetLeaving()
-	}
-	var load backend.Load
-	if json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&load) != nil {
-		return
-	}
-	load.At = time.Now()
-	server.SetLoad(load)
-}
-
 func (d *Daemon) self() platform.Instance {
 	return platform.Instance{
 		ID:          d.settings.Instance,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
+	"github.com/fuchsiastack/fuchsiastack/load"
 	"github.com/fuchsiastack/fuchsiastack/membership"
 	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
@@ -53,6 +54,7 @@
 	peering  *peering
 	members  *membership.Runner
 	carrier  *exchange.Carrier
+	loads    *load.Follower
 	draining atomic.Bool
 
 	admission *admissionControl
@@ -103,6 +105,7 @@
 	}
 	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
 	d.routes = d.newRoutes()
+	d.loads = d.newLoads()
 	d.topics = d.newTopics()
 	if err := d.newCarrier(); err != nil {
 		return nil, err
--- a/daemon/topics.go
+++ b/daemon/topics.go
@@ -13,6 +13,7 @@
 		d.admission.slots,
 		d.admission.limits,
 		d.config,
+		d.loads,
 		quarantine.Topic{Table: d.routes.quarantine, Now: time.Now},
 	}
 }
