--- a/cmd/fuchsia-dev/system.go
+++ b/cmd/fuchsia-dev/system.go
@@ -36,6 +36,7 @@
 	decodePerToken  = 20 * time.Millisecond
 	plainDelay      = 10 * time.Millisecond
 	publishTimeout  = 10 * time.Second
+	digestKey       = "for local development only"
 )
 
 // system is a running set of parts.
@@ -147,6 +148,7 @@
 	}
 	settings.PeerListen, settings.AdminListen, settings.ControlListen = anyPort, anyPort, anyPort
 	settings.PeerInsecure = true
+	settings.DigestKey = digestKey
 	settings.StoreURL, settings.PlatformURL = s.storeURL, s.platURL
 	logger := &log.Logger{Level: s.level, Writer: &log.IOWriter{Writer: os.Stderr}}
 	d, err := daemon.New(settings, logger)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/claim"
 	"github.com/fuchsiastack/fuchsiastack/configsync"
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/exchange"
@@ -47,6 +48,7 @@
 	table    *catalog.Table
 	registry *backend.Registry
 	peers    *peerTable
+	claims   *claim.Claimer // nil without a digest key
 	config   *configsync.Follower
 	platform *platform.Client
 	routes   *routes
@@ -83,7 +85,11 @@
 		peers:    &peerTable{},
 		platform: platform.New(settings.PlatformURL),
 	}
-	d.config = d.newConfigFollower(consul.New(settings.StoreURL))
+	kv := consul.New(settings.StoreURL)
+	d.config = d.newConfigFollower(kv)
+	if err := d.newClaims(kv); err != nil {
+		return nil, err
+	}
 	admissionObserver, err := telemetry.NewAdmission(logger, metrics)
 	if err != nil {
 		return nil, err
@@ -204,6 +210,9 @@
 			_ = server.Close()
 		}
 	}
+	ctx, cancelFlush := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelFlush()
+	d.flushClaims(ctx)
 	d.log.Info().Str("event", "stopped").Str("instance", d.settings.Instance).Msg("")
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -103,9 +103,11 @@
 // TestDeadServersCostNoRequest has most servers gone, though listed.
 func TestDeadServersCostNoRequest(t *testing.T) {
 	inVirtualTime(t, 1, 9, func(c *qt.C, e *engines, all []*instance) {
+		e.mu.Lock()
 		for i := range 6 {
 			e.up[fmt.Sprintf("engine-%d:1", i)] = false
 		}
+		e.mu.Unlock()
 		failed := 0
 		for i := range 200 {
 			if _, err := all[0].send(fmt.Sprint("question ", i), once); err != nil {
