--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
+	"github.com/fuchsiastack/fuchsiastack/load"
 	"github.com/fuchsiastack/fuchsiastack/membership"
 	"github.com/fuchsiastack/fuchsiastack/orders"
 	"github.com/fuchsiastack/fuchsiastack/peer"
@@ -56,6 +57,8 @@
 	observer *telemetry.Observer
 	peering  *peering
 	members  *membership.Runner
+	carrier  *exchange.Carrier
+	loads    *load.Follower
 	draining atomic.Bool
 
 	admission *admissionControl
@@ -111,7 +114,11 @@
 	}
 	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
 	d.routes = d.newRoutes()
+	d.loads = d.newLoads()
 	d.topics = d.newTopics()
+	if err := d.newCarrier(); err != nil {
+		return nil, err
+	}
 	d.handlers = d.newHandlers()
 	return d, nil
 }
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -40,12 +40,7 @@
 // isTop reports whether this instance is among the first n of its region for a
 // purpose.
 func (d *Daemon) isTop(purpose string, n int) bool {
-	members := d.members.Machine.View().Members(d.settings.Region)
-	ids := make([]string, len(members))
-	for i, member := range members {
-		ids[i] = member.Instance.ID
-	}
-	return slices.Contains(membership.Top(ids, purpose, n), d.settings.Instance)
+	return slices.Contains(membership.Top(d.regionMembers(), purpose, n), d.settings.Instance)
 }
 
 // services returns the services in force.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -137,7 +137,9 @@
 		}
 		await(c, time.Minute, allKnow(nodes, 6))
 		l.Set(func(s *testlink.State) {
-			s.Cut = func(from, to *testlink.Node) bool { return (from.Instance.Region == "r0") != (to.Instance.Region == "r0") }
+			s.Cut = func(from, to *testlink.Node) bool {
+				return (from.Instance.Region == "r0") != (to.Instance.Region == "r0")
+			}
 		})
 		nodes[1].kill()
 		nodes[3].kill()
