Put streams in order and resume them where they were cut

Cause: the relay copied bytes as they came, a cut stream always ended in an error, and an answer was not checked against the attempt.

Change: package stream decodes events and orders them by offset within a bounded window; relay.Answer keeps the caller's stream over several answers; the attempt loop resumes it with Last-Event-ID under its usual rules. Attempts carry a random id that an answer must not contradict.

Ruled out: skipping what was sent of a second sample, holding whole streams.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -15,6 +15,7 @@
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/relay"
 	"github.com/fuchsiastack/fuchsiastack/retry"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
@@ -28,6 +29,7 @@
 	ctx     context.Context
 	x       *filters.Exchange
 	req     *routing.Request
+	answer  *relay.Answer
 	suspect suspect
 	// mayHaveRun is set once an attempt may have run: from then on the request
 	// is never reported as not run.
@@ -86,6 +88,7 @@
 	if r.mayHaveRun && err.Outcome == outcome.NotRun {
 		err.Outcome = outcome.MayHaveRun
 	}
+	r.answer.Fail(err)
 	return err
 }
 
@@ -101,7 +104,7 @@
 	if decision.Server != nil {
 		end = r.toServer(decision)
 	} else {
-		end.err = r.toRegion(r.ctx, r.x, decision.Region)
+		end.err = r.toRegion(r.ctx, r.x, decision.Region, r.answer)
 	}
 	result := outcome.Served
 	var cause error
@@ -125,7 +128,7 @@
 	}
 	return retry.Try{
 		Number: number, Outcome: end.err.Outcome, Code: end.err.Code,
-		Repeatable: r.x.Work.Repeatable, Started: r.x.Started, Forwarded: decision.Region != "",
+		Repeatable: r.x.Work.Repeatable, Started: r.x.Started && !r.answer.Resumable(), Forwarded: decision.Region != "",
 		Remaining: time.Until(r.x.Deadline), Paid: end.stalled,
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/filters"
@@ -25,6 +26,9 @@
 // running it.
 const refusedHeader = "Fuchsia-Refused"
 
+// errOtherAttempt is the cause of an answer that carries another attempt's id.
+var errOtherAttempt = errors.New("the answer belongs to another attempt")
+
 // Peers finds instances of other regions.
 type Peers interface {
 	// Peer returns the host:port of an instance in region for other instances,
@@ -76,7 +80,10 @@
 func (d *Dispatcher) Handle(x *filters.Exchange) *outcome.Error {
 	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
 	defer cancel()
-	r := &run{Dispatcher: d, ctx: ctx, x: x, req: routeRequest(x)}
+	r := &run{Dispatcher: d, ctx: ctx, x: x, req: routeRequest(x), answer: &relay.Answer{
+		Writer: x.Writer, RequestID: x.ID, LastEventID: x.Request.Header.Get("Last-Event-ID"),
+		OnFirst: func() { d.Observer.FirstByte(x) },
+	}}
 	r.suspect.run = r
 	return r.attempts()
 }
@@ -104,20 +111,26 @@
 		return badPath(err)
 	}
 	copyRequestHeader(req.Header, x.Request.Header)
+	w.run.answer.SetResume(req.Header)
+	attempt := uuid.NewString()
+	req.Header.Set(relay.AttemptHeader, attempt)
 	resp, failure := d.send(req)
 	if failure != nil {
 		return failure
 	}
 	w.header(resp)
 	defer resp.Body.Close()
+	if got := resp.Header.Get(relay.AttemptHeader); got != "" && got != attempt {
+		return outcome.Fail(outcome.CodeBackendFailed, errOtherAttempt, "the backend server answered another request")
+	}
 	if resp.Header.Get(refusedHeader) != "" {
 		server.SetLeaving()
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeBackendRefused, "the backend server refused the request")
 	}
-	return d.relay(x, resp)
+	return d.relay(x, resp, w.run.answer)
 }
 
-func (d *Dispatcher) toRegion(ctx context.Context, x *filters.Exchange, region string) *outcome.Error {
+func (d *Dispatcher) toRegion(ctx context.Context, x *filters.Exchange, region string, answer *relay.Answer) *outcome.Error {
 	if x.Hop != nil || !x.Service.Permits(x.Work, region) {
 		panic("dispatch: request must not be forwarded to " + region)
 	}
@@ -131,6 +144,7 @@
 	}
 	copyRequestHeader(req.Header, x.Request.Header)
 	d.setHop(req.Header, x)
+	answer.SetResume(req.Header)
 	resp, failure := d.send(req)
 	if failure != nil {
 		return failure
@@ -139,7 +153,7 @@
 	if o := outcome.Parse(resp.Header.Get(outcome.Header)); o != outcome.Unknown && o != outcome.Served {
 		return peerError(resp, o)
 	}
-	return d.relay(x, resp)
+	return d.relay(x, resp, answer)
 }
 
 func (d *Dispatcher) setHop(header http.Header, x *filters.Exchange) {
@@ -205,9 +219,9 @@
 	return nil, failure
 }
 
-func (d *Dispatcher) relay(x *filters.Exchange, resp *http.Response) *outcome.Error {
+func (d *Dispatcher) relay(x *filters.Exchange, resp *http.Response, answer *relay.Answer) *outcome.Error {
 	x.Writer.Header().Set(filters.RevisionHeader, strconv.FormatUint(x.Snapshot.Revision, 10))
-	result := relay.Copy(x.Writer, resp, x.ID, func() { d.Observer.FirstByte(x) })
+	result := answer.Copy(resp)
 	x.Started = x.Started || result.Started
 	if result.Outcome == outcome.Served {
 		return nil
--- /dev/null
+++ b/dispatch/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package dispatch
+
+const raceEnabled = false
--- a/dispatch/notrun_test.go
+++ b/dispatch/notrun_test.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -27,6 +29,10 @@
 	largeRequestSize = 64 << 10
 )
 
+func tcpDial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, network, addr)
+}
+
 type noRegions struct{}
 
 func (noRegions) Reachable() []string { return nil }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,25 +5,18 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/stream"
 )
 
 const (
-	bufferBytes     = 16 << 10 // one read of an answer
-	maxWholeBytes   = 4 << 20  // largest answer that is held until it is whole
+	maxWholeBytes   = 4 << 20 // largest answer that is held until it is whole
 	eventStreamType = "text/event-stream"
 )
 
-// doneMarker ends the event stream of a whole chat completion.
-var doneMarker = []byte("data: [DONE]")
-
-var buffers = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
-
 // Result tells how the copying ended.
 type Result struct {
 	Outcome outcome.Outcome // Served or MayHaveRun
@@ -32,11 +25,16 @@
 	Err     error           // why the answer is not whole, or nil
 }
 
+// AttemptHeader carries the id of an attempt to a backend server. A server that
+// returns it in its answer lets the gateway refuse the answer to another
+// attempt.
+const AttemptHeader = "Fuchsia-Attempt"
+
 // hopByHop are the headers that are not copied.
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, outcome.Header: true, outcome.RequestIDHeader: true,
+	"Content-Length": true, AttemptHeader: true, outcome.Header: true, outcome.RequestIDHeader: true,
 }
 
 // CopyHeader copies the end-to-end headers of an answer.
@@ -48,15 +46,36 @@
 	}
 }
 
-// Copy sends the answer resp to w. onFirst is called before the first byte of
-// the answer's body is sent.
-func Copy(w http.ResponseWriter, resp *http.Response, requestID string, onFirst func()) Result {
-	CopyHeader(w.Header(), resp.Header)
-	w.Header().Set(outcome.RequestIDHeader, requestID)
+// Answer is what one caller receives. Several answers of backend servers may
+// make it up: a stream that was cut can be resumed by the next one.
+type Answer struct {
+	Writer      http.ResponseWriter
+	RequestID   string
+	LastEventID string // of the caller's request, who resumes a stream itself
+	OnFirst     func() // called before the first byte of the body is sent
+
+	sequencer *stream.Sequencer
+	started   bool // the caller's response has been started
+	streaming bool // it is a stream of events
+	ended     bool // its end or an error event has been sent
+	failed    bool // no other answer can continue it
+	bytes     int64
+}
+
+// Copy sends the answer resp, or the rest of it, to the caller.
+func (a *Answer) Copy(resp *http.Response) Result {
+	if a.streaming {
+		if resp.StatusCode != http.StatusOK || !isEventStream(resp) {
+			return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: a.bytes, Err: errNotResumed}
+		}
+		return a.copyStream(resp)
+	}
+	CopyHeader(a.Writer.Header(), resp.Header)
+	a.Writer.Header().Set(outcome.RequestIDHeader, a.RequestID)
 	if isEventStream(resp) {
-		return copyStream(w, resp, requestID, onFirst)
+		return a.copyStream(resp)
 	}
-	return copyWhole(w, resp, onFirst)
+	return copyWhole(a.Writer, resp, a.OnFirst)
 }
 
 func isEventStream(resp *http.Response) bool {
@@ -86,83 +105,3 @@
 	}
 	return result
 }
-
-// copyStream forwards events as they arrive. The outcome of a stream is in
-// its trailer; a cut stream ends with an error event.
-func copyStream(w http.ResponseWriter, resp *http.Response, requestID string, onFirst func()) Result {
-	w.Header().Set("Trailer", outcome.Header)
-	w.WriteHeader(resp.StatusCode)
-	result := Result{Started: true}
-	tail := tail{}
-	buffer := buffers.Get().(*[bufferBytes]byte)
-	defer buffers.Put(buffer)
-	controller := http.NewResponseController(w)
-	for {
-		n, readErr := resp.Body.Read(buffer[:])
-		if n > 0 {
-			if result.Bytes == 0 {
-				onFirst()
-			}
-			tail.add(buffer[:n])
-			result.Bytes += int64(n)
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return finishStream(w, result, outcome.MayHaveRun, err)
-			}
-			_ = controller.Flush()
-		}
-		if readErr == nil {
-			continue
-		}
-		if readErr == io.EOF && tail.done() {
-			return finishStream(w, result, outcome.Served, nil)
-		}
-		if readErr == io.EOF && resp.Trailer.Get(outcome.Header) != "" {
-			return finishStream(w, result, outcome.Parse(resp.Trailer.Get(outcome.Header)), nil)
-		}
-		writeErrorEvent(w, requestID)
-		return finishStream(w, result, outcome.MayHaveRun, readErr)
-	}
-}
-
-func finishStream(w http.ResponseWriter, result Result, o outcome.Outcome, err error) Result {
-	w.Header().Set(outcome.Header, o.String())
-	result.Outcome = o
-	result.Err = err
-	return result
-}
-
-// writeErrorEvent ends a cut stream in the form that clients of the OpenAI
-// API report as an error.
-func writeErrorEvent(w io.Writer, requestID string) {
-	failure := outcome.Fail(outcome.CodeBackendFailed, nil, "the answer was cut before its end")
-	body, err := json.Marshal(failure.Body(requestID))
-	if err != nil {
-		panic("relay: error body cannot be encoded: " + err.Error())
-	}
-	_, _ = w.Write([]byte("\n\nevent: error\ndata: "))
-	_, _ = w.Write(body)
-	_, _ = w.Write([]byte("\n\n"))
-}
-
-// tailBytes is enough for the end marker with its line ends.
-const tailBytes = 32
-
-// tail keeps the last bytes of a stream.
-type tail struct {
-	data [tailBytes]byte
-	size int
-}
-
-func (t *tail) add(p []byte) {
-	if len(p) >= tailBytes {
-		t.size = copy(t.data[:], p[len(p)-tailBytes:])
-		return
-	}
-	keep := min(t.size, tailBytes-len(p))
-	copy(t.data[:], t.data[t.size-keep:t.size])
-	t.size = keep + copy(t.data[keep:], p)
-}
-
-func (t *tail) done() bool {
-	return bytes.HasSuffix(bytes.TrimRight(t.data[:t.size], "\r\n"), doneMarker)
-}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -105,6 +105,9 @@
 const defaultTokens = 16
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	if attempt := r.Header.Get("Fuchsia-Attempt"); attempt != "" {
+		w.Header().Set("Fuchsia-Attempt", attempt)
+	}
 	var request completionRequest
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		http.Error(w, `{"error":{"message":"bad body"}}`, http.StatusBadRequest)
--- /dev/null
+++ b/stream/stream_test.go
@@ -0,0 +1,127 @@
+package stream_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiastack/fuchsiastack/stream"
+)
+
+func event(offset int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", offset, offset) }
+
+// read passes a text through decoder and sequencer.
+func read(text string, s *stream.Sequencer) (got string, ended bool, err error) {
+	d := stream.NewDecoder(iotest.HalfReader(strings.NewReader(text)))
+	defer d.Close()
+	for !ended {
+		e, readErr := d.Next()
+		if readErr != nil {
+			return got, ended, readErr
+		}
+		ended, err = s.Add(e, func(raw []byte) error { got += string(raw); return nil })
+		if err != nil {
+			return got, ended, err
+		}
+	}
+	return got, ended, nil
+}
+
+// TestAnyOrder delivers events late, doubled and in any order within a window.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 100).Draw(t, "count")
+		order := make([]int, 0, 2*count)
+		for i := range count {
+			order = append(order, i)
+			if rapid.Bool().Draw(t, "double") {
+				order = append(order, i)
+			}
+		}
+		for i := range order {
+			j := min(len(order)-1, i+rapid.IntRange(0, 8).Draw(t, "late"))
+			order[i], order[j] = order[j], order[i]
+		}
+		var text, want strings.Builder
+		for i := range count {
+			want.WriteString(event(i))
+		}
+		for _, i := range order {
+			text.WriteString(event(i))
+		}
+		text.WriteString("data: [DONE]\n\n")
+		want.WriteString("data: [DONE]\n\n")
+		got, ended, err := read(text.String(), stream.NewSequencer(0))
+		if err != nil || !ended || got != want.String() {
+			t.Fatalf("got %q, ended %t, error %v, want %q", got, ended, err, want.String())
+		}
+	})
+}
+
+func TestMissingEventIsNotSkipped(t *testing.T) {
+	s := stream.NewSequencer(0)
+	got, ended, err := read(event(0)+event(2)+"data: [DONE]\n\n", s)
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	qt.Assert(t, ended, qt.IsFalse)
+	qt.Assert(t, got, qt.Equals, event(0))
+	qt.Assert(t, s.Last(), qt.Equals, int64(0))
+	s.Restart()
+	got, ended, err = read(event(1)+event(2)+"data: [DONE]\n\n", s)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, ended, qt.IsTrue)
+	qt.Assert(t, got, qt.Equals, event(1)+event(2)+"data: [DONE]\n\n")
+}
+
+func TestBounds(t *testing.T) {
+	var far strings.Builder
+	for i := range 200 {
+		far.WriteString(event(i + 1))
+	}
+	_, _, err := read(far.String(), stream.NewSequencer(0))
+	qt.Assert(t, err, qt.Equals, stream.ErrGap)
+	_, _, err = read("data: "+strings.Repeat("x", stream.MaxEventBytes)+"\n\n", stream.NewSequencer(0))
+	qt.Assert(t, err, qt.Equals, stream.ErrTooLarge)
+	got, _, err := read("data: "+strings.Repeat("x", stream.MaxEventBytes-100)+"\n\n", stream.NewSequencer(0))
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	qt.Assert(t, len(got) > stream.MaxEventBytes-100, qt.IsTrue)
+	got, _, err = read(event(0)+"id: 1\ndata: cut", stream.NewSequencer(0))
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	qt.Assert(t, got, qt.Equals, event(0))
+}
+
+// FuzzDecoder checks that any bytes are read in bounds, and that what the
+// decoder returns is what was sent.
+func FuzzDecoder(f *testing.F) {
+	for _, seed := range []string{
+		event(0) + event(1) + "data: [DONE]\n\n", "data: [DONE]", ": comment\r\n\r\nid: 7\r\ndata: x\r\n\r\n",
+		"event: error\ndata: {}\n\n", "id: 99999999999999999999\ndata\n\n", "\n\n\n", "id:-1\n\ndata: [DONE]\r",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		d := stream.NewDecoder(strings.NewReader(text))
+		defer d.Close()
+		size := 0
+		for {
+			e, err := d.Next()
+			if err != nil {
+				break
+			}
+			if len(e.Raw) > stream.MaxEventBytes+2 || e.Offset < stream.NoOffset {
+				t.Fatalf("event of %d bytes with offset %d", len(e.Raw), e.Offset)
+			}
+			if !e.Done && !strings.Contains(text, string(e.Raw)) {
+				t.Fatalf("event %q is not in the input", e.Raw)
+			}
+			size += len(e.Raw)
+		}
+		if size > len(text)+2 {
+			t.Fatalf("%d bytes out of %d", size, len(text))
+		}
+	})
+}
