--- a/policybench/bench.go
+++ b/policybench/bench.go
@@ -7,14 +7,22 @@
 
 	"github.com/fuchsiastack/fuchsiastack/policybench/baseline"
 	"github.com/fuchsiastack/fuchsiastack/policybench/cluster"
+	"github.com/fuchsiastack/fuchsiastack/policybench/product"
 	"github.com/fuchsiastack/fuchsiastack/policybench/workload"
 )
 
+// productName is the policy of the gateway itself.
+const productName = "product"
+
 // PolicyNames lists the policies in the order of reports.
-func PolicyNames() []string { return []string{"round-robin", "least-outstanding"} }
+func PolicyNames() []string {
+	return []string{productName, "round-robin", "least-outstanding"}
+}
 
-func newPolicy(name string) (cluster.Policy, error) {
+func newPolicy(name string, seed uint64) (cluster.Policy, error) {
 	switch name {
+	case productName:
+		return product.New(seed), nil
 	case "round-robin":
 		return baseline.RoundRobin(), nil
 	case "least-outstanding":
--- a/policybench/execute.go
+++ b/policybench/execute.go
@@ -34,7 +34,7 @@
 
 // execute runs all requests of a run to their end.
 func (b *Bench) execute(run Run, policyName string) (*execution, error) {
-	policy, err := newPolicy(policyName)
+	policy, err := newPolicy(policyName, b.Seed)
 	if err != nil {
 		return nil, err
 	}
