--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"time"
 
+	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/peer"
 )
 
 // Bounds of the connections to backend servers and other instances.
@@ -33,6 +35,7 @@
 		d.shedFilter(),
 		d.limitFilter(),
 		d.admitFilter(),
+		d.claimFilter(),
 	)
 }
 
@@ -42,7 +45,7 @@
 		last,
 		d.overloadFilter(),
 		filters.Ready{Table: d.table},
-		filters.AcceptHop{Instance: d.settings.Instance, Region: d.settings.Region},
+		filters.AcceptHop{Instance: d.settings.Instance, Region: d.settings.Region, Sender: d.peering.hopSender()},
 		filters.Home{Region: d.settings.Region, EntryOf: d.peers.URL},
 		drainFilter{d},
 		filters.ReadBody{MaxBytes: d.settings.MaxBodyBytes},
@@ -69,9 +72,11 @@
 	return refusal
 }
 
-func newTransport() *http.Transport {
+func (d *Daemon) newTransport() *http.Transport {
+	dial := dispatch.GuardDial((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
+		DialTLSContext:      d.peering.dialTLS(peer.DialFunc(dial), d.peers.identityAt),
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,10 +14,13 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/claim"
 	"github.com/fuchsiastack/fuchsiastack/configsync"
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
+	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
@@ -44,17 +47,20 @@
 	table    *catalog.Table
 	registry *backend.Registry
 	peers    *peerTable
+	claims   *claim.Claimer // nil without a digest key
 	config   *configsync.Follower
 	platform *platform.Client
 	routes   *routes
 	observer *telemetry.Observer
+	peering  *peering
+	members  *membership.Runner
 	draining atomic.Bool
 
 	admission *admissionControl
 	topics    []exchange.Topic // what the instances of the region exchange
 
-	callers, peerSide, admin net.Listener
-	handlers                 *handlers
+	callers, peerSide, admin, control net.Listener
+	handlers                          *handlers
 }
 
 // New checks the settings and opens the listeners, so that the addresses are
@@ -76,7 +82,11 @@
 		peers:    &peerTable{},
 		platform: platform.New(settings.PlatformURL),
 	}
-	d.config = d.newConfigFollower(consul.New(settings.StoreURL))
+	kv := consul.New(settings.StoreURL)
+	d.config = d.newConfigFollower(kv)
+	if err := d.newClaims(kv); err != nil {
+		return nil, err
+	}
 	admissionObserver, err := telemetry.NewAdmission(logger, metrics)
 	if err != nil {
 		return nil, err
@@ -84,12 +94,21 @@
 	if d.admission, err = newAdmissionControl(&d.settings, admissionObserver); err != nil {
 		return nil, err
 	}
-	d.topics = append(d.topics, d.admission.slots, d.admission.limits, d.config)
+	if d.peering, err = newPeering(&settings); err != nil {
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
+	if err := d.newMembers(); err != nil {
+		return nil, err
+	}
+	if err := d.peering.server.Register(configsync.ServiceName, configsync.Service{Follower: d.config}); err != nil {
+		return nil, err
+	}
 	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
 	d.routes = d.newRoutes()
+	d.topics = d.newTopics()
 	d.handlers = d.newHandlers()
 	return d, nil
 }
@@ -98,7 +117,7 @@
 	for _, l := range []struct {
 		addr string
 		to   *net.Listener
-	}{{d.settings.Listen, &d.callers}, {d.settings.PeerListen, &d.peerSide}, {d.settings.AdminListen, &d.admin}} {
+	}{{d.settings.Listen, &d.callers}, {d.settings.PeerListen, &d.peerSide}, {d.settings.AdminListen, &d.admin}, {d.settings.ControlListen, &d.control}} {
 		listener, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
@@ -111,6 +130,9 @@
 	if d.settings.PeerAddr == "" {
 		d.settings.PeerAddr = d.peerSide.Addr().String()
 	}
+	if d.settings.ControlAddr == "" {
+		d.settings.ControlAddr = d.control.Addr().String()
+	}
 	return nil
 }
 
@@ -128,15 +150,18 @@
 	var group errgroup.Group
 	servers := []*http.Server{
 		d.serve(&group, d.callers, d.handlers.caller),
-		d.serve(&group, d.peerSide, d.handlers.peer),
+		d.serve(&group, d.peering.secure(d.peerSide), d.handlers.peer),
 		d.serve(&group, d.admin, d.handlers.admin),
 	}
+	group.Go(func() error { return d.peering.server.Serve(d.control) })
 	d.startControllers(background, &group)
 	d.log.Info().Str("event", "started").Str("instance", d.settings.Instance).Str("region", d.settings.Region).
 		Str("zone", d.settings.Zone).Str("url", d.settings.PublicURL).Msg("")
 	<-ctx.Done()
 	d.drain(servers)
+	d.endMembership()
 	stop()
+	d.peering.close(d.control)
 	return group.Wait()
 }
 
@@ -168,6 +193,7 @@
 	if err := d.platform.Deregister(ctx, d.settings.Instance); err != nil {
 		d.log.Warn().Str("event", "deregister_failed").Err(err).Msg("")
 	}
+	d.members.SetServing(ctx, false)
 	cancel()
 	ctx, cancel = context.WithTimeout(context.Background(), d.settings.DrainDeadline)
 	defer cancel()
@@ -177,6 +203,9 @@
 			_ = server.Close()
 		}
 	}
+	ctx, cancelFlush := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelFlush()
+	d.flushClaims(ctx)
 	d.log.Info().Str("event", "stopped").Str("instance", d.settings.Instance).Msg("")
 }
 
@@ -208,6 +237,9 @@
 	Revision uint64 `json:"revision"`
 	Servers  int    `json:"backend_servers"`
 	Draining bool   `json:"draining"`
+	Members  int    `json:"members"` // instances known, with this one
+
+	Control peer.Counts `json:"control"` // traffic with other instances
 }
 
 func (d *Daemon) answerStatus(w http.ResponseWriter, _ *http.Request) {
@@ -217,6 +249,8 @@
 		Zone:     d.settings.Zone,
 		Servers:  len(d.registry.All()),
 		Draining: d.draining.Load(),
+		Members:  d.members.Machine.View().Size(),
+		Control:  d.peering.traffic.Counts(),
 	}
 	if snapshot := d.table.Current(); snapshot != nil {
 		status.Revision = snapshot.Revision
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/claim"
 )
 
 // Settings configure an instance.
@@ -17,7 +19,7 @@
 	Region      string
 	Zone        string
 	Listen      string // host:port for callers
-	PeerListen  string // host:port for other instances
+	PeerListen  string // host:port for requests of other instances
 	AdminListen string // host:port for metrics and status
 	PublicURL   string // base URL that callers are told; default from Listen
 	PeerAddr    string // host:port that instances are told; default from PeerListen
@@ -25,6 +27,17 @@
 	PlatformURL string
 	Log         string // "debug", "info", "warn" or "error"
 
+	ControlListen string // host:port for control messages of other instances
+	ControlAddr   string // host:port that instances are told; default from ControlListen
+	PeerCert      string // file with the certificate of this instance
+	PeerKey       string // file with its key
+	PeerCA        string // file with the authorities that issue certificates of instances
+	PeerInsecure  bool   // no authentication among instances
+	Production    bool   // refuses settings that are for development only
+
+	Seeds          []string      // control addresses of instances to join, beside the directory
+	ClaimRetention time.Duration // how long an idempotency key can be used; the same on all instances
+
 	MaxBodyBytes  int64
 	ListInterval  time.Duration // between reads of the list of backend servers
 	LoadInterval  time.Duration // between load reports of a backend server
@@ -50,6 +63,7 @@
 		Listen:        "127.0.0.1:8080",
 		PeerListen:    "127.0.0.1:8081",
 		AdminListen:   "127.0.0.1:8082",
+		ControlListen: "127.0.0.1:8083",
 		Log:           "info",
 		MaxBodyBytes:  8 << 20,
 		ListInterval:  time.Second,
@@ -67,6 +81,7 @@
 		QuarantineSpread: 2 * time.Second,
 		LinkMegabits:     2000,
 		LinkLatency:      80 * time.Millisecond,
+		ClaimRetention:   claim.DefaultRetention,
 	}
 }
 
@@ -81,7 +96,7 @@
 	fault(s.Instance == "", "instance: must be set")
 	fault(s.Region == "", "region: must be set")
 	fault(s.Zone == "", "zone: must be set")
-	for name, addr := range map[string]string{"listen": s.Listen, "peer-listen": s.PeerListen, "admin-listen": s.AdminListen} {
+	for name, addr := range map[string]string{"listen": s.Listen, "peer-listen": s.PeerListen, "admin-listen": s.AdminListen, "control-listen": s.ControlListen} {
 		_, _, err := net.SplitHostPort(addr)
 		fault(err != nil, name+": want host:port")
 	}
@@ -89,11 +104,15 @@
 		u, err := url.Parse(raw)
 		fault(err != nil || u.Host == "", name+": want a URL such as http://10.0.0.1:8500")
 	}
+	files := s.PeerCert != "" && s.PeerKey != "" && s.PeerCA != ""
+	fault(!files && !s.PeerInsecure, "peer-cert, peer-key, peer-ca: must be set, or peer-insecure for development")
+	fault(s.PeerInsecure && s.Production, "peer-insecure: refused in production")
 	fault(s.MaxBodyBytes < 1<<10 || s.MaxBodyBytes > 64<<20, "max-body-bytes: want 1024 to 67108864")
 	fault(s.ListInterval < 100*time.Millisecond || s.ListInterval > 10*time.Second, "list-interval: want 100ms to 10s")
 	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > 10*time.Second, "load-interval: want 50ms to 10s")
 	fault(s.DirectoryTTL < 2*time.Second || s.DirectoryTTL > time.Minute, "directory-ttl: want 2s to 1m")
 	fault(s.DrainDeadline < time.Second || s.DrainDeadline > time.Hour, "drain-deadline: want 1s to 1h")
+	fault(s.ClaimRetention < 10*time.Minute || s.ClaimRetention > 7*24*time.Hour, "claim-retention: want 10m to 168h")
 	fault(s.MaxConnections < 16, "max-connections: want 16 or more")
 	fault(s.MaxInFlight < 16, "max-in-flight: want 16 or more")
 	fault(s.MaxHeldBytes < s.MaxBodyBytes, "max-held-bytes: want max-body-bytes or more")
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -182,15 +182,16 @@
 	return refusal
 }
 
-// send does one round trip. An error before any connection was had is NotRun.
+// send does one round trip. An error is NotRun if no byte of the request left.
 func (d *Dispatcher) send(req *http.Request) (*http.Response, *outcome.Error) {
-	trace := &sentTrace{}
-	resp, err := d.Transport.RoundTrip(req.WithContext(trace.attach(req.Context())))
+	deadline, _ := req.Context().Deadline()
+	gate := &gate{deadline: deadline}
+	resp, err := d.Transport.RoundTrip(req.WithContext(gate.attach(req.Context())))
 	if err == nil {
 		return resp, nil
 	}
 	failure := outcome.Fail(outcome.CodeBackendFailed, err, "the backend server did not answer")
-	if !trace.mayHaveSent() {
+	if gate.close() {
 		failure.Outcome = outcome.NotRun
 		failure.Status = http.StatusServiceUnavailable
 	}
--- /dev/null
+++ b/membership/fleet_test.go
@@ -0,0 +1,75 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/testlink"
+	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/platform"
+)
+
+// node is an instance on a link.
+type node struct {
+	*testlink.Node
+	machine *membership.Machine
+	runner  *membership.Runner
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	forgot  []string
+}
+
+// start runs an instance until ctx ends.
+func start(ctx context.Context, l *testlink.Link, id, region, zone, addr string) *node {
+	instance := platform.Instance{ID: id, Region: region, Zone: zone, ControlAddr: addr, URL: "http://" + addr + "0", PeerAddr: addr + "1"}
+	self := membership.Member{Instance: instance, Generation: uint64(time.Now().UnixNano()), Serving: true}
+	n := &node{Node: l.Node(instance), machine: membership.NewMachine(self, rand.New(rand.NewPCG(l.Seed(), 3)))}
+	n.machine.OnForget(func(id string) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.forgot = append(n.forgot, id)
+	})
+	n.runner = membership.NewRunner(n.machine, n, l, nil, 10*time.Second)
+	ctx, n.cancel = context.WithCancel(ctx)
+	n.Attach(map[string]any{membership.ServiceName: n.runner.Service()})
+	go n.runner.Run(ctx)
+	return n
+}
+
+// startRegion runs count instances spread over zones of a region.
+func startRegion(ctx context.Context, l *testlink.Link, region string, zones, count int) []*node {
+	nodes := make([]*node, count)
+	for i := range nodes {
+		id := fmt.Sprintf("%s-%d", region, i)
+		nodes[i] = start(ctx, l, id, region, fmt.Sprintf("%s-%d", region, i%zones), id+":1")
+	}
+	return nodes
+}
+
+// kill ends a node without a word.
+func (n *node) kill() {
+	n.Kill()
+	n.cancel()
+}
+
+// knows reports whether the node's view holds an instance that takes work.
+func (n *node) knows(id string) bool {
+	for _, other := range n.machine.View().Others() {
+		if other.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// forgotten returns the ids that the node has forgotten.
+func (n *node) forgotten() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.forgot...)
+}
+
+func (n *node) size() int { return len(n.machine.View().Others()) + 1 }
