Follow the daemon: ask another region for what gets no slot

Conclusion: lost slots are no longer filled, but a region with free slots is asked too late, and one without is asked in vain: a summary counts as free the slots that its own waiting requests are about to take.

--- a/policybench/product/attempt.go
+++ b/policybench/product/attempt.go
@@ -30,7 +30,7 @@
 	case decision.Region != "":
 		r.forward(decision)
 	default:
-		r.finish(outcome.NotRun, outcome.CodeNoBackend)
+		r.finish(outcome.NotRun, outcome.CodeOverloaded)
 	}
 }
 
@@ -133,7 +133,7 @@
 	}
 	r.number++
 	r.after(verdict.After, func() {
-		if r.entry == nil {
+		if r.entry == nil && !r.route.NoSlot {
 			r.queue.enqueue(r)
 			return
 		}
--- a/policybench/product/queue.go
+++ b/policybench/product/queue.go
@@ -40,7 +40,7 @@
 		Bytes: int64(r.route.BodyBytes), StartBy: startBy,
 	})
 	if refusal != nil {
-		r.refused()
+		r.refused(refusal)
 		q.pump()
 		return
 	}
@@ -62,6 +62,6 @@
 	for _, refused := range q.scheduler.TakeRefused(now) {
 		r := refused.Entry.Owner.(*request)
 		r.entry = nil
-		r.refused()
+		r.refused(refused.Refusal)
 	}
 }
--- a/policybench/product/request.go
+++ b/policybench/product/request.go
@@ -75,8 +75,17 @@
 	return r.route.Received.Add(time.Duration(startPart * float64(target)))
 }
 
-// refused ends a request that got no slot in time.
-func (r *request) refused() { r.finish(outcome.NotRun, outcome.CodeOverloaded) }
+// refused continues with a request that gets no slot: it goes to another region
+// or ends.
+func (r *request) refused(refusal *admission.Refusal) {
+	router := r.node.router
+	if refusal.Reason == admission.ReasonExpired || !router.CouldLeave(r.route) {
+		r.finish(outcome.NotRun, outcome.CodeOverloaded)
+		return
+	}
+	r.route.NoSlot = true
+	r.decide()
+}
 
 // forward passes the request on. It holds no slot meanwhile.
 func (r *request) forward(decision routing.Decision) {
--- a/policybench/product/spread.go
+++ b/policybench/product/spread.go
@@ -65,13 +65,10 @@
 	}
 }
 
-// slotsOf returns the slots of the servers that accept work, and those that are
-// free by the last reports and by this instance's own work since.
+// slotsOf returns the slots of the servers that requests are sent to, and those
+// that are free by the last reports and by this instance's own work since.
 func (n *node) slotsOf(service string) (total, free int) {
-	for _, server := range n.registry.Of(service) {
-		if !server.Accepts() {
-			continue
-		}
+	for server := range n.router.Healthy(service) {
 		load := server.Load()
 		total += load.Slots
 		free += max(load.Slots-max(load.Running+load.Waiting, server.InFlight()), 0)
