--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,14 +14,17 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/claim"
 	"github.com/fuchsiastack/fuchsiastack/configsync"
-	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
+	"github.com/fuchsiastack/fuchsiastack/load"
+	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/orders"
+	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
-	"github.com/fuchsiastack/fuchsiastack/routing"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
@@ -46,15 +49,23 @@
 	table    *catalog.Table
 	registry *backend.Registry
 	peers    *peerTable
+	claims   *claim.Claimer // nil without a digest key
 	config   *configsync.Follower
+	orders   *orders.Controller
 	platform *platform.Client
+	routes   *routes
+	observer *telemetry.Observer
+	peering  *peering
+	members  *membership.Runner
+	carrier  *exchange.Carrier
+	loads    *load.Follower
 	draining atomic.Bool
 
 	admission *admissionControl
 	topics    []exchange.Topic // what the instances of the region exchange
 
-	callers, peerSide, admin net.Listener
-	handlers                 *handlers
+	callers, peerSide, admin, control net.Listener
+	handlers                          *handlers
 }
 
 // New checks the settings and opens the listeners, so that the addresses are
@@ -76,7 +87,12 @@
 		peers:    &peerTable{},
 		platform: platform.New(settings.PlatformURL),
 	}
-	d.config = d.newConfigFollower(consul.New(settings.StoreURL))
+	kv := consul.New(settings.StoreURL)
+	d.config = d.newConfigFollower(kv)
+	d.orders = d.newOrders(kv)
+	if err := d.newClaims(kv); err != nil {
+		return nil, err
+	}
 	admissionObserver, err := telemetry.NewAdmission(logger, metrics)
 	if err != nil {
 		return nil, err
@@ -84,10 +100,25 @@
 	if d.admission, err = newAdmissionControl(&d.settings, admissionObserver); err != nil {
 		return nil, err
 	}
-	d.topics = append(d.topics, d.admission.slots, d.admission.limits, d.config)
+	if d.peering, err = newPeering(&settings); err != nil {
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
+	if err := d.newMembers(); err != nil {
+		return nil, err
+	}
+	if err := d.peering.server.Register(configsync.ServiceName, configsync.Service{Follower: d.config}); err != nil {
+		return nil, err
+	}
+	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
+	d.routes = d.newRoutes()
+	d.loads = d.newLoads()
+	d.topics = d.newTopics()
+	if err := d.newCarrier(); err != nil {
+		return nil, err
+	}
 	d.handlers = d.newHandlers()
 	return d, nil
 }
@@ -96,7 +127,7 @@
 	for _, l := range []struct {
 		addr string
 		to   *net.Listener
-	}{{d.settings.Listen, &d.callers}, {d.settings.PeerListen, &d.peerSide}, {d.settings.AdminListen, &d.admin}} {
+	}{{d.settings.Listen, &d.callers}, {d.settings.PeerListen, &d.peerSide}, {d.settings.AdminListen, &d.admin}, {d.settings.ControlListen, &d.control}} {
 		listener, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
@@ -109,6 +140,9 @@
 	if d.settings.PeerAddr == "" {
 		d.settings.PeerAddr = d.peerSide.Addr().String()
 	}
+	if d.settings.ControlAddr == "" {
+		d.settings.ControlAddr = d.control.Addr().String()
+	}
 	return nil
 }
 
@@ -126,15 +160,18 @@
 	var group errgroup.Group
 	servers := []*http.Server{
 		d.serve(&group, d.callers, d.handlers.caller),
-		d.serve(&group, d.peerSide, d.handlers.peer),
+		d.serve(&group, d.peering.secure(d.peerSide), d.handlers.peer),
 		d.serve(&group, d.admin, d.handlers.admin),
 	}
+	group.Go(func() error { return d.peering.server.Serve(d.control) })
 	d.startControllers(background, &group)
 	d.log.Info().Str("event", "started").Str("instance", d.settings.Instance).Str("region", d.settings.Region).
 		Str("zone", d.settings.Zone).Str("url", d.settings.PublicURL).Msg("")
 	<-ctx.Done()
 	d.drain(servers)
+	d.endMembership()
 	stop()
+	d.peering.close(d.control)
 	return group.Wait()
 }
 
@@ -166,6 +203,7 @@
 	if err := d.platform.Deregister(ctx, d.settings.Instance); err != nil {
 		d.log.Warn().Str("event", "deregister_failed").Err(err).Msg("")
 	}
+	d.members.SetServing(ctx, false)
 	cancel()
 	ctx, cancel = context.WithTimeout(context.Background(), d.settings.DrainDeadline)
 	defer cancel()
@@ -175,6 +213,9 @@
 			_ = server.Close()
 		}
 	}
+	ctx, cancelFlush := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelFlush()
+	d.flushClaims(ctx)
 	d.log.Info().Str("event", "stopped").Str("instance", d.settings.Instance).Msg("")
 }
 
@@ -182,7 +223,7 @@
 type handlers struct{ caller, peer, admin http.Handler }
 
 func (d *Daemon) newHandlers() *handlers {
-	observer := &telemetry.Observer{Log: d.log, Metrics: d.metrics}
+	observer := d.observer
 	dispatcher := d.newDispatcher(observer)
 	callerMux := http.NewServeMux()
 	callerMux.Handle("GET "+entry.Path, http.HandlerFunc(d.answerEntry))
@@ -198,24 +239,6 @@
 	}
 }
 
-func (d *Daemon) newDispatcher(observer dispatch.Observer) *dispatch.Dispatcher {
-	return &dispatch.Dispatcher{
-		Instance: d.settings.Instance,
-		Region:   d.settings.Region,
-		Router: &routing.Router{
-			Region:   d.settings.Region,
-			Registry: d.registry,
-			Regions:  d.peers,
-			Filters:  []routing.Filter{routing.AcceptingFilter{}, routing.UntriedFilter{}},
-			Scorer:   routing.QueueScorer{ServiceTime: time.Second},
-		},
-		Peers:      d.peers,
-		Transport:  newTransport(),
-		PeerScheme: "http",
-		Observer:   observer,
-	}
-}
-
 // Status is what an instance tells of itself.
 type Status struct {
 	Instance string `json:"instance"`
@@ -224,6 +247,9 @@
 	Revision uint64 `json:"revision"`
 	Servers  int    `json:"backend_servers"`
 	Draining bool   `json:"draining"`
+	Members  int    `json:"members"` // instances known, with this one
+
+	Control peer.Counts `json:"control"` // traffic with other instances
 }
 
 func (d *Daemon) answerStatus(w http.ResponseWriter, _ *http.Request) {
@@ -233,6 +259,8 @@
 		Zone:     d.settings.Zone,
 		Servers:  len(d.registry.All()),
 		Draining: d.draining.Load(),
+		Members:  d.members.Machine.View().Size(),
+		Control:  d.peering.traffic.Counts(),
 	}
 	if snapshot := d.table.Current(); snapshot != nil {
 		status.Revision = snapshot.Revision
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,21 +11,24 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/relay"
+	"github.com/fuchsiastack/fuchsiastack/retry"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
 
-// maxAttempts bounds the tries of one request.
-const maxAttempts = 3
-
 // refusedHeader is set by a backend server that refuses a request before
 // running it.
 const refusedHeader = "Fuchsia-Refused"
 
+// errOtherAttempt is the cause of an answer that carries another attempt's id.
+var errOtherAttempt = errors.New("the answer belongs to another attempt")
+
 // Peers finds instances of other regions.
 type Peers interface {
 	// Peer returns the host:port of an instance in region for other instances,
@@ -41,6 +44,13 @@
 	FirstByte(x *filters.Exchange)
 	// Attempted is called at the end of each attempt.
 	Attempted(x *filters.Exchange, attempt int, d routing.Decision, o outcome.Outcome, err error)
+	// Retried is called after each failed attempt.
+	Retried(x *filters.Exchange, attempt int, v retry.Verdict)
+	// Suspected is called when the state of a digest matters to a request.
+	// server is the id of the backend server that crashed, or "".
+	Suspected(x *filters.Exchange, digest quarantine.Digest, state quarantine.State, server string)
+	// Ejected is called when a backend server is ejected or let back in.
+	Ejected(e routing.Ejection)
 }
 
 // Dispatcher is the last step of the filter chain.
@@ -53,94 +63,76 @@
 	// PeerScheme is "https" with mutual TLS, or "http" in development.
 	PeerScheme string
 	Observer   Observer
+
+	Retry      *retry.Policy
+	Ejector    *routing.Ejector    // nil for none
+	Quarantine *quarantine.Table   // nil for none
+	DigestKey  quarantine.Key      // of the digests in Quarantine
+	Link       *routing.LinkBudget // nil for no cap on the links between regions
+	// Dial tells whether a backend server accepts connections; nil for TCP.
+	Dial func(ctx context.Context, addr string) error
+	// OwnerURL returns the URL for callers of the instance, or of one in the
+	// region, that examines a suspect; "" if unknown. Nil for none.
+	OwnerURL func(owner string) string
 }
 
 // Handle implements filters.Handler.
 func (d *Dispatcher) Handle(x *filters.Exchange) *outcome.Error {
 	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
 	defer cancel()
-	req := routeRequest(x)
-	for attempt := 1; ; attempt++ {
-		decision := d.Router.Decide(req)
-		d.Observer.Decided(x, attempt, decision)
-		err := d.attempt(ctx, x, decision, attempt)
-		if err == nil || !retryable(x, err) || attempt == maxAttempts || ctx.Err() != nil {
-			return err
-		}
-		if decision.Server != nil {
-			req.Tried[decision.Server.ID] = true
-		}
-	}
+	r := &run{Dispatcher: d, ctx: ctx, x: x, req: RouteRequest(x), answer: &relay.Answer{
+		Writer: x.Writer, RequestID: x.ID, LastEventID: x.Request.Header.Get("Last-Event-ID"),
+		OnFirst: func() { d.Observer.FirstByte(x) },
+	}}
+	r.suspect.run = r
+	return r.attempts()
 }
 
-func routeRequest(x *filters.Exchange) *routing.Request {
+// RouteRequest returns what routing needs to know of a request.
+func RouteRequest(x *filters.Exchange) *routing.Request {
 	return &routing.Request{
 		ID:           x.ID,
 		Service:      x.Service,
 		Work:         x.Work,
 		Caller:       x.Caller,
+		Received:     x.Received,
 		Deadline:     x.Deadline,
+		BodyBytes:    len(x.Body),
 		PromptTokens: x.PromptTokens,
 		Prefix:       x.Prefix,
 		Forwarded:    x.Hop != nil,
+		NoSlot:       x.NoSlot,
 		Tried:        make(map[string]bool),
 	}
 }
 
-// retryable reports whether another attempt is safe.
-func retryable(x *filters.Exchange, err *outcome.Error) bool {
-	if x.Started {
-		return false
-	}
-	switch err.Code {
-	case outcome.CodeBackendFailed, outcome.CodeBackendRefused:
-		return err.Outcome == outcome.NotRun || x.Work.Repeatable
-	}
-	return false
-}
-
-func (d *Dispatcher) attempt(ctx context.Context, x *filters.Exchange, decision routing.Decision, attempt int) *outcome.Error {
-	var err *outcome.Error
-	switch {
-	case decision.Server != nil:
-		err = d.toServer(ctx, x, decision.Server)
-	case decision.Region != "":
-		err = d.toRegion(ctx, x, decision.Region)
-	default:
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoBackend, "no backend server can serve this request now").WithRetryAfter(time.Second)
-	}
-	result := outcome.Served
-	var cause error
-	if err != nil {
-		result, cause = err.Outcome, err
-	}
-	d.Observer.Attempted(x, attempt, decision, result, cause)
-	return err
-}
-
-func (d *Dispatcher) toServer(ctx context.Context, x *filters.Exchange, server *backend.Server) *outcome.Error {
-	if !x.Service.Permits(x.Work, server.Region) {
-		panic("dispatch: backend server " + server.ID + " is outside the permitted regions")
-	}
-	defer server.Begin()()
-	req, err := newRequest(ctx, x, "http://"+server.Addr+x.Path)
+// exchange sends the request to a backend server and relays the answer.
+func (d *Dispatcher) exchange(ctx context.Context, x *filters.Exchange, server *backend.Server, w *watch) *outcome.Error {
+	req, err := newRequest(w.trace(ctx), x, "http://"+server.Addr+x.Path)
 	if err != nil {
 		return badPath(err)
 	}
 	copyRequestHeader(req.Header, x.Request.Header)
+	w.run.answer.SetResume(req.Header)
+	attempt := uuid.NewString()
+	req.Header.Set(relay.AttemptHeader, attempt)
 	resp, failure := d.send(req)
 	if failure != nil {
 		return failure
 	}
+	w.header(resp)
 	defer resp.Body.Close()
+	if got := resp.Header.Get(relay.AttemptHeader); got != "" && got != attempt {
+		return outcome.Fail(outcome.CodeBackendFailed, errOtherAttempt, "the backend server answered another request")
+	}
 	if resp.Header.Get(refusedHeader) != "" {
 		server.SetLeaving()
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeBackendRefused, "the backend server refused the request")
 	}
-	return d.relay(x, resp)
+	return d.relay(x, resp, w.run.answer)
 }
 
-func (d *Dispatcher) toRegion(ctx context.Context, x *filters.Exchange, region string) *outcome.Error {
+func (d *Dispatcher) toRegion(ctx context.Context, x *filters.Exchange, region string, answer *relay.Answer) *outcome.Error {
 	if x.Hop != nil || !x.Service.Permits(x.Work, region) {
 		panic("dispatch: request must not be forwarded to " + region)
 	}
@@ -154,6 +146,7 @@
 	}
 	copyRequestHeader(req.Header, x.Request.Header)
 	d.setHop(req.Header, x)
+	answer.SetResume(req.Header)
 	resp, failure := d.send(req)
 	if failure != nil {
 		return failure
@@ -162,7 +155,7 @@
 	if o := outcome.Parse(resp.Header.Get(outcome.Header)); o != outcome.Unknown && o != outcome.Served {
 		return peerError(resp, o)
 	}
-	return d.relay(x, resp)
+	return d.relay(x, resp, answer)
 }
 
 func (d *Dispatcher) setHop(header http.Header, x *filters.Exchange) {
@@ -205,15 +198,16 @@
 	return refusal
 }
 
-// send does one round trip. An error before any connection was had is NotRun.
+// send does one round trip. An error is NotRun if no byte of the request left.
 func (d *Dispatcher) send(req *http.Request) (*http.Response, *outcome.Error) {
-	trace := &sentTrace{}
-	resp, err := d.Transport.RoundTrip(req.WithContext(trace.attach(req.Context())))
+	deadline, _ := req.Context().Deadline()
+	gate := &gate{deadline: deadline}
+	resp, err := d.Transport.RoundTrip(req.WithContext(gate.attach(req.Context())))
 	if err == nil {
 		return resp, nil
 	}
 	failure := outcome.Fail(outcome.CodeBackendFailed, err, "the backend server did not answer")
-	if !trace.mayHaveSent() {
+	if gate.close() {
 		failure.Outcome = outcome.NotRun
 		failure.Status = http.StatusServiceUnavailable
 	}
@@ -227,9 +221,9 @@
 	return nil, failure
 }
 
-func (d *Dispatcher) relay(x *filters.Exchange, resp *http.Response) *outcome.Error {
+func (d *Dispatcher) relay(x *filters.Exchange, resp *http.Response, answer *relay.Answer) *outcome.Error {
 	x.Writer.Header().Set(filters.RevisionHeader, strconv.FormatUint(x.Snapshot.Revision, 10))
-	result := relay.Copy(x.Writer, resp, x.ID, func() { d.Observer.FirstByte(x) })
+	result := answer.Copy(resp)
 	x.Started = x.Started || result.Started
 	if result.Outcome == outcome.Served {
 		return nil
