Let an instance borrow its part of all free slots

An instance subtracted its own unused share from the free slots before it borrowed; a burst used up that share and then waited for the next load report.

Change: an instance may borrow its part of all free slots; one alone borrows none, as all slots are its share.

--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -141,7 +141,7 @@
 	for _, n := range m.nodes {
 		capacity := Capacity{
 			Slots: m.slots, Free: m.slots - m.reported, Fraction: n.shares.Fraction(key),
-			Running: n.scheduler.Running(), Members: len(m.nodes),
+			Members: len(m.nodes),
 		}
 		n.scheduler.SetSlots(m.now, capacity.Share())
 		n.scheduler.Borrow(capacity.Spare())
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -28,7 +28,6 @@
 	Slots    int     // of the backend servers that accept work
 	Free     int     // of Slots, by the last load reports
 	Fraction float64 // this instance's share of Slots
-	Running  int     // requests of this instance that hold a slot
 	Members  int     // instances that share the slots
 }
 
@@ -42,11 +41,14 @@
 	return min(max(int(math.Round(float64(c.Slots)*c.Fraction)), 1), c.Slots)
 }
 
-// Spare returns this instance's part of the free slots that are not its own. It
-// may start that many urgent requests beyond its share until the next load
-// report, so that a burst reaches slots that no instance uses before the shares
-// have moved. All instances together start at most Free for each report.
+// Spare returns this instance's part of the free slots. It may start that many
+// urgent requests beyond its share until the next load report, so that a burst
+// reaches slots that no instance uses before the shares have moved. All
+// instances together start at most Free for each report. An instance alone has
+// all slots as its share and borrows none.
 func (c Capacity) Spare() int {
-	own := max(c.Share()-c.Running, 0)
-	return max(c.Free-own, 0) / max(c.Members, 1)
+	if c.Members <= 1 {
+		return 0
+	}
+	return max(c.Free, 0) / c.Members
 }
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -122,7 +122,7 @@
 	a.slots.SetDemand(key, admission.DemandOf(service, &stats, total))
 	a.queue.SetCapacity(service, admission.Capacity{
 		Slots: total, Free: free, Fraction: a.slots.Fraction(key),
-		Running: stats.Running, Members: a.slots.Members(),
+		Members: a.slots.Members(),
 	})
 }
 
--- a/policybench/product/spread.go
+++ b/policybench/product/spread.go
@@ -60,7 +60,7 @@
 		n.slots.SetDemand(key, admission.DemandOf(service, &stats, total))
 		q.setCapacity(admission.Capacity{
 			Slots: total, Free: free, Fraction: n.slots.Fraction(key),
-			Running: stats.Running, Members: n.slots.Members(),
+			Members: n.slots.Members(),
 		})
 	}
 }
