--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,6 +60,7 @@
 	carrier  *exchange.Carrier
 	loads    *load.Follower
 	draining atomic.Bool
+	accepted inFlight // requests that arrived before draining
 
 	admission *admissionControl
 	topics    []exchange.Topic // what the instances of the region exchange
@@ -166,7 +167,7 @@
 	group.Go(func() error { return d.peering.server.Serve(d.control) })
 	d.startControllers(background, &group)
 	d.log.Info().Str("event", "started").Str("instance", d.settings.Instance).Str("region", d.settings.Region).
-		Str("zone", d.settings.Zone).Str("url", d.settings.PublicURL).Msg("")
+		Str("zone", d.settings.Zone).Str("url", d.settings.PublicURL).Str("admin", d.AdminAddr()).Msg("")
 	<-ctx.Done()
 	d.drain(servers)
 	d.endMembership()
@@ -177,7 +178,7 @@
 
 func (d *Daemon) serve(group *errgroup.Group, listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           d.followDrain(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -195,30 +196,6 @@
 	return server
 }
 
-// drain ends the servers after the work in flight.
-func (d *Daemon) drain(servers []*http.Server) {
-	d.draining.Store(true)
-	d.log.Info().Str("event", "draining").Str("instance", d.settings.Instance).Msg("")
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	if err := d.platform.Deregister(ctx, d.settings.Instance); err != nil {
-		d.log.Warn().Str("event", "deregister_failed").Err(err).Msg("")
-	}
-	d.members.SetServing(ctx, false)
-	cancel()
-	ctx, cancel = context.WithTimeout(context.Background(), d.settings.DrainDeadline)
-	defer cancel()
-	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
-			d.log.Error().Str("event", "drain_cut").Err(err).Msg("")
-			_ = server.Close()
-		}
-	}
-	ctx, cancelFlush := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancelFlush()
-	d.flushClaims(ctx)
-	d.log.Info().Str("event", "stopped").Str("instance", d.settings.Instance).Msg("")
-}
-
 // handlers are the HTTP handlers of the listeners.
 type handlers struct{ caller, peer, admin http.Handler }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -42,7 +42,8 @@
 	ListInterval  time.Duration // between reads of the list of backend servers
 	LoadInterval  time.Duration // between load reports of a backend server
 	DirectoryTTL  time.Duration // life of the entry in the directory
-	DrainDeadline time.Duration // longest graceful shutdown
+	DrainNotice   time.Duration // how long callers are told of another instance before the listeners close
+	DrainDeadline time.Duration // longest wait for the work in flight after that
 	MaxLoading    int           // engines of a service that load a model at the same time, in the region
 
 	MaxConnections   int           // open connections of callers
@@ -70,6 +71,7 @@
 		ListInterval:  time.Second,
 		LoadInterval:  500 * time.Millisecond,
 		DirectoryTTL:  10 * time.Second,
+		DrainNotice:   6 * time.Second, // longer than callers keep an answer of entry.Path
 		DrainDeadline: 10 * time.Minute,
 		MaxLoading:    2,
 
@@ -111,8 +113,9 @@
 	fault(s.PeerInsecure && s.Production, "peer-insecure: refused in production")
 	fault(s.MaxBodyBytes < 1<<10 || s.MaxBodyBytes > 64<<20, "max-body-bytes: want 1024 to 67108864")
 	fault(s.ListInterval < 100*time.Millisecond || s.ListInterval > 10*time.Second, "list-interval: want 100ms to 10s")
-	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > 10*time.Second, "load-interval: want 50ms to 10s")
+	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > time.Second, "load-interval: want 50ms to 1s")
 	fault(s.DirectoryTTL < 2*time.Second || s.DirectoryTTL > time.Minute, "directory-ttl: want 2s to 1m")
+	fault(s.DrainNotice < 0 || s.DrainNotice > time.Minute, "drain-notice: want 0s to 1m")
 	fault(s.DrainDeadline < time.Second || s.DrainDeadline > time.Hour, "drain-deadline: want 1s to 1h")
 	fault(s.ClaimRetention < 10*time.Minute || s.ClaimRetention > 7*24*time.Hour, "claim-retention: want 10m to 168h")
 	fault(s.MaxLoading < 1, "max-loading: want 1 or more")
--- a/entry/client.go
+++ b/entry/client.go
@@ -38,35 +38,59 @@
 // ErrNoInstance is returned when no instance answers.
 var ErrNoInstance = errors.New("entry: no instance answers")
 
+// maxRounds bounds how often the system is asked for one request.
+const maxRounds = 2
+
 // RoundTrip implements http.RoundTripper. A request that was refused as not
-// run is sent to the next instance if its body can be had again.
+// run is sent to the next instance if its body can be had again. If no known
+// instance is left, the system is asked once more: several instances may have
+// been replaced since its last answer.
 func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) {
-	instances, err := c.Instances(req.Context())
-	if err != nil {
-		return nil, err
-	}
-	var lastErr error
-	for i, instance := range instances {
-		attempt, err := redirect(req, instance.URL, i > 0)
-		if err != nil {
-			return nil, err
+	tried := make(map[string]bool)
+	var resp *http.Response
+	err := error(ErrNoInstance)
+	for range maxRounds {
+		instances, askErr := c.Instances(req.Context())
+		if askErr != nil {
+			break
 		}
-		resp, err := c.transport().RoundTrip(attempt)
-		last := i == len(instances)-1
-		if err != nil {
-			lastErr = err
-			c.forget()
-			if last || !neverConnected(err) || !canResend(req) {
-				return nil, err
+		for _, instance := range instances {
+			if tried[instance.URL] {
+				continue
+			}
+			if resp != nil {
+				_ = resp.Body.Close()
+			}
+			resp, err = c.try(req, instance.URL, len(tried) > 0)
+			tried[instance.URL] = true
+			if !notRun(resp, err) || !canResend(req) {
+				return resp, err
 			}
-			continue
-		}
-		if last || !refusedForNow(resp) || !canResend(req) {
-			return resp, nil
 		}
-		_ = resp.Body.Close()
 	}
-	return nil, errors.Wrap(lastErr, "entry")
+	return resp, err
+}
+
+// try sends req to the instance at base. An instance that cannot be reached or
+// that is leaving makes the next request ask again.
+func (c *Client) try(req *http.Request, base string, again bool) (*http.Response, error) {
+	attempt, err := redirect(req, base, again)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.transport().RoundTrip(attempt)
+	if err != nil || refusedForNow(resp) && resp.Close {
+		c.forget()
+	}
+	return resp, err
+}
+
+// notRun reports whether another instance may serve the request.
+func notRun(resp *http.Response, err error) bool {
+	if err != nil {
+		return neverConnected(err)
+	}
+	return refusedForNow(resp)
 }
 
 // refusedForNow reports whether another instance may serve what this one
