Keep the fleet within the budget of the key-value service

Cause: nothing bounded the calls of an instance; at the end of an outage all callers called at once.

Change: store/budget wraps the store: a token bucket for each kind of call from the fleet's budget and the number of members, shared equal reads, full jitter after failures with one probe at a time. /status shows the counts.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
+	"github.com/fuchsiastack/fuchsiastack/store/budget"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
@@ -50,6 +51,7 @@
 	peers    *peerTable
 	claims   *claim.Claimer // nil without a digest key
 	config   *configsync.Follower
+	store    *budget.Store
 	platform *platform.Client
 	routes   *routes
 	observer *telemetry.Observer
@@ -85,7 +87,8 @@
 		peers:    &peerTable{},
 		platform: platform.New(settings.PlatformURL),
 	}
-	kv := consul.New(settings.StoreURL)
+	kv := budget.New(consul.New(settings.StoreURL), budget.DefaultLimits(), d.fleetSize)
+	d.store = kv
 	d.config = d.newConfigFollower(kv)
 	if err := d.newClaims(kv); err != nil {
 		return nil, err
@@ -246,7 +249,8 @@
 	Draining bool   `json:"draining"`
 	Members  int    `json:"members"` // instances known, with this one
 
-	Control peer.Counts `json:"control"` // traffic with other instances
+	Control peer.Counts   `json:"control"` // traffic with other instances
+	Store   budget.Counts `json:"store"`   // calls of the platform's key-value service
 }
 
 func (d *Daemon) answerStatus(w http.ResponseWriter, _ *http.Request) {
@@ -258,6 +262,7 @@
 		Draining: d.draining.Load(),
 		Members:  d.members.Machine.View().Size(),
 		Control:  d.peering.traffic.Counts(),
+		Store:    d.store.Counts(),
 	}
 	if snapshot := d.table.Current(); snapshot != nil {
 		status.Revision = snapshot.Revision
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -41,3 +41,14 @@
 	defer cancel()
 	d.members.End(ctx)
 }
+
+// assumedFleet is the size of the fleet until another instance is known.
+const assumedFleet = 16
+
+// fleetSize returns the number of live instances of all regions.
+func (d *Daemon) fleetSize() int {
+	if size := d.members.Machine.View().Size(); size > 1 {
+		return size
+	}
+	return assumedFleet
+}
