--- a/exchange/carrier.go
+++ b/exchange/carrier.go
@@ -21,7 +21,7 @@
 	regionStatePeriod  = 2 * time.Second        // between readings of the own region's summary
 	callTimeout        = 2 * time.Second
 	jitter             = 0.2 // part of a period
-	defaultBudgetBytes = 1200
+	defaultBudgetBytes = 1000
 	burstSeconds       = 4
 )
 
@@ -62,7 +62,7 @@
 	View      func() *membership.View
 	Transport Transport
 	Random    *rand.Rand
-	// BytesPerSecond bounds the states sent in each scope; 0 stands for 1,200.
+	// BytesPerSecond bounds the states sent in each scope; 0 stands for 1,000.
 	BytesPerSecond int
 	// OnError is told of states that could not be decoded; nil ignores them.
 	OnError func(topic, origin string, err error)
--- a/membership/runner.go
+++ b/membership/runner.go
@@ -44,18 +44,24 @@
 	DirectoryPeriod time.Duration
 
 	wake chan struct{} // a suspicion may be due earlier
+	// ctx ends with Run. It bounds the work that calls of other instances
+	// start.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // NewRunner returns a runner of a machine.
 func NewRunner(m *Machine, transport Transport, directory Directory, seeds []string, directoryPeriod time.Duration) *Runner {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Runner{
 		Machine: m, Transport: transport, Directory: directory, Seeds: seeds,
-		DirectoryPeriod: directoryPeriod, wake: make(chan struct{}, 1),
+		DirectoryPeriod: directoryPeriod, wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 }
 
 // Run joins the fleet and follows it until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
+	defer r.cancel()
 	var group errgroup.Group
 	loop := func(period time.Duration, f func(context.Context)) {
 		group.Go(func() error { r.every(ctx, period, f); return nil })
@@ -177,7 +183,7 @@
 	before := r.Machine.Incarnation()
 	r.Machine.Merge(time.Now(), msg)
 	if r.Machine.Incarnation() != before {
-		go r.push(context.Background())
+		go r.push(r.ctx)
 	}
 	r.wakeExpiry()
 }
@@ -337,7 +343,7 @@
 	before := r.Machine.Incarnation()
 	r.Machine.MergeRecords(time.Now(), reply.Records)
 	if r.Machine.Incarnation() != before {
-		go r.push(context.WithoutCancel(ctx))
+		go r.push(r.ctx)
 	}
 	r.wakeExpiry()
 	return len(covered), nil
--- a/membership/service.go
+++ b/membership/service.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"context"
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/peer"
@@ -49,7 +48,7 @@
 
 // Relay probes another instance.
 func (s *Service) Relay(args *RelayArgs, reply *RelayReply) error {
-	reply.Reached = s.runner.probe(context.Background(), args.To) == nil
+	reply.Reached = s.runner.probe(s.runner.ctx, args.To) == nil
 	return nil
 }
 
@@ -64,7 +63,7 @@
 	before := s.runner.Machine.Incarnation()
 	*reply = s.runner.Machine.Pull(time.Now(), *args)
 	if s.runner.Machine.Incarnation() != before {
-		go s.runner.push(context.Background())
+		go s.runner.push(s.runner.ctx)
 	}
 	return nil
 }
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -98,6 +98,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.wake()
 }
 
 // Counters returns the calls counted so far.
@@ -176,8 +177,11 @@
 	for {
 		s.mu.Lock()
 		pairs, newest := s.match(key, recurse)
-		changed := s.changed
+		changed, down := s.changed, s.faults.Down
 		s.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler) // an outage ends waiting watches too
+		}
 		if newest > after || len(pairs) < len(before) {
 			return
 		}
