--- a/routing/routing.go
+++ b/routing/routing.go
@@ -5,7 +5,9 @@
 package routing
 
 import (
+	"iter"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
@@ -27,6 +29,7 @@
 	Forwarded    bool            // arrived from another region; must be decided here
 	StayLocal    bool            // another region was tried; no second one is
 	Alone        bool            // a suspect that must not run beside other requests
+	NoSlot       bool            // no slot of this region becomes free in time; another region or none
 	Tried        map[string]bool // ids of backend servers that attempts have used
 
 	scratch scratch
@@ -52,6 +55,7 @@
 	ReasonProbe       Reason = "probe"                // probe of an ejected server
 	ReasonNoHealthy   Reason = "no_healthy_server"    // every server is ejected or silent; one is used anyway
 	ReasonNoServer    Reason = "no_backend_server"    // nothing accepts the request
+	ReasonNoSlot      Reason = "no_slot"              // no slot becomes free in time, here or elsewhere
 	ReasonNotHere     Reason = "region_not_permitted" // the service is not permitted in this region
 	ReasonOtherRegion Reason = "other_region"         // the target would be missed here and met there
 )
@@ -149,6 +153,9 @@
 	if !req.Service.Permits(req.Work, r.Region) {
 		return r.elsewhere(now, req, Decision{Reason: ReasonNotHere})
 	}
+	if req.NoSlot {
+		return r.elsewhere(now, req, Decision{Reason: ReasonNoSlot})
+	}
 	local := r.local(now, req)
 	if !r.mayLeave(req) {
 		return local
@@ -159,6 +166,36 @@
 	return r.elsewhere(now, req, local)
 }
 
+// Healthy returns the servers of a service that requests are sent to: those
+// that accept them and are not ejected, silent or reserved for a trial. If
+// there are none it returns those that accept requests, as Decide does.
+func (r *Router) Healthy(service string) iter.Seq[*backend.Server] {
+	return func(yield func(*backend.Server) bool) {
+		now, req := r.now(), &Request{}
+		servers := r.Registry.Of(service)
+		use := r.usable
+		if !slices.ContainsFunc(servers, func(s *backend.Server) bool { return r.usable(now, req, s) }) {
+			use = r.permitted
+		}
+		for _, server := range servers {
+			if use(now, req, server) && !yield(server) {
+				return
+			}
+		}
+	}
+}
+
+// CouldLeave reports whether another region would be worth it for a request
+// that gets no slot here. It uses up nothing: Decide with NoSlot may come to
+// another result a moment later.
+func (r *Router) CouldLeave(req *Request) bool {
+	if !r.mayLeave(req) || r.Regions == nil || r.Spill == nil {
+		return false
+	}
+	now := r.now()
+	return r.Spill.couldLeave(now, req, r)
+}
+
 func (r *Router) now() time.Time {
 	if r.Now == nil {
 		return time.Now()
@@ -188,6 +225,9 @@
 	if r.Spill != nil {
 		return r.Spill.decide(now, req, local, r)
 	}
+	if req.NoSlot {
+		return local
+	}
 	for _, region := range r.Regions.Reachable() {
 		if region != r.Region && req.Service.Permits(req.Work, region) {
 			return Decision{Region: region, Reason: ReasonOtherRegion}
