--- a/cmd/fuchsia-slopes/sample.go
+++ b/cmd/fuchsia-slopes/sample.go
@@ -105,15 +105,15 @@
 func (f *fleet) peak(ctx context.Context) (most uint64) {
 	ticker := time.NewTicker(peakInterval)
 	defer ticker.Stop()
-	last, err := f.counters()
+	last, _ := f.counters() // a failed reading counts as zero calls
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return most
 		}
-		var now kv.Counters
-		if now, err = f.counters(); err != nil {
+		now, err := f.counters()
+		if err != nil {
 			continue
 		}
 		most = max(most, now.Reads+now.Writes-last.Reads-last.Writes)
