--- a/exchange/carrier.go
+++ b/exchange/carrier.go
@@ -178,11 +178,9 @@
 	return c.pick(c.view().Members(c.self.Region))
 }
 
-// localPeerForRegions returns a local peer if there are other regions. A bridge
-// needs none: its summaries are as new as those of its peers.
+// localPeerForRegions returns a local peer if there are other regions.
 func (c *Carrier) localPeerForRegions() (platform.Instance, bool) {
-	view := c.view()
-	if len(view.Regions()) < 2 || len(c.regional) == 0 || view.IsBridge() {
+	if len(c.view().Regions()) < 2 || len(c.regional) == 0 {
 		return platform.Instance{}, false
 	}
 	return c.localPeer()
