Keep a cut-off region whole and give frozen regions up early

Cause, seen by the new scenario cut_region: with the store, the platform and all other regions frozen, an instance that joined in the cut-off region served nothing: it had no list of backend servers, and requests that it forwarded to a frozen region waited 60 s for their caller to give up. A second one (config_frozen): an instance entered the directory only a third of the directory's life after its start, as its first try came before its configuration.

Change: an instance without a list takes it from a peer of its region. An instance acknowledges a forwarded request with the interim status 102 when it has read the header; without it within 1.5 s the attempt is given up, the region counts as failed and the request is tried here if it may be repeated. An instance registers as soon as it has a configuration.

Ruled out: Expect: 100-continue, which would tell not-run even after the header has left but adds a round trip (160 ms) to every forwarded request.

TestFrozenRegionIsGivenUp fails without the timer (the caller gets an error) and passes with it.

--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -40,15 +40,6 @@
 	}
 }
 
-func (d *Daemon) readList(ctx context.Context) {
-	list, err := d.platform.Servers(ctx, d.settings.Region)
-	if err != nil {
-		d.log.Warn().Str("event", "list_failed").Err(err).Msg("")
-		return
-	}
-	d.registry.Replace(list)
-}
-
 func (d *Daemon) self() platform.Instance {
 	return platform.Instance{
 		ID:          d.settings.Instance,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -113,6 +113,9 @@
 	if err := d.newMembers(); err != nil {
 		return nil, err
 	}
+	if err := d.peering.server.Register(listService, ListService{d.registry}); err != nil {
+		return nil, err
+	}
 	if err := d.peering.server.Register(configsync.ServiceName, configsync.Service{Follower: d.config}); err != nil {
 		return nil, err
 	}
@@ -170,7 +173,8 @@
 	group.Go(func() error { return d.peering.server.Serve(d.control) })
 	d.startControllers(background, &group)
 	d.log.Info().Str("event", "started").Str("instance", d.settings.Instance).Str("region", d.settings.Region).
-		Str("zone", d.settings.Zone).Str("url", d.settings.PublicURL).Str("admin", d.AdminAddr()).Msg("")
+		Str("zone", d.settings.Zone).Str("url", d.settings.PublicURL).Str("admin", d.AdminAddr()).
+		Str("control", d.settings.ControlAddr).Msg("")
 	<-ctx.Done()
 	d.drain(servers)
 	d.endMembership()
@@ -214,7 +218,7 @@
 	adminMux.HandleFunc("GET /status", d.answerStatus)
 	return &handlers{
 		caller: callerMux,
-		peer:   &gateway.Handler{Chain: d.peerChain(dispatcher.Handle), Observer: observer},
+		peer:   &gateway.Handler{Chain: d.peerChain(dispatcher.Handle), Observer: observer, Acknowledge: true},
 		admin:  adminMux,
 	}
 }
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -21,7 +21,8 @@
 	return d.peering.server.Register(membership.ServiceName, d.members.Service())
 }
 
-// announceReady tells the other instances once this one has a configuration.
+// announceReady tells the directory and the other instances once this one has a
+// configuration.
 func (d *Daemon) announceReady(ctx context.Context) {
 	for d.table.Current() == nil {
 		select {
@@ -31,6 +32,7 @@
 		}
 	}
 	if !d.draining.Load() {
+		d.register(ctx)
 		d.members.SetServing(ctx, true)
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -140,6 +140,8 @@
 	if addr == "" {
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoBackend, "no instance of region %s is known", region)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	req, err := newRequest(ctx, x, d.PeerScheme+"://"+addr+x.Path)
 	if err != nil {
 		return badPath(err)
@@ -147,9 +149,11 @@
 	copyRequestHeader(req.Header, x.Request.Header)
 	d.setHop(req.Header, x)
 	answer.SetResume(req.Header)
-	resp, failure := d.send(req)
+	ack := newAckTimer(cancel)
+	defer ack.stop()
+	resp, failure := d.send(req.WithContext(ack.attach(ctx)))
 	if failure != nil {
-		return failure
+		return ack.explain(failure)
 	}
 	defer resp.Body.Close()
 	if o := outcome.Parse(resp.Header.Get(outcome.Header)); o != outcome.Unknown && o != outcome.Served {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -179,6 +179,10 @@
 		return r.engines.RoundTrip(req)
 	}
 	r.calls++
+	if r.answer == nil { // a frozen instance
+		<-req.Context().Done()
+		return nil, req.Context().Err()
+	}
 	return r.answer(), nil
 }
 
@@ -194,6 +198,45 @@
 	})
 }
 
+// prefer makes other regions look better than this one.
+func (i *instance) prefer(r *regions) *routing.SummaryTable {
+	i.Transport, i.Peers, i.Router.Regions = r, r, r
+	table := &routing.SummaryTable{}
+	i.Router.Spill = &routing.Spiller{Summaries: table, Enter: time.Nanosecond}
+	for _, s := range i.registry.All() {
+		for range 100 {
+			s.Start(time.Now(), 0)
+		}
+	}
+	return table
+}
+
+// idle reports that the other regions have free slots.
+func (r *regions) idle(table *routing.SummaryTable) {
+	for _, region := range r.Reachable() {
+		table.Put(routing.RegionSummary{Region: region, Service: testService.Name, Servers: 9, Slots: 72, FreeSlots: 72, At: time.Now()})
+	}
+}
+
+// TestFrozenRegionIsGivenUp has instances of other regions that take a request
+// and never answer: the request is served here well before its deadline.
+func TestFrozenRegionIsGivenUp(t *testing.T) {
+	inVirtualTime(t, 1, 2, func(c *qt.C, e *engines, all []*instance) {
+		r := &regions{engines: e}
+		d := all[0]
+		table := d.prefer(r)
+		for range 3 {
+			r.idle(table)
+			begin := time.Now()
+			answer, err := d.send("question")
+			c.Assert(err == nil, qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(answer, qt.Equals, "answer to question")
+			c.Assert(time.Since(begin) < 10*time.Second, qt.IsTrue)
+		}
+		c.Assert(r.calls >= 1, qt.IsTrue)
+	})
+}
+
 // TestRefusalOfRegionIsServedHere has summaries that show idle regions which
 // refuse. The request is served here, late, and no second region is asked.
 func TestRefusalOfRegionIsServedHere(t *testing.T) {
@@ -205,19 +248,10 @@
 			return &http.Response{StatusCode: refusal.Status, Header: header, Body: io.NopCloser(strings.NewReader(body))}
 		}}
 		d := all[0]
-		d.Transport, d.Peers, d.Router.Regions = r, r, r
-		table := &routing.SummaryTable{}
-		d.Router.Spill = &routing.Spiller{Summaries: table, Enter: time.Nanosecond}
+		table := d.prefer(r)
 		decided := 0
-		for _, s := range d.registry.All() {
-			for range 100 {
-				s.Start(time.Now(), 0)
-			}
-		}
 		for range 3 {
-			for _, region := range r.Reachable() {
-				table.Put(routing.RegionSummary{Region: region, Service: testService.Name, Servers: 9, Slots: 72, FreeSlots: 72, At: time.Now()})
-			}
+			r.idle(table)
 			decided++
 			answer, err := d.send("question")
 			c.Assert(err == nil, qt.IsTrue)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,10 +20,16 @@
 type Handler struct {
 	Chain    filters.Handler
 	Observer Observer
+	// Acknowledge makes the handler answer at once with the interim status 102,
+	// so that the sender knows that the instance has the request.
+	Acknowledge bool
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.Acknowledge {
+		w.WriteHeader(http.StatusProcessing)
+	}
 	x := &filters.Exchange{Writer: w, Request: r, ID: filters.RequestID(r), Received: time.Now()}
 	end := h.Observer.Begin(x)
 	err := h.Chain(x)
--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -32,15 +33,17 @@
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
 			s := &script{fleet: newFleet(t), args: make(map[string][]string), loads: make(map[string]*load)}
 			examples, _ := filepath.Abs("../examples")
+			commands := map[string]func(*testscript.TestScript, bool, []string){
+				"publish": s.publish, "daemon": s.startDaemon, "engine": s.startEngine, "plain": s.startPlain,
+				"signal": s.signal, "ended": s.ended, "restart": s.restart, "faults": s.setFaults, "list": s.list,
+				"leave": s.leave, "load": s.startLoad, "loaded": s.endLoad, "idle": s.idle, "nowork": s.noWork,
+				"orders": s.startOrders, "ordered": s.endOrders, "marked": s.marked, "looped": s.looped,
+			}
+			maps.Copy(commands, s.configCommands())
 			testscript.Run(t, testscript.Params{
 				Files: []string{file},
 				Setup: func(env *testscript.Env) error { env.Setenv("EXAMPLES", examples); return nil },
-				Cmds: map[string]func(*testscript.TestScript, bool, []string){
-					"publish": s.publish, "daemon": s.startDaemon, "engine": s.startEngine, "plain": s.startPlain,
-					"signal": s.signal, "ended": s.ended, "restart": s.restart, "faults": s.setFaults, "list": s.list,
-					"leave": s.leave, "load": s.startLoad, "loaded": s.endLoad, "idle": s.idle, "nowork": s.noWork,
-					"orders": s.startOrders, "ordered": s.endOrders, "marked": s.marked, "looped": s.looped,
-				},
+				Cmds: commands,
 			})
 		})
 	}
