--- a/entry/client.go
+++ b/entry/client.go
@@ -48,7 +48,7 @@
 func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) {
 	tried := make(map[string]bool)
 	var resp *http.Response
-	err := error(ErrNoInstance)
+	err := ErrNoInstance
 	for range maxRounds {
 		instances, askErr := c.Instances(req.Context())
 		if askErr != nil {
--- a/scenario/orders_test.go
+++ b/scenario/orders_test.go
@@ -27,7 +27,7 @@
 	)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	params := chat(question, "catalogue-draft")
+	params := chat(question, "grade-enquiry")
 	params.MaxTokens = openai.Int(int64(tokens))
 	stream := client.Chat.Completions.NewStreaming(ctx, params)
 	var text strings.Builder
--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -90,7 +90,7 @@
 func (s *script) startDaemon(_ *testscript.TestScript, _ bool, args []string) {
 	s.args[args[0]] = args
 	s.regions.Store(args[0], args[1])
-	s.fleet.daemon(args[0], args[1], args[1]+"-a", append([]string{"--drain-notice", "500ms"}, args[2:]...)...)
+	s.daemon(args[0], args[1], args[1]+"-a", append([]string{"--drain-notice", "500ms"}, args[2:]...)...)
 	for name := range s.args {
 		s.awaitInstances(s.procs[name].addr, len(s.args))
 	}
