Let claims wait for the budget of the store

Cause: since calls of the store have a budget, a transaction over it was refused and with it up to 64 claims, though nothing had been sent.

With the mechanism off (go test ./claim -run Budget): after 10 refusals, "store: txn: did not happen: over the call budget". With it on: ok. go test -race ./claim: ok, 18 s. TestScripts/orders: 1294 orders, 1069 executed, none twice; may-have-run 0 of 2512 failed requests.

--- a/claim/attempt_test.go
+++ b/claim/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,3 +75,32 @@
 		qt.Assert(t, c.Flush(context.Background()), qt.IsNil)
 	})
 }
+
+// scarce is a store whose budget refuses the first writes.
+type scarce struct {
+	store.Store
+	refusals int
+}
+
+func (s *scarce) Txn(ctx context.Context, ops []store.Op) error {
+	if s.refusals > 0 {
+		s.refusals--
+		return &store.Error{Op: "txn", Cause: store.ErrThrottled}
+	}
+	return s.Store.Txn(ctx, ops)
+}
+
+// TestClaimWaitsForTheBudget claims while the budget of the store is used up.
+func TestClaimWaitsForTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scarce{Store: consul.NewWithTransport("http://kv", kv.New().Transport())}
+		c := newTestClaimer(t, s)
+		for i, refusals := range []int{0, 10} {
+			s.refusals = refusals
+			a, err := c.Claim(context.Background(), Request{Key: NewKey(time.Now(), fmt.Sprint("random-", i))})
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("after %d refusals", refusals))
+			a.Finish(outcome.Served)
+		}
+		qt.Assert(t, c.Flush(context.Background()), qt.IsNil)
+	})
+}
--- a/claim/batch.go
+++ b/claim/batch.go
@@ -20,6 +20,8 @@
 	maxPending   = 4096            // writes that wait for a transaction
 	retryBackoff = 20 * time.Millisecond
 	txnInterval  = 20 * time.Millisecond // between the starts of two transactions
+
+	throttlePause = 50 * time.Millisecond // after a call over the budget
 )
 
 // errUnsettled means that the store did not tell whether a write took effect.
@@ -35,6 +37,8 @@
 	rounds  int
 	ended   chan struct{} // closed once state is final
 	state   writeState
+
+	submitted time.Time
 }
 
 // writeState is the end of a write.
@@ -66,6 +70,7 @@
 	if len(b.pending) >= maxPending {
 		return errBusy
 	}
+	w.submitted = time.Now()
 	b.pending = append(b.pending, w)
 	if !b.running {
 		b.running = true
@@ -150,6 +155,8 @@
 		return nil
 	case errors.Is(err, store.ErrConflict):
 		return b.settle(batch, true)
+	case errors.Is(err, store.ErrThrottled) && time.Since(batch[0].submitted) < waitLimit:
+		return throttled(batch)
 	case store.EffectOf(err) == store.DidNotHappen:
 		// A write that an earlier, unsettled transaction carried may still
 		// have taken effect.
@@ -162,6 +169,16 @@
 	return b.settle(batch, false)
 }
 
+// throttled waits for the budget of the store. The transaction was not sent, so
+// it does not count as a round; meanwhile more writes gather for it.
+func throttled(batch []*write) []*write {
+	for _, w := range batch {
+		w.rounds--
+	}
+	time.Sleep(throttlePause)
+	return batch
+}
+
 // settle reads every key of a batch back, since one conflict fails the whole
 // transaction and a lost answer says nothing. It returns the writes that did
 // not take effect and may still do so.
