Write the outcome of a claim again after an outage of the store

Cause: an outcome that met an outage was dropped, and duplicates were told "unknown" for the rest of the retention.

Only the holder writes it, so a repetition changes nothing.

Before (TestOutcomeOutlastsAnOutage): "held by an attempt with outcome unknown". After: ok; go test -race ./claim: ok, 19 s.

--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -53,20 +53,28 @@
 		a.releaseAndWait()
 		return
 	}
-	w := &write{
-		op:    store.Op{Kind: store.OpSet, Key: a.key, Value: a.record(o)},
-		ended: make(chan struct{}),
-	}
-	if a.claimer.batcher.submit(w) != nil {
-		// The record stays unfinished: duplicates are told that the outcome is
-		// unknown.
-		a.claimer.leave(a)
-		return
+	go a.writeOutcome()
+}
+
+// writeOutcome records how the attempt ended. If the store stays away, the
+// record stays unfinished: duplicates are told that the outcome is unknown.
+func (a *Attempt) writeOutcome() {
+	defer a.claimer.leave(a)
+	pause := releaseBackoff
+	for range releaseTries {
+		w := &write{
+			op:    store.Op{Kind: store.OpSet, Key: a.key, Value: a.record(a.first)},
+			ended: make(chan struct{}),
+		}
+		if a.claimer.batcher.submit(w) == nil {
+			<-w.ended
+			if w.state.err == nil {
+				return
+			}
+		}
+		time.Sleep(pause)
+		pause *= 2
 	}
-	go func() {
-		<-w.ended
-		a.claimer.leave(a)
-	}()
 }
 
 func (a *Attempt) releaseAndWait() {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -125,6 +125,23 @@
 	})
 }
 
+func TestOutcomeOutlastsAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := kv.New()
+		c, other := newClaimer(t, server), newClaimer(t, server)
+		key := newKey(0)
+		a, err := c.Claim(context.Background(), request(key))
+		qt.Assert(t, err, qt.IsNil)
+		server.SetFaults(kv.Faults{Down: true})
+		a.Finish(outcome.Served)
+		time.Sleep(10 * time.Second)
+		server.SetFaults(kv.Faults{})
+		qt.Assert(t, c.Flush(context.Background()), qt.IsNil)
+		_, err = other.Claim(context.Background(), request(key))
+		qt.Assert(t, err, qt.ErrorMatches, ".*outcome served")
+	})
+}
+
 func TestStoreDownRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		server := kv.New()
