Keep free slots for bursts of urgent work whenever batch work waits

Cause: headroom was zero while lent slots came back faster than one standard deviation of the urgent demand within the target.

Change: urgent work finds 1.5 slots beyond its mean demand free while batch waits.

--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -14,6 +14,11 @@
 	maxRetryAfter = time.Minute
 )
 
+// burstSlots is the number of slots beyond its mean demand that urgent work finds
+// free while batch work waits. It need not grow with the demand: where more
+// urgent work runs, more of its slots come back within the target.
+const burstSlots = 1.5
+
 // Entry is a request in a Scheduler: waiting, running, or gone.
 type Entry struct {
 	Request
@@ -226,21 +231,16 @@
 	return urgent
 }
 
-// headroom returns the free slots that rank must leave to urgent work. Without
-// it, long requests take each slot that urgent work leaves for a moment, and
-// hold it when that work is back. It is zero while lent slots return fast
-// enough to absorb the ordinary variation of urgent work within its target.
+// headroom returns the free slots that rank must leave to urgent work: its mean
+// demand and a few slots more, less what it uses. Without it, long requests take
+// each slot that urgent work leaves for a moment, and hold it when that work is
+// back.
 func (s *Scheduler) headroom(rank catalog.Rank) int {
 	urgent, l := s.lanes[catalog.Urgent], s.lanes[rank]
 	if rank == catalog.Urgent || l.hold == 0 || l.running == 0 {
 		return 0
 	}
-	variation := math.Sqrt(urgent.demand) // of random arrivals
-	secondsToReturn := variation * l.hold / float64(l.running)
-	if secondsToReturn <= urgent.config.Target.Seconds() {
-		return 0
-	}
-	kept := min(urgent.demand, float64(s.slots)-l.reserve) - float64(urgent.running)
+	kept := min(urgent.demand+burstSlots, float64(s.slots)-l.reserve) - float64(urgent.running)
 	return int(math.Round(max(kept, 0)))
 }
 
