Leave a region's free slots to its own waiting requests

Cause: a region's summary counted as free what its own waiting requests are about to take. In a flood of every region each sent work to the others, which refused it or ran it with cold caches.

Ruled out: a part of the free slots kept back, as a region without waiting requests has no use for it.

Change: a summary's free slots are less the requests that wait; an instance takes the others of its region to have as many as it has.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -154,6 +154,15 @@
 	Ranks   [catalog.RankCount]RankStats
 }
 
+// Waiting returns the number of requests that wait.
+func (s *Stats) Waiting() int {
+	waiting := 0
+	for _, r := range s.Ranks {
+		waiting += r.Queued
+	}
+	return waiting
+}
+
 // RankStats is the state of one rank of a service's queue.
 type RankStats struct {
 	Queued  int
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -141,5 +141,16 @@
 	return total, free
 }
 
+// waiting estimates the requests that wait for a slot of a service at all
+// instances of the region, from those that wait here.
+func (d *Daemon) waiting(service string) int {
+	snapshot := d.table.Current()
+	if snapshot == nil || snapshot.Services[service] == nil {
+		return 0
+	}
+	stats := d.admission.queue.StatsOf(snapshot.Services[service])
+	return stats.Waiting() * d.admission.slots.Members()
+}
+
 // tickLimits updates the shares of the callers' limits.
 func (d *Daemon) tickLimits(context.Context) { d.admission.limiter.Tick(time.Now()) }
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -51,6 +51,7 @@
 		Health:   []routing.Filter{routing.HealthyFilter{}},
 		Scorer:   routing.FirstTokenScorer{Zone: s.Zone},
 		Prefix:   routing.NewPrefixIndex(0),
+		Waiting:  d.waiting,
 		Spill:    &routing.Spiller{Summaries: r.summaries, Link: r.link, LinkRate: r.link.BytesPerSecond, LinkLatency: s.LinkLatency, Share: share},
 	}
 	return r
--- a/policybench/product/node.go
+++ b/policybench/product/node.go
@@ -68,6 +68,7 @@
 		Scorer:   routing.FirstTokenScorer{Zone: zoneName(n.instance.Zone)},
 		Prefix:   routing.NewPrefixIndex(0),
 		Spill:    &routing.Spiller{Summaries: n.summaries, Link: link, Share: part},
+		Waiting:  n.waiting,
 		Now:      n.now,
 		Random:   random,
 	}
--- a/policybench/product/spread.go
+++ b/policybench/product/spread.go
@@ -76,6 +76,13 @@
 	return total, free
 }
 
+// waiting estimates the requests that wait for a slot of a service at all
+// instances of the region, from those that wait here.
+func (n *node) waiting(service string) int {
+	stats := n.queues[service].stats()
+	return stats.Waiting() * n.slots.Members()
+}
+
 // tellRegions sends the summaries of the region and its suspects to one
 // instance of each other region, which passes them on.
 func (n *node) tellRegions() {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -138,10 +138,14 @@
 	// ignored: a server that is believed to fail is better than none.
 	Health  []Filter
 	Scorer  Scorer
-	Picker  Picker           // nil picks the least cost
-	Prefix  *PrefixIndex     // nil for no prefix affinity
-	Spill   *Spiller         // nil to leave the region only if no server is left
-	Regions Regions          // regions with a live instance
+	Picker  Picker       // nil picks the least cost
+	Prefix  *PrefixIndex // nil for no prefix affinity
+	Spill   *Spiller     // nil to leave the region only if no server is left
+	Regions Regions      // regions with a live instance
+	// Waiting returns the requests of this region that wait for a slot of a
+	// service. They take its free slots before any request of another region.
+	// Nil stands for none.
+	Waiting func(service string) int
 	Sample  int              // candidates drawn at random; 0 for DefaultSample
 	Now     func() time.Time // nil for time.Now
 	Random  Random           // nil for the generator of the runtime
--- a/routing/spill_test.go
+++ b/routing/spill_test.go
@@ -263,6 +263,10 @@
 	c.Assert(summary.Servers, qt.Equals, 2)
 	c.Assert(summary.FreeSlots, qt.Equals, 8)
 	c.Assert(summary.Wait, qt.Equals, time.Duration(0))
+	router.Waiting = func(string) int { return 3 }
+	c.Assert(router.Summarize(testService.Name).FreeSlots, qt.Equals, 5)
+	router.Waiting = func(string) int { return 9 }
+	c.Assert(router.Summarize(testService.Name).FreeSlots, qt.Equals, 0)
 	// With all ejected, this region goes on trying but invites nobody.
 	for _, server := range servers {
 		server.Health().Eject(start.Add(time.Minute))
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -14,7 +14,7 @@
 	Service     string
 	Servers     int           // that accept new work
 	Slots       int           // of these servers
-	FreeSlots   int           // of these servers
+	FreeSlots   int           // of these servers, less those that waiting requests take
 	Wait        time.Duration // expected wait for a slot
 	PrefillRate float64       // median, in tokens per second; 0: unknown
 	At          time.Time     // when it was measured, by the clock of the reader
@@ -84,6 +84,9 @@
 		summary.PrefillRate = rates[len(rates)/2]
 	}
 	summary.Wait = wait
+	if r.Waiting != nil {
+		summary.FreeSlots = max(0, summary.FreeSlots-r.Waiting(service))
+	}
 	return summary
 }
 
