Try urgent suspects before batch ones

Cause: suspects ran alone in the order of their begin only, so that an urgent innocent could wait behind batch ones, two seconds and more for each, and lose its deadline.

Ruled out: a second reservation for urgent suspects, which takes a further server out of use for all work.

Change: Crashed takes the lost attempt (server, begin, rank). The most urgent rank goes first; within a rank the last begun still does.

Figures: TestUrgentAndLatestRunFirst runs 2, 1, 0; with the comparison of ranks off it fails, since the batch suspect, which began last, runs first.

--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -118,7 +118,9 @@
 	if s.trial {
 		state = s.finish(quarantine.TrialCrashed)
 	} else {
-		state = r.Quarantine.Crashed(time.Now(), s.key(), server.Key, begun)
+		state = r.Quarantine.Crashed(time.Now(), s.key(), quarantine.Lost{
+			Server: server.Key, Begun: begun, Rank: r.x.Work.Rank,
+		})
 	}
 	r.Observer.Suspected(r.x, s.digest, state, server.ID)
 	if state != quarantine.Unknown {
--- a/quarantine/example_test.go
+++ b/quarantine/example_test.go
@@ -12,7 +12,7 @@
 	table := &quarantine.Table{Instance: "entry-1", Spread: time.Second}
 	digest := quarantine.Key("a secret of the deployment").Digest("desk", "/v1/chat/completions", []byte(`{"messages":[]}`))
 
-	fmt.Println(table.Crashed(now, digest, 1, now))
+	fmt.Println(table.Crashed(now, digest, quarantine.Lost{Server: 1, Begun: now}))
 	now = now.Add(2 * time.Second)
 	fmt.Println(table.Admit(now, digest).Action == quarantine.RunAlone)
 	fmt.Println(table.Done(now, digest, quarantine.TrialCrashed))
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -99,7 +99,7 @@
 	r.crash(server)
 	for i, d := range digests {
 		if !r.off {
-			r.tables[instance].Crashed(r.now, d, server.Key, begun.Add(time.Duration(i)))
+			r.tables[instance].Crashed(r.now, d, Lost{Server: server.Key, Begun: begun.Add(time.Duration(i))})
 		}
 	}
 	return false
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 )
 
 // State is what is known of a digest.
@@ -93,7 +95,7 @@
 	via     string // instance that told of an entry of another region
 	crash   crash  // the first one
 	since   time.Time
-	begun   time.Time // start of the attempt that was cut
+	lost    Lost      // the attempt that was cut
 	asked   time.Time // when a request with this digest last asked to run
 	expires time.Time
 }
@@ -143,21 +145,35 @@
 	return Unknown
 }
 
+// Lost is an attempt that was in flight on a server that crashed.
+type Lost struct {
+	Server uint64 // key of the server
+	Begun  time.Time
+	Rank   catalog.Rank
+}
+
+// before reports whether the attempt is tried again before another one.
+func (l Lost) before(other Lost) bool {
+	if l.Rank != other.Rank {
+		return l.Rank < other.Rank
+	}
+	return l.Begun.After(other.Begun)
+}
+
 // Crashed records that a request was in flight on a server when the server
-// crashed. begun is when the attempt began. It returns the new state of the
-// digest: Unknown if so many servers were lost at once that no request can be
-// the cause.
-func (t *Table) Crashed(now time.Time, digest Digest, server uint64, begun time.Time) State {
+// crashed. It returns the new state of the digest: Unknown if so many servers
+// were lost at once that no request can be the cause.
+func (t *Table) Crashed(now time.Time, digest Digest, lost Lost) State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := crash{server, now}
+	c := crash{lost.Server, now}
 	wide := t.noteCrash(c)
 	e := t.live(now, digest)
 	switch {
 	case wide && e == nil:
 		return Unknown
 	case e == nil || e.state == Cleared:
-		t.put(now, digest, &entry{state: Suspect, owner: t.Instance, crash: c, since: now, begun: begun, expires: now.Add(t.suspectLife())})
+		t.put(now, digest, &entry{state: Suspect, owner: t.Instance, crash: c, since: now, lost: lost, expires: now.Add(t.suspectLife())})
 		return Suspect
 	case e.state != Quarantined && (e.state == Trial || !e.crash.same(c)):
 		t.quarantine(now, digest, e)
@@ -220,15 +236,16 @@
 	return Verdict{Action: RunAlone}
 }
 
-// next returns the suspect of this instance that runs first: the one that had
-// begun last when its server crashed, which is the likeliest cause.
+// next returns the suspect of this instance that runs first: of the most
+// urgent rank the one that had begun last when its server crashed, which is the
+// likeliest cause.
 func (t *Table) next(now time.Time) Digest {
 	var first Digest
-	var begun time.Time
+	var best *entry
 	for digest, e := range t.entries {
 		waiting := e.state == Suspect && e.owner == t.Instance && now.Sub(e.asked) < askedRecently
-		if waiting && (begun.IsZero() || e.begun.After(begun)) {
-			first, begun = digest, e.begun
+		if waiting && (best == nil || e.lost.before(best.lost)) {
+			first, best = digest, e
 		}
 	}
 	return first
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 )
 
@@ -88,20 +89,46 @@
 func TestRegionIsToldByAnInstanceThatKnowsLess(t *testing.T) {
 	c := qt.New(t)
 	cairo, newcomer, alex := &Table{Instance: "a"}, &Table{Instance: "b"}, &Table{Instance: "c"}
-	cairo.Crashed(start, poison, 1, start)
-	newcomer.Crashed(start, digestOf(1), 1, start)
+	cairo.Crashed(start, poison, Lost{Server: 1, Begun: start})
+	newcomer.Crashed(start, digestOf(1), Lost{Server: 1, Begun: start})
 	for _, table := range []*Table{cairo, newcomer} {
 		c.Assert(alex.MergeRegion(start, "cairo", table.RegionState(start)), qt.IsNil)
 	}
 	c.Assert(alex.Admit(start, poison), qt.Equals, Verdict{Action: RefuseElsewhere, Owner: "@cairo", Wait: defaultSpread})
 }
 
+func TestUrgentAndLatestRunFirst(t *testing.T) {
+	c := qt.New(t)
+	table := &Table{Instance: "a"}
+	lost := []Lost{
+		{Rank: catalog.Batch, Begun: start.Add(9)},
+		{Rank: catalog.Urgent, Begun: start.Add(1)},
+		{Rank: catalog.Urgent, Begun: start.Add(5)},
+	}
+	for i, l := range lost {
+		table.Crashed(start, digestOf(i), l)
+	}
+	for i := range lost {
+		c.Assert(table.Admit(start.Add(time.Second), digestOf(i)).Action, qt.Equals, Wait)
+	}
+	var order []int
+	for now := start.Add(defaultSpread); len(order) < len(lost); now = now.Add(100 * time.Millisecond) {
+		for i := range lost {
+			if table.Admit(now, digestOf(i)).Action == RunAlone {
+				order = append(order, i)
+				table.Done(now, digestOf(i), TrialServed)
+			}
+		}
+	}
+	c.Assert(order, qt.DeepEquals, []int{2, 1, 0})
+}
+
 func TestWideLossMakesNoSuspects(t *testing.T) {
 	c := qt.New(t)
 	table := &Table{Instance: "entry-0"}
 	suspects := 0
 	for i := range 20 {
-		if table.Crashed(start.Add(time.Duration(i)*time.Millisecond), digestOf(i), uint64(i), start) != Unknown {
+		if table.Crashed(start.Add(time.Duration(i)*time.Millisecond), digestOf(i), Lost{Server: uint64(i), Begun: start}) != Unknown {
 			suspects++
 		}
 	}
@@ -128,10 +155,10 @@
 func TestEntriesAgeOutAndMemoryIsBounded(t *testing.T) {
 	c := qt.New(t)
 	table := &Table{Instance: "entry-0", Limit: 100}
-	table.Crashed(start, poison, 1, start)
-	table.Crashed(start.Add(time.Minute), poison, 2, start)
+	table.Crashed(start, poison, Lost{Server: 1, Begun: start})
+	table.Crashed(start.Add(time.Minute), poison, Lost{Server: 2, Begun: start})
 	for i := range 500 {
-		table.Crashed(start.Add(time.Duration(i)*2*time.Second), digestOf(i), uint64(i+3), start)
+		table.Crashed(start.Add(time.Duration(i)*2*time.Second), digestOf(i), Lost{Server: uint64(i + 3), Begun: start})
 	}
 	c.Assert(table.Len(), qt.Equals, 100)
 	c.Assert(table.State(start.Add(20*time.Minute), poison), qt.Equals, Quarantined)
@@ -142,7 +169,7 @@
 func TestMergeRejectsMalformedStates(t *testing.T) {
 	c := qt.New(t)
 	from, to := &Table{Instance: "a"}, &Table{Instance: "b"}
-	from.Crashed(start, poison, 1, start)
+	from.Crashed(start, poison, Lost{Server: 1, Begun: start})
 	state := from.OwnState(start)
 	for n := range len(state) - 1 {
 		if n != wireHeaderBytes {
