Keep two instances from running trials on one server

Cause: two instances that reserve within the spread time choose the same least occupied server. Only the number of reservations made the second one give way, so that from two allowed reservations on (16 servers and more at one in eight) both kept the server. Each then began a trial there: the one with the cause took the other's innocent request along, and a crash in a trial quarantines.

Ruled out: the order of suspects by rank and the judgement of reused connections.

Change: the instance with the higher id gives up a server that a lower one has reserved too, and reserves another.

Figures: TestOneTrialOnAServer (2 instances, 18 servers) fails with the change off, since both trials begin on one server, and passes with it.

--- a/quarantine/reserve.go
+++ b/quarantine/reserve.go
@@ -32,13 +32,13 @@
 	for _, s := range servers {
 		listed[s.Key] = s
 	}
-	taken, before := t.taken(listed)
+	taken, before, lost := t.taken(listed)
 	if before >= max(1, len(servers)/reservedShare) {
 		t.release(t.Instance)
 		return nil
 	}
 	own, held := t.reservations[t.Instance]
-	if s := listed[own.server]; held && s != nil && usable(s) {
+	if s := listed[own.server]; held && !lost && s != nil && usable(s) {
 		own.until = now.Add(reservationLife)
 		t.reserve(t.Instance, own)
 		return s
@@ -50,13 +50,14 @@
 	return best
 }
 
-// taken returns the listed servers that other instances have reserved, and how
-// many of them go before a reservation of this instance: of two instances that
-// reserve at the same time the one with the lower id keeps its server.
-func (t *Table) taken(listed map[uint64]*backend.Server) (map[uint64]bool, int) {
-	_, held := t.reservations[t.Instance]
-	taken := make(map[uint64]bool)
-	before := 0
+// taken returns the listed servers that other instances have reserved, how
+// many of them go before a reservation of this instance, and whether one of
+// these is for the same server: of two instances that reserve at the same time
+// the one with the lower id keeps its server. Two trials on one server would
+// quarantine an innocent request together with its neighbor.
+func (t *Table) taken(listed map[uint64]*backend.Server) (taken map[uint64]bool, before int, lost bool) {
+	own, held := t.reservations[t.Instance]
+	taken = make(map[uint64]bool)
 	for instance, r := range t.reservations {
 		if instance == t.Instance || listed[r.server] == nil {
 			continue
@@ -64,9 +65,10 @@
 		taken[r.server] = true
 		if !held || instance < t.Instance {
 			before++
+			lost = lost || held && r.server == own.server
 		}
 	}
-	return taken, before
+	return taken, before, lost
 }
 
 func leastOccupied(servers []*backend.Server, taken map[uint64]bool, usable func(*backend.Server) bool) *backend.Server {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -190,3 +190,29 @@
 	c.Assert(other, qt.Not(qt.Equals), first)
 	c.Assert(Key("other").Digest("desk", "", nil), qt.Not(qt.Equals), key.Digest("desk", "", nil))
 }
+
+// TestOneTrialOnAServer has two instances reserve at the same moment, of
+// enough servers for two trials.
+func TestOneTrialOnAServer(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(2, 18)
+	for i, table := range r.tables {
+		table.Crashed(start, digestOf(i), Lost{Server: uint64(i + 1), Begun: start})
+	}
+	r.pass(2 * defaultSpread)
+	var begun []*backend.Server
+	for i, table := range r.tables {
+		c.Assert(table.Admit(r.now, digestOf(i)).Action, qt.Equals, RunAlone)
+	}
+	for range 20 {
+		for i, table := range r.tables {
+			server := table.Reserve(r.now, r.servers, func(*backend.Server) bool { return true })
+			if server != nil && table.Begin(r.now, digestOf(i), server) {
+				begun = append(begun, server)
+			}
+		}
+		r.pass(200 * time.Millisecond)
+	}
+	c.Assert(begun, qt.HasLen, 2)
+	c.Assert(begun[0] != begun[1], qt.IsTrue)
+}
