Do not eject a server whose idle connection was closed

Cause: a request whose reused connection broke before a byte of it left was judged as "cannot be connected to", which ejects the server at once and without regard to the share. Servers close idle connections after some seconds, so that a healthy server could be ejected by a quiet moment.

Ruled out: to ignore such a failure. A server that breaks one connection after the other still has to be ejected, so it counts as an ordinary failure.

Change: only a failure on no connection or on a new one means unreachable.

Figures: TestStaleConnectionEjectsNoServer has no server ejected after a broken reused connection and one after a refused one; with the change off the first ejects a server and the test fails.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -171,7 +171,8 @@
 		r.suspect.crashed(server, w.begun)
 	}
 	served = err == nil
-	r.judge(decision, failed || end.crashed || w.serverError, failed && err.Outcome == outcome.NotRun, served)
+	unreachable := failed && err.Outcome == outcome.NotRun && !w.reused.Load()
+	r.judge(decision, failed || end.crashed || w.serverError, unreachable, served)
 	return end
 }
 
--- a/dispatch/notrun_test.go
+++ b/dispatch/notrun_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -153,3 +154,41 @@
 	t.Logf("%d histories of %d requests: %v", faultSeeds, requestsPerSeed, told)
 	qt.Assert(t, told[outcome.NotRun] > 0 && told[outcome.MayHaveRun] > 0, qt.IsTrue)
 }
+
+// staleConn fails the first request before a byte of it leaves.
+type staleConn struct {
+	*engines
+	reused bool
+	failed bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *staleConn) RoundTrip(req *http.Request) (*http.Response, error) {
+	if s.failed {
+		return s.engines.RoundTrip(req)
+	}
+	s.failed = true
+	if s.reused {
+		httptrace.ContextClientTrace(req.Context()).GotConn(httptrace.GotConnInfo{Conn: &guardedConn{}, Reused: true})
+	}
+	return nil, errReset
+}
+
+// TestStaleConnectionEjectsNoServer has a server that closed an idle
+// connection, and one that cannot be reached.
+func TestStaleConnectionEjectsNoServer(t *testing.T) {
+	for _, reused := range []bool{true, false} {
+		inVirtualTime(t, 1, 3, func(c *qt.C, e *engines, all []*instance) {
+			all[0].Transport = &staleConn{engines: e, reused: reused}
+			_, err := all[0].send("question", once)
+			c.Assert(err == nil, qt.IsTrue)
+			ejected := 0
+			for _, s := range all[0].registry.All() {
+				if s.Health().Ejected() {
+					ejected++
+				}
+			}
+			c.Assert(ejected == 0, qt.Equals, reused)
+		})
+	}
+}
