Follow the quarantine: give the bench's suspects their rank

Ruled out: to keep the old parameters beside the new ones.

Change: the bench passes the lost attempt with its rank.

--- a/policybench/product/suspect.go
+++ b/policybench/product/suspect.go
@@ -82,7 +82,8 @@
 	if s.trial {
 		return s.finish(r, quarantine.TrialCrashed) != quarantine.Unknown
 	}
-	return n.table.Crashed(n.now(), s.digest, r.decision.Server.Key, r.begun) != quarantine.Unknown
+	lost := quarantine.Lost{Server: r.decision.Server.Key, Begun: r.begun, Rank: r.rank()}
+	return n.table.Crashed(n.now(), s.digest, lost) != quarantine.Unknown
 }
 
 // end tells the quarantine how a trial ended, unless its server crashed.
