Tell callers instances by distance and load, spread and by home

Cause: the answer to "which instance" ordered by distance only, spread callers by address and port, so that each connection got another order, and knew neither load nor the home of the work.

Ruled out: the least loaded of all instances, which sends all newcomers to one while loads are told late; membership's records for the load, which spread to all regions with each change.

Change: Selector orders by zone, region and the rest, in each by a rendezvous hash of caller and instance; the first two exchange places if the second is clearly less loaded; overloaded ones (0.85, until below 0.65) go behind the others of their region. The load is one byte in steps of 5%, the topic "entry" of the region's exchange. With the parameters service and work only regions that are permitted are told. The time an answer holds is jittered, 15 to 25 s. Draining instances stay out through membership.

TestLoadDecidesWithHysteresis fails without the hysteresis (232 of 1,000 callers return at once, none should) and without the choice of two.

The load is known in the own region only.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,6 +59,7 @@
 	members  *membership.Runner
 	carrier  *exchange.Carrier
 	loads    *load.Follower
+	entries  entries
 	draining atomic.Bool
 
 	admission *admissionControl
@@ -115,6 +116,7 @@
 	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
 	d.routes = d.newRoutes()
 	d.loads = d.newLoads()
+	d.entries = d.newEntries()
 	d.topics = d.newTopics()
 	if err := d.newCarrier(); err != nil {
 		return nil, err
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -1,14 +1,10 @@
 package daemon
 
 import (
-	"encoding/json"
-	"hash/fnv"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 
-	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/peer"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 )
@@ -93,29 +89,3 @@
 	}
 	return all
 }
-
-// answerEntry tells a caller which instances to use.
-func (d *Daemon) answerEntry(w http.ResponseWriter, r *http.Request) {
-	known := d.peers.all()
-	if !d.draining.Load() {
-		known = append(known, d.self())
-	}
-	instances := make([]entry.Instance, len(known))
-	for i, p := range known {
-		instances[i] = entry.Instance{ID: p.ID, URL: p.URL, Region: p.Region, Zone: p.Zone}
-	}
-	query := r.URL.Query()
-	answer := entry.Select(instances, query.Get("region"), query.Get("zone"), spreadFor(r.RemoteAddr))
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
-}
-
-// spreadFor orders equal instances differently for different callers.
-func spreadFor(caller string) func(id string) uint64 {
-	return func(id string) uint64 {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(caller))
-		_, _ = h.Write([]byte(id))
-		return h.Sum64()
-	}
-}
--- a/daemon/topics.go
+++ b/daemon/topics.go
@@ -14,6 +14,7 @@
 		d.admission.limits,
 		d.config,
 		d.loads,
+		d.entries.loads,
 		quarantine.Topic{Table: d.routes.quarantine, Now: time.Now},
 	}
 }
