Ask another region while its target can still be met there

Cause: another region was asked only once admission refused a request as late or its queue was full. A draft waits 48 s of its 60 s for that, and its expiry did not count at all: while one region was at its peak or had lost engines, others had free slots.

Ruled out: the expected wait at arrival (it is low on purpose, so that early refusals are right); a lower start time for all requests (those with a home have nowhere to go).

Change: a request that may leave waits 0.4 (urgent) or 0.1 (batch) of its target for a slot; then another region is asked, and if none takes it, it waits on as before. Without a slot in time the miss is certain, so that hysteresis does not hold it back.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -44,6 +44,10 @@
 	Wait       time.Duration // expected wait at the time of the decision
 }
 
+// Late reports whether the request was refused only because no slot becomes
+// free in time.
+func (r *Refusal) Late() bool { return r.Reason == ReasonLate || r.Reason == ReasonExpired }
+
 // String returns one line for logs.
 func (r *Refusal) String() string {
 	return fmt.Sprintf("admission: %s, retry after %v", r.Reason, r.RetryAfter)
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -17,7 +17,7 @@
 // burstSlots is the number of slots beyond its mean demand that urgent work finds
 // free while batch work waits. It need not grow with the demand: where more
 // urgent work runs, more of its slots come back within the target.
-const burstSlots = 1.5
+const burstSlots = 1.25
 
 // Entry is a request in a Scheduler: waiting, running, or gone.
 type Entry struct {
--- a/filters/admission_test.go
+++ b/filters/admission_test.go
@@ -135,6 +135,38 @@
 	c.Check(filter.Handle(forwarded, answer("")) == nil, qt.IsFalse)
 }
 
+// TestAdmitAsksAnotherRegionEarly has one slot, held for longer than a request
+// waits before another region is asked. What no region takes waits on here.
+func TestAdmitAsksAnotherRegionEarly(t *testing.T) {
+	for _, taken := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			service := testService(catalog.Limits{})
+			queue := admission.NewQueue(admission.DefaultBounds(), 1)
+			queue.SetCapacity(service, admission.Capacity{Slots: 1, Fraction: 1, Members: 1})
+			filter := Admit{
+				Queue: queue, Observer: &recorder{}, Serves: func(string) bool { return true },
+				Elsewhere: func(*Exchange) bool { return taken },
+			}
+			target := service.Ranks[catalog.Urgent].Target
+			hold := func(*Exchange) *outcome.Error { time.Sleep(target * 6 / 10); return nil }
+			var group sync.WaitGroup
+			group.Go(func() {
+				c.Check(filter.Handle(testExchange(t.Context(), service, catalog.Urgent), hold) == nil, qt.IsTrue)
+			})
+			synctest.Wait()
+			begun := time.Now()
+			x := testExchange(t.Context(), service, catalog.Urgent)
+			c.Check(filter.Handle(x, answer("")) == nil, qt.IsTrue)
+			c.Check(x.NoSlot, qt.Equals, taken)
+			if taken {
+				c.Check(time.Since(begun) < target/2, qt.IsTrue)
+			}
+			group.Wait()
+		})
+	}
+}
+
 func TestUsageIsTheEnginesOwnWhereItReportsOne(t *testing.T) {
 	c := qt.New(t)
 	x := testExchange(t.Context(), testService(catalog.Limits{}), catalog.Urgent)
--- a/filters/admit.go
+++ b/filters/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/admission"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
@@ -12,6 +13,10 @@
 // rest is for the engine's work before the first token.
 const startPart = 0.8
 
+// askParts are the parts of the target that a request of each rank waits for a
+// slot before another region is asked.
+var askParts = [catalog.RankCount]float64{catalog.Urgent: 0.4, catalog.Batch: 0.1}
+
 // AdmissionObserver is told of decisions that refuse or delay a request.
 type AdmissionObserver interface {
 	// Queued is called when a request that had to wait starts.
@@ -41,13 +46,7 @@
 	if !f.Serves(x.Service.Name) {
 		return next(x)
 	}
-	ticket, refused := f.Queue.Acquire(x.Request.Context(), x.Service, admission.Request{
-		Caller:  x.Caller,
-		Rank:    x.Work.Rank,
-		Tokens:  x.TokenEstimate(),
-		Bytes:   int64(len(x.Body)),
-		StartBy: x.startBy(),
-	})
+	ticket, refused := f.acquire(x)
 	if refused != nil {
 		return f.refuse(x, refused, next)
 	}
@@ -59,9 +58,32 @@
 	return next(x)
 }
 
-// startBy returns the latest start that still meets the target.
-func (x *Exchange) startBy() time.Time {
-	target := time.Duration(float64(x.Policy().Target) * startPart)
+// acquire waits for a slot. A request that may leave the region is first given
+// up while another region can still meet its target; it waits on if none would
+// take it.
+func (f Admit) acquire(x *Exchange) (*admission.Ticket, *admission.Refusal) {
+	if x.Hop == nil && x.Work.Home == "" && f.Elsewhere != nil {
+		ticket, refused := f.acquireBy(x, x.startBy(askParts[x.Work.Rank]))
+		if refused == nil || !refused.Late() || f.Elsewhere(x) {
+			return ticket, refused
+		}
+	}
+	return f.acquireBy(x, x.startBy(startPart))
+}
+
+func (f Admit) acquireBy(x *Exchange, startBy time.Time) (*admission.Ticket, *admission.Refusal) {
+	return f.Queue.Acquire(x.Request.Context(), x.Service, admission.Request{
+		Caller:  x.Caller,
+		Rank:    x.Work.Rank,
+		Tokens:  x.TokenEstimate(),
+		Bytes:   int64(len(x.Body)),
+		StartBy: startBy,
+	})
+}
+
+// startBy returns the end of a part of the target, or the deadline.
+func (x *Exchange) startBy(part float64) time.Time {
+	target := time.Duration(float64(x.Policy().Target) * part)
 	start := x.Received.Add(target)
 	if x.Deadline.Before(start) {
 		return x.Deadline
@@ -71,7 +93,7 @@
 
 func (f Admit) refuse(x *Exchange, refused *admission.Refusal, next Handler) *outcome.Error {
 	refusal := refusalOf(refused)
-	if refusal.Code == outcome.CodeOverloaded && x.Hop == nil && f.Elsewhere != nil && f.Elsewhere(x) {
+	if (refused.Late() || refusal.Code == outcome.CodeOverloaded) && x.Hop == nil && f.Elsewhere != nil && f.Elsewhere(x) {
 		x.NoSlot = true
 		return next(x)
 	}
--- a/policybench/product/request.go
+++ b/policybench/product/request.go
@@ -30,6 +30,7 @@
 	number   int              // of the try, from 1
 	started  bool             // the answer has begun
 	stalled  bool
+	asked    bool // another region has been asked, or may not be
 	suspect  suspect
 	ran      bool // an attempt may have run
 }
@@ -69,22 +70,39 @@
 // the daemon.
 const startPart = 0.8
 
-// startBy returns the latest start that still meets the target.
+// askParts are the parts of the target that a request of each rank waits for a
+// slot before another region is asked, as in the daemon.
+var askParts = [catalog.RankCount]float64{catalog.Urgent: 0.4, catalog.Batch: 0.1}
+
+// mayAsk reports whether another region may still be asked for the request.
+func (r *request) mayAsk() bool {
+	return !r.asked && r.task.Origin == nil && r.task.Request.Work.Home == ""
+}
+
+// startBy returns the time until which the request waits for a slot.
 func (r *request) startBy() time.Time {
+	part := startPart
+	if r.mayAsk() {
+		part = askParts[r.rank()]
+	}
 	target := r.task.Request.Policy().Target
-	return r.route.Received.Add(time.Duration(startPart * float64(target)))
+	return r.route.Received.Add(time.Duration(part * float64(target)))
 }
 
 // refused continues with a request that gets no slot: it goes to another region
 // or ends.
 func (r *request) refused(refusal *admission.Refusal) {
-	router := r.node.router
-	if refusal.Reason == admission.ReasonExpired || !router.CouldLeave(r.route) {
+	first := r.mayAsk()
+	r.asked = true
+	switch {
+	case r.node.router.CouldLeave(r.route):
+		r.route.NoSlot = true
+		r.decide()
+	case first && refusal.Late():
+		r.queue.enqueue(r)
+	default:
 		r.finish(outcome.NotRun, outcome.CodeOverloaded)
-		return
 	}
-	r.route.NoSlot = true
-	r.decide()
 }
 
 // forward passes the request on. It holds no slot meanwhile.
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -85,8 +85,7 @@
 func (s *Spiller) decide(now time.Time, req *Request, local Decision, r *Router) Decision {
 	remaining := remainingTarget(now, req)
 	missed := local.Server == nil || local.Cost > remaining
-	gone := local.Server == nil && !req.NoSlot
-	leave := s.hysteresis(now, req, missed, gone)
+	leave := s.hysteresis(now, req, missed, local.Server == nil)
 	if !missed {
 		local.Spill = SpillTargetMet
 		return local
@@ -116,7 +115,7 @@
 }
 
 // hysteresis reports whether requests of this kind may leave. With no local
-// server left they may at once.
+// server left, or no slot in time, they may at once: the miss is certain.
 func (s *Spiller) hysteresis(now time.Time, req *Request, missed, none bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,7 +154,7 @@
 // couldLeave reports whether a request without a local slot would be sent to
 // another region.
 func (s *Spiller) couldLeave(now time.Time, req *Request, r *Router) bool {
-	if !s.hysteresis(now, req, true, false) {
+	if !s.hysteresis(now, req, true, true) {
 		return false
 	}
 	choice := s.choose(now, req, Decision{}, remainingTarget(now, req), r)
