--- a/scenario/config_test.go
+++ b/scenario/config_test.go
@@ -25,7 +25,7 @@
 // ctl STATUS TEXT COMMAND... runs fuchsiactl: its exit status must be STATUS,
 // and its output must contain TEXT.
 func (s *script) runCtl(ts *testscript.TestScript, _ bool, args []string) {
-	out := s.fleet.ctl(number(ts, args[0]), args[2:]...)
+	out := s.ctl(number(ts, args[0]), args[2:]...)
 	if !strings.Contains(out, args[1]) {
 		ts.Fatalf("fuchsiactl %s: output lacks %q:\n%s", strings.Join(args[2:], " "), args[1], out)
 	}
@@ -47,7 +47,7 @@
 	dir := ts.MkAbs("changed")
 	writeConfig(ts, dir, number(ts, args[0]))
 	flags := append([]string{"publish", "--bootstrap"}, args[2:]...)
-	s.fleet.ctl(number(ts, args[1]), append(flags, dir)...)
+	s.ctl(number(ts, args[1]), append(flags, dir)...)
 }
 
 // race N BASE lets N operators publish different changes of revision BASE at
@@ -121,7 +121,7 @@
 func (s *script) join(_ *testscript.TestScript, _ bool, args []string) {
 	s.args[args[0]] = args[:2]
 	s.regions.Store(args[0], args[1])
-	s.fleet.daemon(args[0], args[1], args[1]+"-a", "--drain-notice", "500ms", "--seeds", s.controlOf(args[2]))
+	s.daemon(args[0], args[1], args[1]+"-a", "--drain-notice", "500ms", "--seeds", s.controlOf(args[2]))
 }
 
 // controlOf returns the address for control messages that an instance logged.
--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -43,7 +43,7 @@
 			testscript.Run(t, testscript.Params{
 				Files: []string{file},
 				Setup: func(env *testscript.Env) error { env.Setenv("EXAMPLES", examples); return nil },
-				Cmds: commands,
+				Cmds:  commands,
 			})
 		})
 	}
