Watch past a lost zone, and compare members between regions every 2 s

Change: an instance watches its next 2 neighbors that are not suspected, and no longer the suspects between them; bridges compare every 2 s instead of 1 s.

--- a/membership/machine.go
+++ b/membership/machine.go
@@ -20,7 +20,6 @@
 
 const (
 	watchCount     = 2 // neighbors that each instance watches
-	maxWatched     = 8 // with the suspects among them
 	helperCount    = 2 // instances asked to probe in this one's place
 	bridgeCount    = 2 // instances of a region that talk to other regions
 	tombstoneLife  = 2 * time.Hour
@@ -93,19 +92,17 @@
 	return watched[m.cursor%len(watched)].member, true
 }
 
-// watched returns the neighbors after self on the ring: watchCount that are
-// not suspected, and the suspects before them, so that the neighbors of a
-// failed one are watched at once.
+// watched returns the neighbors after self on the ring: the next watchCount
+// that are not suspected, so that the neighbors of a failed one are watched at
+// once. A suspect that wakes probes others itself and learns of the suspicion.
 func (m *Machine) watched() []*record {
 	ring := m.liveOf(m.self.member.Instance.Region)
 	slices.SortFunc(ring, ringOrder)
 	at := slices.Index(ring, m.self)
 	var watched []*record
-	for i, trusted := 1, 0; i < len(ring) && len(watched) < maxWatched && trusted < watchCount; i++ {
-		r := ring[(at+i)%len(ring)]
-		watched = append(watched, r)
-		if r.state == Alive {
-			trusted++
+	for i := 1; i < len(ring) && len(watched) < watchCount; i++ {
+		if r := ring[(at+i)%len(ring)]; r.state == Alive {
+			watched = append(watched, r)
 		}
 	}
 	return watched
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -212,3 +212,23 @@
 		c.Assert(before[0] == "a" || before[0] == after[0], qt.IsTrue)
 	}
 }
+
+// TestZoneIsLost ends the 7 instances of a zone at once. Most are watched by
+// failed ones only: the ring closes over 2 in 1.3 s, and the last are removed
+// 2.4 s after it has closed.
+func TestZoneIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		nodes := startRegion(t.Context(), testlink.New(), "cairo", 3, 21)
+		await(c, 30*time.Second, allKnow(nodes, 21))
+		var rest []*node
+		for i, n := range nodes {
+			if i%3 == 0 {
+				n.kill()
+			} else {
+				rest = append(rest, n)
+			}
+		}
+		t.Logf("zone removed after %v", await(c, 8*time.Second, allKnow(rest, 14)))
+	})
+}
--- a/membership/runner.go
+++ b/membership/runner.go
@@ -14,7 +14,7 @@
 const (
 	randomEvery  = 4 // probes of neighbors for each probe of a random instance
 	syncPeriod   = 10 * time.Second
-	bridgePeriod = time.Second
+	bridgePeriod = 2 * time.Second
 	joinPeriod   = 500 * time.Millisecond
 	sweepPeriod  = time.Minute
 	jitter       = 0.1 // part of a period
