--- /dev/null
+++ b/membership/example_test.go
@@ -0,0 +1,28 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/platform"
+)
+
+// An instance learns of another one, which then says that it ends.
+func ExampleMachine() {
+	self := membership.Member{Instance: platform.Instance{ID: "a", Region: "cairo"}, Generation: 1, Serving: true}
+	machine := membership.NewMachine(self, rand.New(rand.NewPCG(1, 2)))
+	machine.OnForget(func(id string) { fmt.Println("forget", id) })
+
+	other := membership.Member{Instance: platform.Instance{ID: "b", Region: "cairo"}, Generation: 5, Serving: true}
+	now := time.Now()
+	machine.Merge(now, membership.Message{Updates: []membership.Update{{ID: "b", Region: "cairo", Incarnation: 5, Member: &other}}})
+	fmt.Println(len(machine.View().Others()), "other")
+	machine.Merge(now, membership.Message{Updates: []membership.Update{{ID: "b", Region: "cairo", Incarnation: 6, State: membership.Left}}})
+	fmt.Println(len(machine.View().Others()), "others")
+	// Output:
+	// 1 other
+	// forget b
+	// 0 others
+}
