Let the client resend, follow, wait and resume by what is known

Cause: the client passed a Retry-After on at once, asked again for each failed connection, did not follow a 421, and a stream that broke ended like a whole one for readers that do not look for the end marker.

Ruled out: to resend what may have run, also with an idempotency key, since the client cannot know that the work has one claim; to follow a 421 after the body has been read, since the data has then left for another region once and the caller should hear of it; to leave resends to http.Transport, which repeats a body by itself as long as it has GetBody.

Change: at most 4 attempts; again only if no connection was made or after a 503 that says not-run; Retry-After keeps an instance out, and is waited for if all have refused and the deadline leaves the time. A failed instance is avoided for 10 s. Paths below /services/ are sent with Expect: 100-continue, ask for instances of their home, and follow a 421 once if no byte of the body was read. Event streams are passed on by whole events and resumed with Last-Event-ID and the same request id at another instance; the offset and the request id of the rest are checked. What cannot be resumed ends with a StreamError.

With one mechanism off these fail: resume: TestBrokenStreamIsResumedWhole and all of TestStreamIsNeverCutSilently; check of the offset: its "begins again"; check of the id: its "other request"; outcome: "may have run" and "no outcome" of TestOnlyWhatDidNotRunIsResent; check of the connection: its "cut"; resend after a refusal: its "not run"; Expect, or the check that no body was read: TestHomeIsFollowed; wait: TestRetryAfterWithinTheDeadline; avoidance: TestFailedInstanceIsEjectedForAWhile. TestDrainingInstanceIsLeftOut fails with the check of draining off, and TestEntryOfWorkWithAHome with the check of regions off.

--- /dev/null
+++ b/daemon/entry_test.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/entry"
+	"github.com/fuchsiastack/fuchsiastack/platform"
+)
+
+func TestEntryOfWorkWithAHome(t *testing.T) {
+	c := qt.New(t)
+	snapshot := &catalog.Snapshot{Services: map[string]*catalog.Service{"desk": {
+		Name: "desk", Regions: []string{"cairo", "alex"}, Default: "stock",
+		Work: map[string]catalog.Work{"stock": {Name: "stock"}, "ministry": {Name: "ministry", Home: "cairo"}},
+	}}}
+	for _, test := range []struct {
+		query   string
+		status  int
+		regions []string
+	}{
+		{"service=desk&work=ministry", http.StatusOK, []string{"cairo"}},
+		{"service=desk", http.StatusOK, []string{"cairo", "alex"}},
+		{"service=desk&work=unknown", http.StatusNotFound, nil},
+	} {
+		values, err := url.ParseQuery(test.query)
+		c.Assert(err, qt.IsNil)
+		permits, status := permitsOf(snapshot, values)
+		c.Assert(status, qt.Equals, test.status)
+		var regions []string
+		for _, region := range []string{"cairo", "alex", "delta"} {
+			if permits != nil && permits(region) {
+				regions = append(regions, region)
+			}
+		}
+		c.Assert(regions, qt.DeepEquals, test.regions)
+	}
+}
+
+func TestDrainingInstanceIsLeftOut(t *testing.T) {
+	c := qt.New(t)
+	d := &Daemon{
+		settings: Settings{Instance: "self", Region: "cairo"}, peers: &peerTable{}, table: &catalog.Table{},
+		entries: entries{selector: &entry.Selector{}},
+	}
+	d.peers.replace([]platform.Instance{{ID: "other", Region: "cairo"}})
+	count := func() int {
+		w := httptest.NewRecorder()
+		d.answerEntry(w, httptest.NewRequest(http.MethodGet, entry.Path+"?region=cairo", http.NoBody))
+		var answer entry.Answer
+		c.Assert(json.Unmarshal(w.Body.Bytes(), &answer), qt.IsNil)
+		return len(answer.Instances)
+	}
+	c.Assert(count(), qt.Equals, 2)
+	d.draining.Store(true)
+	c.Assert(count(), qt.Equals, 1)
+}
--- a/entry/client.go
+++ b/entry/client.go
@@ -2,159 +2,114 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-	"net"
 	"net/http"
-	"net/url"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+)
 
-	"github.com/fuchsiastack/fuchsiastack/outcome"
+// Bounds of the client.
+const (
+	maxAttempts    = 4                // of one request, also to resume its stream
+	ejectTime      = 10 * time.Second // that an instance is avoided after a failure
+	maxAvoidTime   = 30 * time.Second // that a Retry-After keeps an instance out
+	askTimeout     = 2 * time.Second  // of the question to one instance
+	maxKinds       = 64               // kinds of work with an answer of their own
+	refreshPause   = time.Second      // an old answer is used while one request asks anew
+	maxAnswerBytes = 64 << 10
 )
 
-// maxAnswerBytes bounds an Answer on the wire.
-const maxAnswerBytes = 64 << 10
+// ErrNoInstance is returned when no instance answers.
+var ErrNoInstance = errors.New("entry: no instance answers")
 
 // Client is an http.RoundTripper that sends each request to the entry
 // instance that the system names. Put it into the http.Client of any API
-// client; the host of the request's URL is replaced.
+// client; the host of the request's URL is replaced. It sends a request again
+// only if it is known not to have run, and resumes broken streams of events.
+// It is safe for concurrent use; its fields must not change once it is used.
 type Client struct {
 	// Bootstrap lists URLs of instances to ask first.
 	Bootstrap []string
 	// Region and Zone are the caller's own.
 	Region, Zone string
+	// Service and Work name what is asked for by requests whose path does not,
+	// so that data which must stay in a region is sent there only.
+	Service, Work string
 	// Transport sends the requests; nil means http.DefaultTransport.
 	Transport http.RoundTripper
 
 	mu      sync.Mutex
-	answer  Answer
-	expires time.Time
+	caller  string
+	answers map[kind]*cached
+	avoided map[string]time.Time // by URL: until when
 }
 
-// ErrNoInstance is returned when no instance answers.
-var ErrNoInstance = errors.New("entry: no instance answers")
+// kind is what a request asks for.
+type kind struct{ service, work string }
 
-// RoundTrip implements http.RoundTripper. A request that was refused as not
-// run is sent to the next instance if its body can be had again.
-func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) {
-	instances, err := c.Instances(req.Context())
-	if err != nil {
-		return nil, err
-	}
-	var lastErr error
-	for i, instance := range instances {
-		attempt, err := redirect(req, instance.URL, i > 0)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.transport().RoundTrip(attempt)
-		last := i == len(instances)-1
-		if err != nil {
-			lastErr = err
-			c.forget()
-			if last || !neverConnected(err) || !canResend(req) {
-				return nil, err
-			}
-			continue
-		}
-		if last || !refusedForNow(resp) || !canResend(req) {
-			return resp, nil
-		}
-		_ = resp.Body.Close()
-	}
-	return nil, errors.Wrap(lastErr, "entry")
-}
-
-// refusedForNow reports whether another instance may serve what this one
-// refused.
-func refusedForNow(resp *http.Response) bool {
-	notRun := outcome.Parse(resp.Header.Get(outcome.Header)) == outcome.NotRun
-	return notRun && resp.StatusCode == http.StatusServiceUnavailable
-}
-
-func canResend(req *http.Request) bool {
-	return req.Body == nil || req.Body == http.NoBody || req.GetBody != nil
+// cached is an answer and until when it holds.
+type cached struct {
+	Answer
+	expires time.Time
 }
 
-// redirect returns a copy of req for the instance at base.
-func redirect(req *http.Request, base string, again bool) (*http.Request, error) {
-	target, err := url.Parse(base)
+// RoundTrip implements http.RoundTripper.
+func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) {
+	t := &trip{client: c, req: req}
+	resp, err := t.run()
 	if err != nil {
-		return nil, errors.Wrap(err, "entry: URL of an instance")
-	}
-	attempt := req.Clone(req.Context())
-	attempt.URL.Scheme = target.Scheme
-	attempt.URL.Host = target.Host
-	attempt.Host = ""
-	if again && req.GetBody != nil {
-		attempt.Body, err = req.GetBody()
+		return nil, err
 	}
-	return attempt, err
+	return t.resumable(resp), nil
 }
 
 // Instances returns the instances to use, best first.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	c.mu.Lock()
-	answer, fresh := c.answer, time.Now().Before(c.expires)
-	c.mu.Unlock()
-	if fresh {
-		return answer.Instances, nil
-	}
-	for _, base := range c.sources(answer) {
-		next, err := c.ask(ctx, base)
-		if err != nil || len(next.Instances) == 0 {
-			continue
-		}
-		c.mu.Lock()
-		c.answer = next
-		c.expires = time.Now().Add(time.Duration(next.TTLSeconds) * time.Second)
-		c.mu.Unlock()
-		return next.Instances, nil
-	}
-	if len(answer.Instances) > 0 {
-		return answer.Instances, nil
-	}
-	return nil, ErrNoInstance
+	return c.instances(ctx, kind{c.Service, c.Work})
 }
 
-// sources lists whom to ask: the instances known, then the bootstrap list.
-func (c *Client) sources(answer Answer) []string {
-	var bases []string
-	for _, i := range answer.Instances {
-		bases = append(bases, i.URL)
-	}
-	return append(bases, c.Bootstrap...)
-}
-
-func (c *Client) ask(ctx context.Context, base string) (Answer, error) {
-	query := url.Values{"region": {c.Region}, "zone": {c.Zone}}
-	target := strings.TrimSuffix(base, "/") + Path + "?" + query.Encode()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
-	if err != nil {
-		return Answer{}, err
+// avoid keeps requests off an instance for a while. The answers are asked for
+// anew soon, but not once for each request that fails.
+func (c *Client) avoid(base string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.avoided == nil {
+		c.avoided = make(map[string]time.Time)
 	}
-	resp, err := c.transport().RoundTrip(req)
-	if err != nil {
-		return Answer{}, err
+	for other, until := range c.avoided {
+		if now.After(until) {
+			delete(c.avoided, other)
+		}
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return Answer{}, errors.Errorf("entry: status %d", resp.StatusCode)
+	c.avoided[base] = now.Add(min(d, maxAvoidTime))
+	for _, a := range c.answers {
+		if soon := now.Add(refreshPause); a.expires.After(soon) {
+			a.expires = soon
+		}
 	}
-	var answer Answer
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&answer)
-	return answer, err
 }
 
-// forget makes the next request ask again.
-func (c *Client) forget() {
+// usable returns the first instance that has not been tried and is not
+// avoided, or else the first that has not been tried: an instance that failed
+// is better than none.
+func (c *Client) usable(instances []Instance, tried map[string]bool) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.expires = time.Time{}
+	second := ""
+	for _, i := range instances {
+		if tried[i.URL] {
+			continue
+		}
+		if time.Now().After(c.avoided[i.URL]) {
+			return i.URL
+		}
+		if second == "" {
+			second = i.URL
+		}
+	}
+	return second
 }
 
 func (c *Client) transport() http.RoundTripper {
@@ -163,9 +118,3 @@
 	}
 	return http.DefaultTransport
 }
-
-// neverConnected reports whether err arose before a connection existed.
-func neverConnected(err error) bool {
-	var opErr *net.OpError
-	return errors.As(err, &opErr) && opErr.Op == "dial"
-}
--- /dev/null
+++ b/entry/client_test.go
@@ -0,0 +1,283 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/entry"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+)
+
+// fleet is HTTP servers that take the place of instances.
+type fleet struct {
+	urls []string
+	runs []*atomic.Int32 // requests that arrived, by instance
+}
+
+// newFleet starts a server for each handler. All name all, in this order.
+func newFleet(tb testing.TB, handlers ...http.HandlerFunc) *fleet {
+	f := &fleet{}
+	for _, handler := range handlers {
+		runs := &atomic.Int32{}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == entry.Path {
+				f.answer(w)
+				return
+			}
+			runs.Add(1)
+			handler(w, r)
+		}))
+		tb.Cleanup(server.Close)
+		f.urls, f.runs = append(f.urls, server.URL), append(f.runs, runs)
+	}
+	return f
+}
+
+func (f *fleet) answer(w http.ResponseWriter) {
+	answer := entry.Answer{TTLSeconds: 20}
+	for _, url := range f.urls {
+		answer.Instances = append(answer.Instances, entry.Instance{ID: url, URL: url})
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (f *fleet) client() *http.Client {
+	return &http.Client{Transport: &entry.Client{Bootstrap: []string{f.urls[len(f.urls)-1]}}}
+}
+
+// post sends "question" and returns the status and the body.
+func (f *fleet) post(path string) (int, string, error) {
+	resp, err := f.client().Post("http://entry.invalid"+path, "text/plain", strings.NewReader("question"))
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+func serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "answer to %s", body)
+}
+
+func refuse(status int, o outcome.Outcome) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(outcome.Header, o.String())
+		w.WriteHeader(status)
+	}
+}
+
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func TestOnlyWhatDidNotRunIsResent(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		first  http.HandlerFunc
+		second int32 // requests that reach the second instance
+	}{
+		{"not run", refuse(http.StatusServiceUnavailable, outcome.NotRun), 1},
+		{"may have run", refuse(http.StatusServiceUnavailable, outcome.MayHaveRun), 0},
+		{"final", refuse(http.StatusBadRequest, outcome.NotRun), 0},
+		{"no outcome", refuse(http.StatusServiceUnavailable, outcome.Unknown), 0},
+		{"cut", cut, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(t, test.first, serve)
+			_, body, _ := f.post("/v1/chat")
+			c.Assert(f.runs[0].Load(), qt.Equals, int32(1))
+			c.Assert(f.runs[1].Load(), qt.Equals, test.second)
+			c.Assert(body == "answer to question", qt.Equals, test.second == 1)
+		})
+	}
+}
+
+func TestDeadInstanceIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, serve, serve)
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	f.urls = append([]string{dead.URL}, f.urls...)
+	_, body, err := f.post("/v1/chat")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "answer to question")
+}
+
+// TestHomeIsFollowed has an instance that names another one before or after
+// it has read the body.
+func TestHomeIsFollowed(t *testing.T) {
+	for _, reads := range []bool{false, true} {
+		c := qt.New(t)
+		var f *fleet
+		f = newFleet(t, func(w http.ResponseWriter, r *http.Request) {
+			if reads {
+				_, _ = io.ReadAll(r.Body)
+			}
+			w.Header().Set("Location", f.urls[1])
+			refuse(http.StatusMisdirectedRequest, outcome.NotRun)(w, r)
+		}, serve)
+		status, _, err := f.post("/services/orders-desk/stock/")
+		c.Assert(err, qt.IsNil)
+		c.Assert(status == http.StatusOK, qt.Equals, !reads)
+	}
+}
+
+// events streams count numbered events from the one asked for, and breaks off
+// before the event cutAt.
+func events(count, cutAt int, asked *[]string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		last := r.Header.Get("Last-Event-ID")
+		body, _ := io.ReadAll(r.Body)
+		*asked = append(*asked, last+" "+string(body))
+		first := 0
+		if n, err := strconv.Atoi(last); err == nil {
+			first = n + 1
+		}
+		id := r.Header.Get(outcome.RequestIDHeader)
+		if id == "" {
+			id = "request-1"
+		}
+		w.Header().Set(outcome.RequestIDHeader, id)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := first; i < count; i++ {
+			if i == cutAt {
+				cut(w, r)
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, id, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	}
+}
+
+func TestBrokenStreamIsResumedWhole(t *testing.T) {
+	c := qt.New(t)
+	var asked []string
+	f := newFleet(t, events(9, 4, &asked), events(9, 7, &asked), events(9, -1, &asked))
+	_, body, err := f.post("/v1/chat")
+	c.Assert(err, qt.IsNil)
+	var want strings.Builder
+	for i := range 9 {
+		fmt.Fprintf(&want, "id: %d\ndata: request-1 %d\n\n", i, i)
+	}
+	c.Assert(body, qt.Equals, want.String()+"data: [DONE]\n\n")
+	c.Assert(asked, qt.DeepEquals, []string{" question", "3 question", "6 question"})
+}
+
+func TestStreamIsNeverCutSilently(t *testing.T) {
+	restart := func(w http.ResponseWriter, r *http.Request) {
+		var ignored []string
+		r.Header.Del("Last-Event-ID")
+		events(9, -1, &ignored)(w, r)
+	}
+	other := func(w http.ResponseWriter, r *http.Request) {
+		var ignored []string
+		r.Header.Set(outcome.RequestIDHeader, "request-2")
+		events(9, -1, &ignored)(w, r)
+	}
+	unnumbered := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprint(w, "data: 0\n\n")
+	}
+	var asked []string
+	for name, handlers := range map[string][]http.HandlerFunc{
+		"begins again":  {events(9, 4, &asked), restart},
+		"other request": {events(9, 4, &asked), other},
+		"refused":       {events(9, 4, &asked), refuse(http.StatusConflict, outcome.Duplicate)},
+		"no ids":        {unnumbered, unnumbered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, body, err := newFleet(t, handlers...).post("/v1/chat")
+			var broken *entry.StreamError
+			qt.Assert(t, errors.As(err, &broken), qt.IsTrue)
+			qt.Assert(t, strings.Count(body, "data:") <= 4, qt.IsTrue)
+		})
+	}
+}
+
+// busy is a transport whose instances refuse until a time.
+type busy struct {
+	until time.Time
+	tries int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b *busy) RoundTrip(req *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	if req.URL.Path == entry.Path {
+		(&fleet{urls: []string{"http://a", "http://b"}}).answer(w)
+		return w.Result(), nil
+	}
+	b.tries++
+	if time.Now().Before(b.until) {
+		w.Header().Set("Retry-After", "3")
+		refuse(http.StatusServiceUnavailable, outcome.NotRun)(w, req)
+	}
+	return w.Result(), nil
+}
+
+func TestRetryAfterWithinTheDeadline(t *testing.T) {
+	for _, test := range []struct {
+		deadline, busy time.Duration
+		status, tries  int
+	}{
+		{10 * time.Second, 3 * time.Second, http.StatusOK, 3},
+		{2 * time.Second, 3 * time.Second, http.StatusServiceUnavailable, 2},
+		{time.Minute, time.Hour, http.StatusServiceUnavailable, 4},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			b := &busy{until: time.Now().Add(test.busy)}
+			client := &http.Client{Timeout: test.deadline, Transport: &entry.Client{Bootstrap: []string{"http://a"}, Transport: b}}
+			resp, err := client.Get("http://entry.invalid/v1/models")
+			c.Assert(err, qt.IsNil)
+			_ = resp.Body.Close()
+			c.Assert(resp.StatusCode, qt.Equals, test.status)
+			c.Assert(b.tries, qt.Equals, test.tries)
+		})
+	}
+}
+
+// refusing is a transport to which no connection to http://a is made.
+type refusing struct {
+	busy
+	toA int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (r *refusing) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.URL.Host == "a" && req.URL.Path != entry.Path {
+		r.toA++
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	return r.busy.RoundTrip(req)
+}
+
+func TestFailedInstanceIsEjectedForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := &refusing{}
+		client := &http.Client{Transport: &entry.Client{Bootstrap: []string{"http://a"}, Transport: r}}
+		for _, want := range []int{1, 1, 1, 2, 2} {
+			resp, err := client.Get("http://entry.invalid/v1/models")
+			c.Assert(err, qt.IsNil)
+			_ = resp.Body.Close()
+			c.Assert(r.toA, qt.Equals, want)
+			time.Sleep(4 * time.Second)
+		}
+	})
+}
--- a/entry/select_test.go
+++ b/entry/select_test.go
@@ -80,3 +80,22 @@
 	q.Permits = func(region string) bool { return region == "alex" }
 	c.Assert(ids(), qt.DeepEquals, []string{"far"})
 }
+
+func TestLoadsSpread(t *testing.T) {
+	c := qt.New(t)
+	own := 0.61
+	from, to := &Loads{Self: "a", Own: func() float64 { return own }}, &Loads{Self: "b"}
+	c.Assert(to.Merge("a", from.State()), qt.IsNil)
+	load, known := to.Of("a")
+	c.Assert(load, qt.Equals, 0.6)
+	c.Assert(known, qt.IsTrue)
+	state := from.State()
+	own = 0.62
+	c.Assert(from.State(), qt.DeepEquals, state)
+	own = 7
+	c.Assert(from.State(), qt.DeepEquals, []byte{maxLoadPercent})
+	c.Assert(to.Merge("a", []byte{maxLoadPercent + 1}), qt.IsNotNil)
+	to.Forget("a")
+	_, known = to.Of("a")
+	c.Assert(known, qt.IsFalse)
+}
