--- a/entry/ask.go
+++ b/entry/ask.go
@@ -78,8 +78,8 @@
 	if c.answers == nil || len(c.answers) >= maxKinds {
 		c.answers = make(map[kind]*cached)
 	}
-	expires := time.Now().Add(time.Duration(answer.TTLSeconds) * time.Second)
-	c.answers[k] = &cached{answer, expires}
+	now := time.Now()
+	c.answers[k] = &cached{answer, now, now.Add(time.Duration(answer.TTLSeconds) * time.Second)}
 }
 
 // sources lists whom to ask: the instances known, then the bootstrap list, and
--- a/entry/client.go
+++ b/entry/client.go
@@ -48,10 +48,10 @@
 // kind is what a request asks for.
 type kind struct{ service, work string }
 
-// cached is an answer and until when it holds.
+// cached is an answer, when it was given and until when it holds.
 type cached struct {
 	Answer
-	expires time.Time
+	since, expires time.Time
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -69,8 +69,9 @@
 	return c.instances(ctx, kind{c.Service, c.Work})
 }
 
-// avoid keeps requests off an instance for a while. The answers are asked for
-// anew soon, but not once for each request that fails.
+// avoid keeps requests off an instance for a while. Instances are asked for
+// anew, since others may have been replaced too, but not once for each request
+// that fails.
 func (c *Client) avoid(base string, d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -85,7 +86,7 @@
 	}
 	c.avoided[base] = now.Add(min(d, maxAvoidTime))
 	for _, a := range c.answers {
-		if soon := now.Add(refreshPause); a.expires.After(soon) {
+		if soon := a.since.Add(refreshPause); a.expires.After(soon) {
 			a.expires = soon
 		}
 	}
@@ -112,6 +113,15 @@
 	return second
 }
 
+// forget makes the next request of a kind ask again.
+func (c *Client) forget(k kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a := c.answers[k]; a != nil {
+		a.expires = time.Time{}
+	}
+}
+
 func (c *Client) transport() http.RoundTripper {
 	if c.Transport != nil {
 		return c.Transport
--- a/entry/trip.go
+++ b/entry/trip.go
@@ -24,6 +24,7 @@
 	attempts int
 	base     string // instance of the last attempt
 	moved    bool   // a 421 has been followed
+	asked    bool   // the system has been asked once more
 }
 
 // run sends the request until it is answered or must not be sent again.
@@ -53,13 +54,22 @@
 	return nil, err
 }
 
-// next returns the instance to try.
+// next returns the instance to try, or "". If no known instance is left, the
+// system is asked once more: several may have been replaced since its last
+// answer.
 func (t *trip) next(tried map[string]bool) (string, error) {
-	instances, err := t.client.instances(t.req.Context(), t.client.kindOf(t.req))
+	k := t.client.kindOf(t.req)
+	instances, err := t.client.instances(t.req.Context(), k)
 	if err != nil {
 		return "", err
 	}
-	return t.client.usable(instances, tried), nil
+	next := t.client.usable(instances, tried)
+	if next != "" || t.asked {
+		return next, nil
+	}
+	t.asked = true
+	t.client.forget(k)
+	return t.next(tried)
 }
 
 // other returns an instance that has not been tried, or else cause.
