Measure the cost of an answer to a caller

Cause: the cost at 350 instances was not known.

Change: BenchmarkSelect with 7 and 350 instances.

Ruled out: to keep the order of instances between answers, since it differs for each caller.

--- a/entry/select_test.go
+++ b/entry/select_test.go
@@ -99,3 +99,16 @@
 	_, known = to.Of("a")
 	c.Assert(known, qt.IsFalse)
 }
+
+func BenchmarkSelect(b *testing.B) {
+	s := &Selector{Load: func(string) (float64, bool) { return 0.5, true }}
+	for _, count := range []int{7, 350} {
+		instances := cairo(count)
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Select(instances, Query{Region: "cairo", Zone: "cairo-a", Caller: "a"})
+			}
+		})
+	}
+}
