--- a/cmd/fuchsia-dev/main.go
+++ b/cmd/fuchsia-dev/main.go
@@ -34,12 +34,15 @@
 	}
 }
 
+// run starts the system and ends it with ctx: the instances drain first, while
+// the stand-ins still answer them.
 func run(ctx context.Context, setup setup, level log.Level, out io.Writer) error {
-	group, ctx := errgroup.WithContext(ctx)
-	s := &system{group: group, ctx: ctx, setup: setup, level: level}
+	instances, ctx := errgroup.WithContext(ctx)
+	s := &system{instances: instances, ctx: ctx, setup: setup, level: level}
+	defer s.closeStandins()
 	if err := s.start(); err != nil {
 		return err
 	}
 	s.describe(out)
-	return group.Wait()
+	return instances.Wait()
 }
--- a/cmd/fuchsia-dev/system.go
+++ b/cmd/fuchsia-dev/system.go
@@ -37,17 +37,19 @@
 	plainDelay      = 10 * time.Millisecond
 	publishTimeout  = 10 * time.Second
 	digestKey       = "for local development only"
+	drainNotice     = 500 * time.Millisecond
 )
 
 // system is a running set of parts.
 type system struct {
-	group    *errgroup.Group
-	ctx      context.Context
-	setup    setup
-	level    log.Level
-	storeURL string
-	platURL  string
-	entries  []*daemon.Daemon
+	instances *errgroup.Group
+	standins  []*http.Server
+	ctx       context.Context
+	setup     setup
+	level     log.Level
+	storeURL  string
+	platURL   string
+	entries   []*daemon.Daemon
 }
 
 func (s *system) start() error {
@@ -80,16 +82,17 @@
 		return "", errors.Wrap(err, "listen")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	s.group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	context.AfterFunc(s.ctx, func() { _ = server.Close() })
+	s.standins = append(s.standins, server)
+	go func() { _ = server.Serve(listener) }() // ends with closeStandins
 	return "http://" + listener.Addr().String(), nil
 }
 
+func (s *system) closeStandins() {
+	for _, server := range s.standins {
+		_ = server.Close()
+	}
+}
+
 func (s *system) publish() error {
 	files, err := fs.Sub(examples.Files, s.setup.name)
 	if err != nil {
@@ -149,6 +152,7 @@
 	settings.PeerListen, settings.AdminListen, settings.ControlListen = anyPort, anyPort, anyPort
 	settings.PeerInsecure = true
 	settings.DigestKey = digestKey
+	settings.DrainNotice = drainNotice
 	settings.StoreURL, settings.PlatformURL = s.storeURL, s.platURL
 	logger := &log.Logger{Level: s.level, Writer: &log.IOWriter{Writer: os.Stderr}}
 	d, err := daemon.New(settings, logger)
@@ -156,7 +160,7 @@
 		return err
 	}
 	s.entries = append(s.entries, d)
-	s.group.Go(func() error { return d.Run(s.ctx) })
+	s.instances.Go(func() error { return d.Run(s.ctx) })
 	return nil
 }
 
--- a/configlog/log_test.go
+++ b/configlog/log_test.go
@@ -157,3 +157,21 @@
 		}
 	})
 }
+
+// Example publishes two revisions and reads the newest one.
+func Example() {
+	l, _ := newLog()
+	first, err := publish(l, configlog.Empty(), configlog.Entries{"service/desk": []byte("1")})
+	if err != nil {
+		panic(err)
+	}
+	if _, err := publish(l, first, configlog.Entries{"service/desk": []byte("2")}); err != nil {
+		panic(err)
+	}
+	newest, err := l.Read(context.Background())
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(newest.Revision, string(newest.Entries["service/desk"]))
+	// Output: 2 2
+}
--- a/daemon/cost_test.go
+++ b/daemon/cost_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,31 +27,35 @@
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 )
 
-// question is a chat completion of about 4 KB, streamed.
-var question = `{"model":"drafting-desk/grade-enquiry","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"` +
-	strings.Repeat("laid paper of ninety grams ", 150) + `"}]}`
+// chat returns a streamed chat completion of about 4 KB.
+func chat(tokens int) string {
+	return fmt.Sprintf(`{"model":"drafting-desk/grade-enquiry","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+		tokens, strings.Repeat("laid paper of ninety grams ", 150))
+}
+
+var shortQuestion = chat(8)
 
 // startGateway runs an instance with its stand-ins in this process, and
 // returns its URL and that of its only engine.
-func startGateway(b *testing.B) (gateway, direct string) {
+func startGateway(b *testing.B, config engine.Config) (gateway, direct string) {
 	b.Helper()
 	store := httptest.NewServer(kv.New())
 	b.Cleanup(store.Close)
 	list := platform.New(0)
 	plat := httptest.NewServer(list)
 	b.Cleanup(plat.Close)
-	model := httptest.NewServer(engine.New(engine.Config{Slots: 256}))
+	model := httptest.NewServer(engine.New(config))
 	b.Cleanup(model.Close)
 	list.Put(platform.Server{
 		ID: "engine", Addr: model.Listener.Addr().String(), Region: "cairo", Zone: "cairo-a",
 		Service: "drafting-desk", State: "live",
 	})
-	tree, err := config.ReadTree(examples.Files)
+	tree, err := serviceFiles()
 	if err != nil {
 		b.Fatal(err)
 	}
 	publisher := &rollout.Publisher{Log: &configlog.Log{Store: consul.New(store.URL)}}
-	if _, err := publisher.Publish(b.Context(), withoutLimits(tree), nil); err != nil {
+	if _, err := publisher.Publish(b.Context(), tree, nil); err != nil {
 		b.Fatal(err)
 	}
 	s := daemon.DefaultSettings()
@@ -64,23 +71,27 @@
 	done := make(chan struct{})
 	go func() { _ = d.Run(ctx); close(done) }()
 	b.Cleanup(func() { cancel(); <-done })
-	for firstToken(b, d.PublicURL()) == 0 {
+	for firstToken(b, d.PublicURL(), shortQuestion) == 0 {
 		time.Sleep(10 * time.Millisecond)
 	}
 	return d.PublicURL(), model.URL
 }
 
-// withoutLimits lifts the limits of callers.
-func withoutLimits(tree *config.Tree) *config.Tree {
+// serviceFiles returns the examples without limits of callers.
+func serviceFiles() (*config.Tree, error) {
+	tree, err := config.ReadTree(examples.Files)
+	if err != nil {
+		return nil, err
+	}
 	for _, s := range tree.Services {
 		s.Limits.RequestsPerSecond, s.Limits.InFlight = 0, 0
 	}
-	return tree
+	return tree, nil
 }
 
 // firstToken sends the question, reads the whole answer and returns the time
 // to its first line, or 0 if it is not served.
-func firstToken(tb testing.TB, base string) time.Duration {
+func firstToken(tb testing.TB, base, question string) time.Duration {
 	req, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", strings.NewReader(question))
 	if err != nil {
 		tb.Fatal(err)
@@ -114,12 +125,12 @@
 // call sent straight to the engine, one after the other in one run. The
 // difference of both is the gateway's own cost.
 func BenchmarkCost(b *testing.B) {
-	gateway, direct := startGateway(b)
+	gateway, direct := startGateway(b, engine.Config{Slots: 256})
 	for name, base := range map[string]string{"direct": direct, "gateway": gateway} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if firstToken(b, base) == 0 {
+				if firstToken(b, base, shortQuestion) == 0 {
 					b.Fatal("not served")
 				}
 			}
@@ -128,8 +139,8 @@
 	b.Run("added", func(b *testing.B) {
 		var straight, through []time.Duration
 		for b.Loop() {
-			straight = append(straight, firstToken(b, direct))
-			through = append(through, firstToken(b, gateway))
+			straight = append(straight, firstToken(b, direct, shortQuestion))
+			through = append(through, firstToken(b, gateway, shortQuestion))
 		}
 		b.ReportMetric(micros(quantile(through, 0.5)-quantile(straight, 0.5)), "added-p50-µs")
 		b.ReportMetric(micros(quantile(through, 0.99)-quantile(straight, 0.99)), "added-p99-µs")
@@ -137,6 +148,48 @@
 	})
 }
 
+// BenchmarkTokens compares the processor time of streams through the gateway
+// with that of the same streams straight from the engine. The engine writes
+// each token by itself, so that the difference is the cost of relaying tokens.
+func BenchmarkTokens(b *testing.B) {
+	const streams, tokens = 32, 400
+	gateway, direct := startGateway(b, engine.Config{Slots: 256, DecodePerToken: 2 * time.Millisecond})
+	question := chat(tokens)
+	var added time.Duration
+	for b.Loop() {
+		straight := cpuOf(func() { streamAll(b, direct, question, streams) })
+		added += cpuOf(func() { streamAll(b, gateway, question, streams) }) - straight
+	}
+	b.ReportMetric(micros(added)/float64(b.N*streams*tokens), "added-cpu-µs/token")
+}
+
+func streamAll(b *testing.B, base, question string, streams int) {
+	var group sync.WaitGroup
+	for range streams {
+		group.Go(func() {
+			if firstToken(b, base, question) == 0 {
+				b.Error("not served")
+			}
+		})
+	}
+	group.Wait()
+}
+
+// cpuOf returns the processor time of this process during f.
+func cpuOf(f func()) time.Duration {
+	before := cpuTime()
+	f()
+	return cpuTime() - before
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func quantile(samples []time.Duration, q float64) time.Duration {
 	slices.Sort(samples)
 	return samples[int(q*float64(len(samples)-1))]
