Keep the notice of a draining instance longer than callers keep an answer

Cause, seen in the read-through: answers of /v1/entry held for 15 to 25 s, while a draining instance closes its listeners 6 s after its notice. A caller that keeps an answer for as long as it is told could be sent to a closed listener.

Change: answers hold for 4 to 6 s (entry.MaxTTL), and the default of drain-notice is that and one second.

--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiastack/fuchsiastack/claim"
+	"github.com/fuchsiastack/fuchsiastack/entry"
 )
 
 // Settings configure an instance.
@@ -71,7 +72,7 @@
 		ListInterval:  time.Second,
 		LoadInterval:  500 * time.Millisecond,
 		DirectoryTTL:  10 * time.Second,
-		DrainNotice:   6 * time.Second, // longer than callers keep an answer of entry.Path
+		DrainNotice:   entry.MaxTTL + time.Second,
 		DrainDeadline: 10 * time.Minute,
 		MaxLoading:    2,
 
--- a/entry/select.go
+++ b/entry/select.go
@@ -6,15 +6,21 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Bounds of an answer.
 const (
-	maxInstances      = 8
-	answerTTLSeconds  = 20
-	answerJitterParts = 4 // the time is up to a quarter shorter or longer
+	maxInstances     = 8
+	answerTTLSeconds = 5
+	ttlJitterSeconds = 1 // the time is up to this much shorter or longer
 )
 
+// MaxTTL is the longest time for which a caller keeps an answer. A draining
+// instance answers for longer than this, so that no caller is sent to a closed
+// listener.
+const MaxTTL = (answerTTLSeconds + ttlJitterSeconds) * time.Second
+
 // Loads at which the order of instances changes, as parts of their capacity.
 const (
 	overloadEnter = 0.85 // from here on an instance stands behind all others of the region
@@ -137,8 +143,7 @@
 	if s.Random != nil {
 		random = s.Random
 	}
-	const jitter = answerTTLSeconds / answerJitterParts
-	return answerTTLSeconds - jitter + int(random()*(2*jitter+1))
+	return answerTTLSeconds - ttlJitterSeconds + int(random()*(2*ttlJitterSeconds+1))
 }
 
 // spread is the rendezvous hash of a caller and an instance.
