Send callers to a new instance once it has its part of the limits

Cause: in a rolling restart callers well within their limits were refused with 429. A new instance holds a quarter of an equal part of each limit for 5 s, so that the sum of all parts never exceeds the limit, but callers were sent to it at once. With 100 requests in flight allowed and 20 used, one new instance refused 5,099 tries in 1 s (reason in_flight); callers there tried again without waiting.

Ruled out: more units for a new instance at once (breaks the bound on the sum); more tries of the client at other instances (multiplies the requests of a caller that is over its limit).

Change: join-delay, 6 s: an instance enters the directory, the membership's list for callers and its own answers only then (TestDrainingInstanceIsLeftOut now also checks the time before; the rest of it is unchanged). It serves whoever comes earlier.

--- a/cmd/fuchsia-dev/system.go
+++ b/cmd/fuchsia-dev/system.go
@@ -153,6 +153,7 @@
 	settings.PeerInsecure = true
 	settings.DigestKey = digestKey
 	settings.DrainNotice = drainNotice
+	settings.JoinDelay = 0
 	settings.StoreURL, settings.PlatformURL = s.storeURL, s.platURL
 	logger := &log.Logger{Level: s.level, Writer: &log.IOWriter{Writer: os.Stderr}}
 	d, err := daemon.New(settings, logger)
--- a/cmd/fuchsiad/flags.go
+++ b/cmd/fuchsiad/flags.go
@@ -61,6 +61,7 @@
 		duration("list-interval", "time between reads of the list of backend servers", &s.ListInterval),
 		duration("load-interval", "time between two load reports of a backend server", &s.LoadInterval),
 		duration("directory-ttl", "life of this instance's entry in the directory", &s.DirectoryTTL),
+		duration("join-delay", "time until callers are sent to a new instance, so that it has its part of limits and slots", &s.JoinDelay),
 		duration("drain-notice", "how long callers are told of another instance before the listeners close", &s.DrainNotice),
 		duration("drain-deadline", "longest wait for the work in flight after drain-notice", &s.DrainDeadline),
 		duration("claim-retention", "how long an idempotency key can be used, the same on all instances", &s.ClaimRetention),
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -52,10 +52,18 @@
 }
 
 func (d *Daemon) register(ctx context.Context) {
-	if d.draining.Load() || d.table.Current() == nil {
+	if d.draining.Load() || !d.joined.Load() {
 		return
 	}
 	if err := d.platform.Register(ctx, d.self(), d.settings.DirectoryTTL); err != nil {
 		d.log.Warn().Str("event", "register_failed").Err(err).Msg("")
 	}
 }
+
+// sleep waits for interval or until ctx ends.
+func sleep(ctx context.Context, interval time.Duration) {
+	select {
+	case <-time.After(interval):
+	case <-ctx.Done():
+	}
+}
--- a/daemon/cost_test.go
+++ b/daemon/cost_test.go
@@ -61,7 +61,7 @@
 	s := daemon.DefaultSettings()
 	s.Instance, s.Region, s.Zone = "entry", "cairo", "cairo-a"
 	s.Listen, s.PeerListen, s.AdminListen, s.ControlListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	s.PeerInsecure = true
+	s.PeerInsecure, s.JoinDelay = true, 0
 	s.StoreURL, s.PlatformURL = store.URL, plat.URL
 	d, err := daemon.New(s, &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}})
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -62,6 +62,7 @@
 	carrier  *exchange.Carrier
 	loads    *load.Follower
 	entries  entries
+	joined   atomic.Bool // callers may be sent here
 	draining atomic.Bool
 	accepted inFlight // requests that arrived before draining
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -49,7 +49,7 @@
 // answerEntry tells a caller which instances to use.
 func (d *Daemon) answerEntry(w http.ResponseWriter, r *http.Request) {
 	known := d.peers.all()
-	if !d.draining.Load() {
+	if !d.draining.Load() && (d.joined.Load() || len(known) == 0) {
 		known = append(known, d.self())
 	}
 	instances := make([]entry.Instance, len(known))
--- a/daemon/entry_test.go
+++ b/daemon/entry_test.go
@@ -43,6 +43,7 @@
 	}
 }
 
+// An instance that has not joined yet or that drains names only others.
 func TestDrainingInstanceIsLeftOut(t *testing.T) {
 	c := qt.New(t)
 	d := &Daemon{
@@ -57,6 +58,8 @@
 		c.Assert(json.Unmarshal(w.Body.Bytes(), &answer), qt.IsNil)
 		return len(answer.Instances)
 	}
+	c.Assert(count(), qt.Equals, 1)
+	d.joined.Store(true)
 	c.Assert(count(), qt.Equals, 2)
 	d.draining.Store(true)
 	c.Assert(count(), qt.Equals, 1)
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -22,8 +22,10 @@
 }
 
 // announceReady tells the directory and the other instances once this one has a
-// configuration.
+// configuration, and its part of the limits and slots of its region. Callers
+// that are sent to it earlier would be refused while others have room.
 func (d *Daemon) announceReady(ctx context.Context) {
+	begun := time.Now()
 	for d.table.Current() == nil {
 		select {
 		case <-time.After(readyPoll):
@@ -31,7 +33,9 @@
 			return
 		}
 	}
-	if !d.draining.Load() {
+	sleep(ctx, d.settings.JoinDelay-time.Since(begun))
+	d.joined.Store(true)
+	if !d.draining.Load() && ctx.Err() == nil {
 		d.register(ctx)
 		d.members.SetServing(ctx, true)
 	}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -43,6 +43,7 @@
 	ListInterval  time.Duration // between reads of the list of backend servers
 	LoadInterval  time.Duration // between load reports of a backend server
 	DirectoryTTL  time.Duration // life of the entry in the directory
+	JoinDelay     time.Duration // until callers are sent to a new instance; it has its part of limits and slots then
 	DrainNotice   time.Duration // how long callers are told of another instance before the listeners close
 	DrainDeadline time.Duration // longest wait for the work in flight after that
 	MaxLoading    int           // engines of a service that load a model at the same time, in the region
@@ -72,6 +73,7 @@
 		ListInterval:  time.Second,
 		LoadInterval:  500 * time.Millisecond,
 		DirectoryTTL:  10 * time.Second,
+		JoinDelay:     6 * time.Second,
 		DrainNotice:   entry.MaxTTL + time.Second,
 		DrainDeadline: 10 * time.Minute,
 		MaxLoading:    2,
@@ -116,6 +118,7 @@
 	fault(s.ListInterval < 100*time.Millisecond || s.ListInterval > 10*time.Second, "list-interval: want 100ms to 10s")
 	fault(s.LoadInterval < 50*time.Millisecond || s.LoadInterval > time.Second, "load-interval: want 50ms to 1s")
 	fault(s.DirectoryTTL < 2*time.Second || s.DirectoryTTL > time.Minute, "directory-ttl: want 2s to 1m")
+	fault(s.JoinDelay < 0 || s.JoinDelay > time.Minute, "join-delay: want 0s to 1m")
 	fault(s.DrainNotice < 0 || s.DrainNotice > time.Minute, "drain-notice: want 0s to 1m")
 	fault(s.DrainDeadline < time.Second || s.DrainDeadline > time.Hour, "drain-deadline: want 1s to 1h")
 	fault(s.ClaimRetention < 10*time.Minute || s.ClaimRetention > 7*24*time.Hour, "claim-retention: want 10m to 168h")
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -119,7 +119,7 @@
 		"--control-listen", "127.0.0.1:0", "--peer-insecure",
 		"--store-url", f.storeURL, "--platform-url", f.platURL,
 		"--list-interval", "100ms", "--load-interval", "100ms", "--directory-ttl", "2s",
-		"--digest-key", "secret of the scenarios",
+		"--digest-key", "secret of the scenarios", "--join-delay", "0s",
 	}, args...)
 	return f.start(name, "fuchsiad", all...).addr
 }
--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -73,13 +73,16 @@
 // limitsLine is a line of a service file that bounds its callers.
 var limitsLine = regexp.MustCompile(`(?m)^limits:.*$`)
 
-// publish SETUP publishes the example files of a deployment without limits of
-// callers.
+// publish SETUP [limits] publishes the example files of a deployment, without
+// limits of callers unless told otherwise.
 func (s *script) publish(ts *testscript.TestScript, _ bool, args []string) {
 	dir := ts.MkAbs("config")
 	ts.Check(os.CopyFS(dir, os.DirFS(filepath.Join(ts.Getenv("EXAMPLES"), args[0]))))
 	files, err := filepath.Glob(filepath.Join(dir, "*", "fuchsia.yaml"))
 	ts.Check(err)
+	if len(args) > 1 {
+		files = nil
+	}
 	for _, file := range files {
 		text, err := os.ReadFile(file)
 		ts.Check(err)
