Explain a request, and check what bad input is told

Cause: operators could not ask why a request went where it did without collecting logs of all instances; bad input had no test at the daemon.

The daemon takes the writer of its log, and a wrong log level is a fault of the settings. A directory that cannot be read is named; faults of settings have one order. 13 kinds of bad input, an oversized header and a cut body are checked: code, outcome not-run, request id, and no execution at the engine.

--- a/cmd/fuchsia-dev/main.go
+++ b/cmd/fuchsia-dev/main.go
@@ -7,7 +7,6 @@
 	"context"
 	"io"
 
-	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
@@ -29,14 +28,14 @@
 			if err != nil {
 				return err
 			}
-			return run(ctx, setup, log.ParseLevel(cmd.String("log")), cmd.Root().Writer)
+			return run(ctx, setup, cmd.String("log"), cmd.Root().Writer)
 		},
 	}
 }
 
 // run starts the system and ends it with ctx: the instances drain first, while
 // the stand-ins still answer them.
-func run(ctx context.Context, setup setup, level log.Level, out io.Writer) error {
+func run(ctx context.Context, setup setup, level string, out io.Writer) error {
 	instances, ctx := errgroup.WithContext(ctx)
 	s := &system{instances: instances, ctx: ctx, setup: setup, level: level}
 	defer s.closeStandins()
--- a/cmd/fuchsia-dev/system.go
+++ b/cmd/fuchsia-dev/system.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiastack/fuchsiastack/config"
@@ -46,7 +45,7 @@
 	standins  []*http.Server
 	ctx       context.Context
 	setup     setup
-	level     log.Level
+	level     string
 	storeURL  string
 	platURL   string
 	entries   []*daemon.Daemon
@@ -155,8 +154,8 @@
 	settings.DrainNotice = drainNotice
 	settings.JoinDelay = 0
 	settings.StoreURL, settings.PlatformURL = s.storeURL, s.platURL
-	logger := &log.Logger{Level: s.level, Writer: &log.IOWriter{Writer: os.Stderr}}
-	d, err := daemon.New(settings, logger)
+	settings.Log = s.level
+	d, err := daemon.New(settings, os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/cmd/fuchsiactl/main.go
+++ b/cmd/fuchsiactl/main.go
@@ -31,6 +31,7 @@
 			validateCommand(),
 			publishCommand(),
 			statusCommand(),
+			explainCommand(),
 		},
 	}
 }
@@ -61,5 +62,9 @@
 	if cmd.Args().Len() != 1 {
 		return nil, errors.New("want one argument: the directory with the service files")
 	}
-	return config.ReadTree(os.DirFS(cmd.Args().First()))
+	dir := cmd.Args().First()
+	if info, err := os.Stat(dir); err != nil || !info.IsDir() {
+		return nil, errors.Errorf("%s is no directory that can be read", dir)
+	}
+	return config.ReadTree(os.DirFS(dir))
 }
--- a/cmd/fuchsiad/main.go
+++ b/cmd/fuchsiad/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"os"
 
-	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/fuchsiastack/fuchsiastack/daemon"
@@ -21,8 +20,7 @@
 		Usage: "entry instance of a multi-region inference gateway",
 		Flags: flags(&s),
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			logger := &log.Logger{Level: log.ParseLevel(s.Log), Writer: &log.IOWriter{Writer: os.Stdout}}
-			d, err := daemon.New(s, logger)
+			d, err := daemon.New(s, os.Stdout)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/daemon/badinput_test.go
@@ -0,0 +1,114 @@
+package daemon_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/standin/engine"
+)
+
+// Every malformed request gets an error with a code, an outcome and a request
+// id, and none reaches the engine.
+func TestBadInputIsToldAndNotRun(t *testing.T) {
+	gateway, direct := startGateway(t, engine.Config{Slots: 1})
+	before := executions(t, direct)
+	huge := `{"model":"drafting-desk","messages":"` + strings.Repeat("x", 9<<20) + `"}`
+	for _, test := range []struct {
+		name, path, body string
+		header           map[string]string
+		status           int
+		code             outcome.Code
+	}{
+		{"no key", "/v1/chat/completions", "{}", map[string]string{"Authorization": ""}, 401, outcome.CodeUnauthenticated},
+		{"wrong key", "/v1/chat/completions", "{}", map[string]string{"Authorization": "Bearer x"}, 401, outcome.CodeUnauthenticated},
+		{"broken JSON", "/v1/chat/completions", `{"model":`, nil, 400, outcome.CodeBadRequest},
+		{"no model", "/v1/chat/completions", `{}`, nil, 400, outcome.CodeBadRequest},
+		{"model is no text", "/v1/chat/completions", `{"model":[[1]]}`, nil, 404, outcome.CodeUnknownService},
+		{"unknown service", "/v1/chat/completions", `{"model":"poetry"}`, nil, 404, outcome.CodeUnknownService},
+		{"unknown work", "/v1/chat/completions", `{"model":"drafting-desk/poems"}`, nil, 404, outcome.CodeUnknownWork},
+		{"unknown service in path", "/services/poetry/", "x", nil, 404, outcome.CodeUnknownService},
+		{"body too large", "/v1/chat/completions", huge, nil, 413, outcome.CodeBodyTooLarge},
+		{"deadline zero", "/v1/chat/completions", `{"model":"drafting-desk"}`, map[string]string{"Fuchsia-Deadline-Ms": "0"}, 400, outcome.CodeBadDeadline},
+		{"deadline absurd", "/v1/chat/completions", `{"model":"drafting-desk"}`, map[string]string{"Fuchsia-Deadline-Ms": "99999999999999999999"}, 400, outcome.CodeBadDeadline},
+		{"forged hop", "/v1/chat/completions", `{"model":"drafting-desk"}`, map[string]string{"Fuchsia-Hop-Region": "alex"}, 400, outcome.CodeLoop},
+		{"no idempotency key", "/services/orders-desk/dispatch/x", "x", nil, 400, outcome.CodeKeyRequired},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			req, err := http.NewRequest(http.MethodPost, gateway+test.path, strings.NewReader(test.body))
+			c.Assert(err, qt.IsNil)
+			req.Header.Set("Authorization", "Bearer nile-press-key")
+			for name, value := range test.header {
+				req.Header.Set(name, value)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
+			var body outcome.Body
+			c.Assert(json.NewDecoder(resp.Body).Decode(&body), qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, test.status)
+			c.Check(body.Error.Code, qt.Equals, test.code)
+			c.Check(body.Error.Outcome, qt.Equals, outcome.NotRun.String())
+			c.Check(resp.Header.Get(outcome.Header), qt.Equals, outcome.NotRun.String())
+			c.Check(body.Error.RequestID, qt.Not(qt.Equals), "")
+		})
+	}
+	qt.Assert(t, executions(t, direct), qt.Equals, before)
+}
+
+// A header larger than the bound is refused by its size.
+func TestOversizedHeaderIsRefused(t *testing.T) {
+	c := qt.New(t)
+	gateway, _ := startGateway(t, engine.Config{Slots: 1})
+	req, err := http.NewRequest(http.MethodGet, gateway+"/v1/entry", http.NoBody)
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("X-Large", strings.Repeat("x", 64<<10))
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+}
+
+// A request that is cut in the middle of its body is not run.
+func TestCutBodyIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	gateway, direct := startGateway(t, engine.Config{Slots: 1})
+	before := executions(t, direct)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(gateway, "http://"))
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer nile-press-key\r\n"+
+		"Content-Length: 1000\r\n\r\n{\"model\":\"drafting-desk\"")
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	c.Assert(conn.SetReadDeadline(time.Now().Add(30*time.Second)), qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil { // the server may also close without an answer
+		defer resp.Body.Close()
+		c.Assert(resp.Header.Get(outcome.Header), qt.Equals, outcome.NotRun.String())
+	}
+	c.Assert(executions(t, direct), qt.Equals, before)
+}
+
+// executions returns how many requests an engine has run.
+func executions(t *testing.T, engineURL string) int {
+	resp, err := http.Get(engineURL + "/standin/executions")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var list []engine.Execution
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		t.Fatal(err)
+	}
+	return len(list)
+}
--- a/daemon/cost_test.go
+++ b/daemon/cost_test.go
@@ -14,8 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"github.com/fuchsiastack/fuchsiastack/config"
 	"github.com/fuchsiastack/fuchsiastack/configlog"
 	"github.com/fuchsiastack/fuchsiastack/daemon"
@@ -37,7 +35,7 @@
 
 // startGateway runs an instance with its stand-ins in this process, and
 // returns its URL and that of its only engine.
-func startGateway(b *testing.B, config engine.Config) (gateway, direct string) {
+func startGateway(b testing.TB, config engine.Config) (gateway, direct string) {
 	b.Helper()
 	store := httptest.NewServer(kv.New())
 	b.Cleanup(store.Close)
@@ -61,9 +59,9 @@
 	s := daemon.DefaultSettings()
 	s.Instance, s.Region, s.Zone = "entry", "cairo", "cairo-a"
 	s.Listen, s.PeerListen, s.AdminListen, s.ControlListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	s.PeerInsecure, s.JoinDelay = true, 0
+	s.PeerInsecure, s.JoinDelay, s.DrainNotice = true, 0, 0
 	s.StoreURL, s.PlatformURL = store.URL, plat.URL
-	d, err := daemon.New(s, &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}})
+	d, err := daemon.New(s, io.Discard)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -46,6 +47,7 @@
 type Daemon struct {
 	settings Settings
 	log      *log.Logger
+	journal  *telemetry.Journal
 	metrics  *telemetry.Metrics
 	table    *catalog.Table
 	registry *backend.Registry
@@ -74,11 +76,13 @@
 }
 
 // New checks the settings and opens the listeners, so that the addresses are
-// known before Run.
-func New(settings Settings, logger *log.Logger) (*Daemon, error) {
+// known before Run. Log lines are written to out.
+func New(settings Settings, out io.Writer) (*Daemon, error) {
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
+	journal := telemetry.NewJournal(out)
+	logger := &log.Logger{Level: log.ParseLevel(settings.Log), Writer: &log.IOWriter{Writer: journal}}
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
@@ -86,6 +90,7 @@
 	d := &Daemon{
 		settings: settings,
 		log:      logger,
+		journal:  journal,
 		metrics:  metrics,
 		table:    &catalog.Table{},
 		registry: backend.NewRegistry(),
@@ -219,6 +224,7 @@
 	adminMux := http.NewServeMux()
 	adminMux.Handle("GET /metrics", d.metrics)
 	adminMux.HandleFunc("GET /status", d.answerStatus)
+	adminMux.HandleFunc("GET "+ExplainPath, d.answerExplain)
 	return &handlers{
 		caller: callerMux,
 		peer:   &gateway.Handler{Chain: d.peerChain(dispatcher.Handle), Observer: observer, Acknowledge: true},
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -103,6 +104,7 @@
 	fault(s.Instance == "", "instance: must be set")
 	fault(s.Region == "", "region: must be set")
 	fault(s.Zone == "", "zone: must be set")
+	fault(!slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log), "log: want debug, info, warn or error")
 	for name, addr := range map[string]string{"listen": s.Listen, "peer-listen": s.PeerListen, "admin-listen": s.AdminListen, "control-listen": s.ControlListen} {
 		_, _, err := net.SplitHostPort(addr)
 		fault(err != nil, name+": want host:port")
@@ -134,6 +136,7 @@
 	fault(s.QuarantineSpread < 100*time.Millisecond || s.QuarantineSpread > time.Minute, "quarantine-spread: want 100ms to 1m")
 	fault(s.LinkMegabits < 1, "link-megabits: want 1 or more")
 	fault(s.LinkLatency < 0 || s.LinkLatency > time.Second, "link-latency: want 0s to 1s")
+	slices.Sort(faults)
 	if len(faults) > 0 {
 		return errors.New("bad settings: " + strings.Join(faults, "; "))
 	}
