--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -79,10 +79,35 @@
 type Work struct {
 	Name       string `json:"name"`
 	Rank       Rank   `json:"rank"`
-	Home       string `json:"home,omitempty"` // region that its data must not leave, or ""
+	Home       string `json:"home,omitempty"` // region that its data must not leave and that its callers must enter, or ""
 	Repeatable bool   `json:"repeatable"`     // false: runs at most once
+
+	// Policy replaces the one of the rank. Nil for none.
+	Policy *RankPolicy `json:"policy,omitempty"`
+	// Homes are the regions that may run the work, wherever its callers enter.
+	// Empty permits all.
+	Homes []string `json:"homes,omitempty"`
+	// MaxServers is the largest number of backend servers that one request may
+	// run on; 0 leaves it to the retry policy.
+	MaxServers int `json:"max_servers,omitempty"`
+	// Streamed work is answered by a stream of events, with MaxGap as the target
+	// between two of them. A Resumable one may be continued by another server.
+	Streamed  bool          `json:"streamed,omitempty"`
+	Resumable bool          `json:"resumable,omitempty"`
+	MaxGap    time.Duration `json:"max_gap,omitempty"`
+}
+
+// RunsIn reports whether the work may run in region.
+func (w *Work) RunsIn(region string) bool {
+	if w.Home != "" && w.Home != region {
+		return false
+	}
+	return len(w.Homes) == 0 || slices.Contains(w.Homes, region)
 }
 
+// Bound reports whether the work may run in one region only.
+func (w *Work) Bound() bool { return w.Home != "" || len(w.Homes) == 1 }
+
 // Limits bound one caller's use of a service over all instances of a region.
 // Zero means unlimited.
 type Limits struct {
@@ -117,6 +142,19 @@
 	Limits  Limits                `json:"limits"`            // of a caller without an entry in Callers
 	Callers map[string]Limits     `json:"callers,omitempty"`
 	Engine  *EngineState          `json:"engine,omitempty"` // wanted state of its engines; nil: not managed
+	Warmup  Warmup                `json:"warmup,omitzero"`
+	// MaxConns is the number of connections that a backend server accepts from
+	// all instances together; 0: not stated.
+	MaxConns   int    `json:"max_conns,omitempty"`
+	HealthPath string `json:"health_path,omitempty"` // of the health check, or ""
+	Memory     int    `json:"memory,omitempty"`      // tokens that fit the KV cache of an engine; 0: not stated
+}
+
+// Warmup bounds what a backend server with cold caches may be sent.
+type Warmup struct {
+	Time  time.Duration `json:"time"`  // from its start until it is warm
+	Rate  float64       `json:"rate"`  // requests per second from all instances together
+	Burst float64       `json:"burst"` // requests above the rate, from all instances together
 }
 
 // LimitsOf returns the limits of the named caller.
@@ -132,7 +170,15 @@
 	if w.Home != "" {
 		return region == w.Home
 	}
-	return len(s.Regions) == 0 || slices.Contains(s.Regions, region)
+	return w.RunsIn(region) && (len(s.Regions) == 0 || slices.Contains(s.Regions, region))
+}
+
+// PolicyOf returns the policy that work w of the service is held to.
+func (s *Service) PolicyOf(w Work) RankPolicy {
+	if w.Policy != nil {
+		return *w.Policy
+	}
+	return s.Ranks[w.Rank]
 }
 
 // Caller is an organization that sends requests.
@@ -153,6 +199,8 @@
 	Revision uint64              `json:"revision"`
 	Services map[string]*Service `json:"services"`
 	Callers  map[string]*Caller  `json:"callers"` // by KeyDigest
+	Routes   Routes              `json:"-"`       // nil where callers name services
+	Limits   RequestLimits       `json:"-"`
 }
 
 // Resolve finds a service and its work. An empty work selects the service's
--- a/cmd/fuchsiactl/main.go
+++ b/cmd/fuchsiactl/main.go
@@ -13,7 +13,7 @@
 	"github.com/fuchsiastack/fuchsiastack/config"
 	"github.com/fuchsiastack/fuchsiastack/configlog"
 	"github.com/fuchsiastack/fuchsiastack/internal/climain"
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
 )
@@ -53,7 +53,7 @@
 func newPublisher(cmd *cli.Command) *rollout.Publisher {
 	return &rollout.Publisher{
 		Log:       &configlog.Log{Store: consul.New(cmd.String("store-url"))},
-		Directory: platform.New(cmd.String("platform-url")),
+		Directory: listing.New(cmd.String("platform-url")),
 		Prober:    rollout.HTTPProber{Client: http.DefaultClient},
 	}
 }
--- a/cmd/fuchsiactl/publish.go
+++ b/cmd/fuchsiactl/publish.go
@@ -9,7 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/fuchsiastack/fuchsiastack/configlog"
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
 )
 
@@ -42,7 +42,7 @@
 		return err
 	}
 	if !cmd.Bool("bootstrap") {
-		if err := checkRegions(ctx, tree, platform.New(cmd.String("platform-url"))); err != nil {
+		if err := checkRegions(ctx, tree, listing.New(cmd.String("platform-url"))); err != nil {
 			return err
 		}
 	}
--- a/cmd/fuchsiactl/validate.go
+++ b/cmd/fuchsiactl/validate.go
@@ -8,7 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/fuchsiastack/fuchsiastack/config"
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 func validateCommand() *cli.Command {
@@ -27,7 +27,7 @@
 		return err
 	}
 	if base := cmd.String("platform-url"); base != "" {
-		if err := checkRegions(ctx, tree, platform.New(base)); err != nil {
+		if err := checkRegions(ctx, tree, listing.New(base)); err != nil {
 			return err
 		}
 	}
@@ -36,7 +36,7 @@
 }
 
 // checkRegions refuses a tree that names a region without an instance.
-func checkRegions(ctx context.Context, tree *config.Tree, directory *platform.Client) error {
+func checkRegions(ctx context.Context, tree *config.Tree, directory *listing.Client) error {
 	instances, err := directory.Instances(ctx, "")
 	if err != nil {
 		return err
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -12,7 +12,7 @@
 	"github.com/fuchsiastack/fuchsiastack/config"
 	"github.com/fuchsiastack/fuchsiastack/configlog"
 	"github.com/fuchsiastack/fuchsiastack/configsync"
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/store"
 )
@@ -71,7 +71,7 @@
 func (p configPeers) Fetch(ctx context.Context, instance string, after uint64) (configsync.Update, error) {
 	var update configsync.Update
 	all := p.daemon.peers.all()
-	at := slices.IndexFunc(all, func(i platform.Instance) bool { return i.ID == instance })
+	at := slices.IndexFunc(all, func(i listing.Instance) bool { return i.ID == instance })
 	if at < 0 {
 		return update, errors.Errorf("instance %s is not known", instance)
 	}
--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 // startControllers runs every controller until ctx ends.
@@ -40,8 +40,8 @@
 	}
 }
 
-func (d *Daemon) self() platform.Instance {
-	return platform.Instance{
+func (d *Daemon) self() listing.Instance {
+	return listing.Instance{
 		ID:          d.settings.Instance,
 		URL:         d.settings.PublicURL,
 		PeerAddr:    d.settings.PeerAddr,
@@ -55,7 +55,7 @@
 	if d.draining.Load() || !d.joined.Load() {
 		return
 	}
-	if err := d.platform.Register(ctx, d.self(), d.settings.DirectoryTTL); err != nil {
+	if err := d.listing.Register(ctx, d.self(), d.settings.DirectoryTTL); err != nil {
 		d.log.Warn().Str("event", "register_failed").Err(err).Msg("")
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,11 +20,11 @@
 	"github.com/fuchsiastack/fuchsiastack/entry"
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/load"
 	"github.com/fuchsiastack/fuchsiastack/membership"
 	"github.com/fuchsiastack/fuchsiastack/orders"
 	"github.com/fuchsiastack/fuchsiastack/peer"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
 	"github.com/fuchsiastack/fuchsiastack/store/budget"
 	"github.com/fuchsiastack/fuchsiastack/store/consul"
@@ -56,7 +56,7 @@
 	config   *configsync.Follower
 	orders   *orders.Controller
 	store    *budget.Store
-	platform *platform.Client
+	listing  *listing.Client
 	routes   *routes
 	observer *telemetry.Observer
 	peering  *peering
@@ -95,7 +95,7 @@
 		table:    &catalog.Table{},
 		registry: backend.NewRegistry(),
 		peers:    &peerTable{},
-		platform: platform.New(settings.PlatformURL),
+		listing:  listing.New(settings.PlatformURL),
 	}
 	kv := budget.New(consul.New(settings.StoreURL), budget.DefaultLimits(), d.fleetSize)
 	d.store = kv
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -68,7 +68,7 @@
 func (d *Daemon) leaveDirectory() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if err := d.platform.Deregister(ctx, d.settings.Instance); err != nil {
+	if err := d.listing.Deregister(ctx, d.settings.Instance); err != nil {
 		d.log.Warn().Str("event", "deregister_failed").Err(err).Msg("")
 	}
 	d.members.SetServing(ctx, false)
--- a/daemon/entry_test.go
+++ b/daemon/entry_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/entry"
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 func TestEntryOfWorkWithAHome(t *testing.T) {
@@ -50,7 +50,7 @@
 		settings: Settings{Instance: "self", Region: "cairo"}, peers: &peerTable{}, table: &catalog.Table{},
 		entries: entries{selector: &entry.Selector{}},
 	}
-	d.peers.replace([]platform.Instance{{ID: "other", Region: "cairo"}})
+	d.peers.replace([]listing.Instance{{ID: "other", Region: "cairo"}})
 	count := func() int {
 		w := httptest.NewRecorder()
 		d.answerEntry(w, httptest.NewRequest(http.MethodGet, entry.Path+"?region=cairo", http.NoBody))
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -17,7 +17,7 @@
 	machine := membership.NewMachine(self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	machine.OnChange(func(view *membership.View) { d.peers.replace(view.Others()) })
 	machine.OnForget(func(id string) { d.carrier.Forget(id) })
-	d.members = membership.NewRunner(machine, d.peering.client, d.platform, d.settings.Seeds, d.settings.DirectoryTTL)
+	d.members = membership.NewRunner(machine, d.peering.client, d.listing, d.settings.Seeds, d.settings.DirectoryTTL)
 	return d.peering.server.Register(membership.ServiceName, d.members.Service())
 }
 
--- a/daemon/peering.go
+++ b/daemon/peering.go
@@ -5,8 +5,8 @@
 	"net"
 	"net/http"
 
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/peer"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // peering is how this instance talks to other instances.
@@ -32,7 +32,7 @@
 	return p, nil
 }
 
-func identityOf(i platform.Instance) peer.Identity {
+func identityOf(i listing.Instance) peer.Identity {
 	return peer.Identity{ID: i.ID, Region: i.Region}
 }
 
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,19 +5,19 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/peer"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // peerTable holds the other instances by region.
 type peerTable struct {
 	mu       sync.RWMutex
-	byRegion map[string][]platform.Instance
+	byRegion map[string][]listing.Instance
 	next     atomic.Uint32
 }
 
-func (t *peerTable) replace(instances []platform.Instance) {
-	byRegion := make(map[string][]platform.Instance)
+func (t *peerTable) replace(instances []listing.Instance) {
+	byRegion := make(map[string][]listing.Instance)
 	for _, i := range instances {
 		byRegion[i.Region] = append(byRegion[i.Region], i)
 	}
@@ -27,12 +27,12 @@
 }
 
 // pick returns an instance of region in turn, or the zero Instance.
-func (t *peerTable) pick(region string) platform.Instance {
+func (t *peerTable) pick(region string) listing.Instance {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	instances := t.byRegion[region]
 	if len(instances) == 0 {
-		return platform.Instance{}
+		return listing.Instance{}
 	}
 	return instances[int(t.next.Add(1))%len(instances)]
 }
@@ -80,10 +80,10 @@
 	return peer.Identity{}, false
 }
 
-func (t *peerTable) all() []platform.Instance {
+func (t *peerTable) all() []listing.Instance {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	var all []platform.Instance
+	var all []listing.Instance
 	for _, instances := range t.byRegion {
 		all = append(all, instances...)
 	}
--- a/daemon/serverlist.go
+++ b/daemon/serverlist.go
@@ -6,7 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 // listService is the name of ListService among the services of an instance.
@@ -35,7 +35,7 @@
 // takes it from another instance of its region, so that a region that is cut
 // off can replace its instances.
 func (d *Daemon) readList(ctx context.Context) {
-	list, err := d.platform.Servers(ctx, d.settings.Region)
+	list, err := d.listing.Servers(ctx, d.settings.Region)
 	if err == nil {
 		d.registry.Replace(list)
 		return
@@ -64,7 +64,7 @@
 }
 
 // in returns the other instances of a region.
-func (t *peerTable) in(region string) []platform.Instance {
+func (t *peerTable) in(region string) []listing.Instance {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.byRegion[region]
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -23,6 +24,9 @@
 // errStalled cancels an attempt whose answer did not begin in time.
 var errStalled = errors.New("the answer did not begin in time")
 
+// errServerFailed is the cause of an answer with a status of the 5xx class.
+var errServerFailed = errors.New("the backend server answered that it failed")
+
 // run is the attempts of one request.
 type run struct {
 	*Dispatcher
@@ -34,12 +38,16 @@
 	// mayHaveRun is set once an attempt may have run: from then on the request
 	// is never reported as not run.
 	mayHaveRun bool
+	runs       int // attempts that may have run
+	// failed is the answer of a server that failed, which the caller gets if no
+	// other attempt succeeds.
+	failed *http.Response
 }
 
 // attempts tries until the request is served or must not be tried again.
 func (r *run) attempts() *outcome.Error {
 	defer r.suspect.abandon()
-	r.Retry.FirstTry(time.Now())
+	r.Retry.FirstTry(time.Now(), r.x.Service.Name)
 	for number := 1; ; number++ {
 		decision, refusal := r.next(number)
 		if refusal != nil {
@@ -50,7 +58,10 @@
 		if end.err == nil {
 			return nil
 		}
-		r.mayHaveRun = r.mayHaveRun || end.err.Outcome != outcome.NotRun
+		if end.err.Outcome != outcome.NotRun {
+			r.mayHaveRun = true
+			r.runs++
+		}
 		verdict := r.Retry.Decide(time.Now(), r.tried(decision, end, number))
 		r.Observer.Retried(r.x, number, verdict)
 		if !verdict.Retry || !sleep(r.ctx, verdict.After) {
@@ -96,10 +107,31 @@
 	if r.mayHaveRun && err.Outcome == outcome.NotRun {
 		err.Outcome = outcome.MayHaveRun
 	}
+	if r.failed != nil && !r.x.Started {
+		return r.relay(r.x, r.failed, r.answer)
+	}
 	r.answer.Fail(err)
 	return err
 }
 
+// mayRepeat reports whether the request may be sent again after a server has
+// run it.
+func (r *run) mayRepeat() bool { return r.x.Work.Repeatable && !r.x.Started }
+
+// maxFailedBytes bounds the answer of a failed server that is kept.
+const maxFailedBytes = 64 << 10
+
+// hold keeps the answer of a server that failed, while another one is tried.
+func (r *run) hold(resp *http.Response) *outcome.Error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxFailedBytes))
+	if err == nil && len(body) < maxFailedBytes {
+		kept := *resp
+		kept.Body = io.NopCloser(bytes.NewReader(body))
+		r.failed = &kept
+	}
+	return outcome.Fail(outcome.CodeBackendFailed, errServerFailed, "the backend server failed")
+}
+
 // attemptEnd tells how an attempt ended.
 type attemptEnd struct {
 	err     *outcome.Error
@@ -138,6 +170,7 @@
 		Number: number, Outcome: end.err.Outcome, Code: end.err.Code,
 		Repeatable: r.x.Work.Repeatable, Started: r.x.Started && !r.answer.Resumable(), Forwarded: decision.Region != "",
 		Remaining: time.Until(r.x.Deadline), Paid: end.stalled,
+		Service: r.x.Service.Name, Runs: r.runs, MaxRuns: r.x.Work.MaxServers,
 	}
 }
 
@@ -206,6 +239,7 @@
 	reused      atomic.Bool // the connection had been idle
 	answered    bool        // the header of the answer has come
 	serverError bool        // the server answered that it failed
+	refused     bool        // the server refused the request without running it
 	crashed     bool        // the answer was cut
 	bytes       int64
 }
@@ -222,7 +256,7 @@
 	limit := retry.StallLimit(decision.Cost, time.Until(r.x.Deadline))
 	if limit > 0 && r.beginsEarly() && r.x.Work.Repeatable {
 		w.stall = time.AfterFunc(limit, func() {
-			if r.Retry.Budget == nil || r.Retry.Budget.Take(time.Now()) {
+			if r.Retry.Take(time.Now(), r.x.Service.Name) {
 				cancel(errStalled)
 			}
 		})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,9 +22,9 @@
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
 
-// refusedHeader is set by a backend server that refuses a request before
-// running it.
-const refusedHeader = "Fuchsia-Refused"
+// refusedRetryAfter is what callers are told if the last backend server that
+// was asked has no room. Slots are held for about as long.
+const refusedRetryAfter = 200 * time.Millisecond
 
 // errOtherAttempt is the cause of an answer that carries another attempt's id.
 var errOtherAttempt = errors.New("the answer belongs to another attempt")
@@ -63,6 +63,10 @@
 	// PeerScheme is "https" with mutual TLS, or "http" in development.
 	PeerScheme string
 	Observer   Observer
+	// Protocol is what the backend servers speak; nil for the product's own.
+	Protocol Protocol
+	// Direct answers reach the caller as the backend server gave them.
+	Direct bool
 
 	Retry      *retry.Policy
 	Ejector    *routing.Ejector    // nil for none
@@ -80,11 +84,16 @@
 func (d *Dispatcher) Handle(x *filters.Exchange) *outcome.Error {
 	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
 	defer cancel()
-	r := &run{Dispatcher: d, ctx: ctx, x: x, req: RouteRequest(x), answer: &relay.Answer{
+	copied := *d
+	r := &run{Dispatcher: &copied, ctx: ctx, x: x, req: RouteRequest(x), answer: &relay.Answer{
 		Writer: x.Writer, RequestID: x.ID, LastEventID: x.Request.Header.Get("Last-Event-ID"),
+		Direct: d.Direct && x.Hop == nil, Monotonic: d.Direct,
 		OnFirst: func() { d.Observer.FirstByte(x) },
 	}}
 	r.suspect.run = r
+	if r.Protocol == nil {
+		r.Protocol = ownProtocol{}
+	}
 	return r.attempts()
 }
 
@@ -100,6 +109,8 @@
 		BodyBytes:    len(x.Body),
 		PromptTokens: x.PromptTokens,
 		Prefix:       x.Prefix,
+		PrefixTokens: x.PrefixTokens,
+		Shared:       x.Shared,
 		Forwarded:    x.Hop != nil,
 		NoSlot:       x.NoSlot,
 		Tried:        make(map[string]bool),
@@ -112,22 +123,25 @@
 	if err != nil {
 		return badPath(err)
 	}
-	copyRequestHeader(req.Header, x.Request.Header)
+	attempt := Attempt{Exchange: x, Server: server, ID: uuid.NewString(), Remaining: time.Until(x.Deadline)}
+	w.run.Protocol.Request(req.Header, attempt)
 	w.run.answer.SetResume(req.Header)
-	attempt := uuid.NewString()
-	req.Header.Set(relay.AttemptHeader, attempt)
 	resp, failure := d.send(req)
 	if failure != nil {
 		return failure
 	}
 	w.header(resp)
 	defer resp.Body.Close()
-	if got := resp.Header.Get(relay.AttemptHeader); got != "" && got != attempt {
+	answer := w.run.Protocol.Answer(attempt, resp)
+	answer.learn(server)
+	switch {
+	case answer.Foreign:
 		return outcome.Fail(outcome.CodeBackendFailed, errOtherAttempt, "the backend server answered another request")
-	}
-	if resp.Header.Get(refusedHeader) != "" {
-		server.SetLeaving()
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeBackendRefused, "the backend server refused the request")
+	case answer.Refused:
+		w.refused = true
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeBackendRefused, "the backend server refused the request").WithRetryAfter(refusedRetryAfter)
+	case answer.Failed && w.run.mayRepeat():
+		return w.run.hold(resp)
 	}
 	return d.relay(x, resp, w.run.answer)
 }
@@ -146,7 +160,10 @@
 	if err != nil {
 		return badPath(err)
 	}
-	copyRequestHeader(req.Header, x.Request.Header)
+	copyEndToEnd(req.Header, x.Request.Header)
+	if !d.Direct {
+		req.Header.Del("Authorization")
+	}
 	d.setHop(req.Header, x)
 	answer.SetResume(req.Header)
 	ack := newAckTimer(cancel)
@@ -163,6 +180,7 @@
 }
 
 func (d *Dispatcher) setHop(header http.Header, x *filters.Exchange) {
+	header.Set(outcome.RequestIDHeader, x.ID)
 	header.Set(filters.HopOriginHeader, d.Instance)
 	header.Set(filters.HopRegionHeader, d.Region)
 	header.Set(filters.HopCallerHeader, x.Caller)
@@ -192,7 +210,6 @@
 	}
 	// Without GetBody the transport cannot send the request a second time.
 	req.GetBody = nil
-	req.Header.Set(outcome.RequestIDHeader, x.ID)
 	return req, nil
 }
 
@@ -226,7 +243,9 @@
 }
 
 func (d *Dispatcher) relay(x *filters.Exchange, resp *http.Response, answer *relay.Answer) *outcome.Error {
-	x.Writer.Header().Set(filters.RevisionHeader, strconv.FormatUint(x.Snapshot.Revision, 10))
+	if !answer.Direct {
+		x.Writer.Header().Set(filters.RevisionHeader, strconv.FormatUint(x.Snapshot.Revision, 10))
+	}
 	result := answer.Copy(resp)
 	x.Started = x.Started || result.Started
 	if result.Outcome == outcome.Served {
--- a/dispatch/wire.go
+++ b/dispatch/wire.go
@@ -8,23 +8,39 @@
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
-// dropped are the request headers that stay at the gateway.
-var dropped = map[string]bool{
-	"Authorization": true, "Connection": true, "Keep-Alive": true, "Proxy-Authorization": true,
+// hopByHop are the request headers that concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authorization": true, "Proxy-Connection": true,
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true,
 	"Content-Length": true, outcome.RequestIDHeader: true,
 }
 
-// copyRequestHeader copies the end-to-end headers of a request, without those
-// of this system.
-func copyRequestHeader(to, from http.Header) {
+// ownPrefix begins the headers of this system.
+const ownPrefix = "Fuchsia-"
+
+// copyEndToEnd copies the headers of a request that concern more than one
+// connection, without those of this system.
+func copyEndToEnd(to, from http.Header) {
+	listed := from["Connection"]
 	for name, values := range from {
-		if !dropped[name] && !strings.HasPrefix(name, "Fuchsia-") {
+		if !hopByHop[name] && !strings.HasPrefix(name, ownPrefix) && !lists(listed, name) {
 			to[name] = values
 		}
 	}
 }
 
+// lists reports whether a Connection header names another header.
+func lists(connection []string, name string) bool {
+	for _, value := range connection {
+		for option := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(option), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // decodeError reads an error body of another instance.
 func decodeError(text []byte) *outcome.Error {
 	var body outcome.Body
--- a/exchange/carrier.go
+++ b/exchange/carrier.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/membership"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // Timing of the exchange. All periods are jittered.
@@ -27,14 +27,14 @@
 
 // Transport calls other instances; *peer.Client implements it.
 type Transport interface {
-	Call(ctx context.Context, instance platform.Instance, method string, args, reply any) error
+	Call(ctx context.Context, instance listing.Instance, method string, args, reply any) error
 }
 
 // Carrier exchanges the states of topics with other instances.
 type Carrier struct {
 	view      func() *membership.View
 	transport Transport
-	self      platform.Instance
+	self      listing.Instance
 	topics    map[string]Topic
 	regional  map[string]RegionTopic
 	onError   func(topic, origin string, err error)
@@ -58,7 +58,7 @@
 
 // Config configures a Carrier.
 type Config struct {
-	Self      platform.Instance
+	Self      listing.Instance
 	View      func() *membership.View
 	Transport Transport
 	Random    *rand.Rand
@@ -174,20 +174,20 @@
 }
 
 // localPeer returns a random live instance of the region.
-func (c *Carrier) localPeer() (platform.Instance, bool) {
+func (c *Carrier) localPeer() (listing.Instance, bool) {
 	return c.pick(c.view().Members(c.self.Region))
 }
 
 // localPeerForRegions returns a local peer if there are other regions.
-func (c *Carrier) localPeerForRegions() (platform.Instance, bool) {
+func (c *Carrier) localPeerForRegions() (listing.Instance, bool) {
 	if len(c.view().Regions()) < 2 || len(c.regional) == 0 {
-		return platform.Instance{}, false
+		return listing.Instance{}, false
 	}
 	return c.localPeer()
 }
 
-func (c *Carrier) pick(members []membership.Member) (platform.Instance, bool) {
-	others := make([]platform.Instance, 0, len(members))
+func (c *Carrier) pick(members []membership.Member) (listing.Instance, bool) {
+	others := make([]listing.Instance, 0, len(members))
 	for _, m := range members {
 		if m.Instance.ID != c.self.ID {
 			others = append(others, m.Instance)
@@ -196,9 +196,9 @@
 	return c.pickInstance(others)
 }
 
-func (c *Carrier) pickInstance(instances []platform.Instance) (platform.Instance, bool) {
+func (c *Carrier) pickInstance(instances []listing.Instance) (listing.Instance, bool) {
 	if len(instances) == 0 {
-		return platform.Instance{}, false
+		return listing.Instance{}, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -207,12 +207,12 @@
 
 // remoteBridge returns a bridge of a random other region, if this instance is
 // a bridge.
-func (c *Carrier) remoteBridge() (platform.Instance, bool) {
+func (c *Carrier) remoteBridge() (listing.Instance, bool) {
 	view := c.view()
 	if !view.IsBridge() || len(c.regional) == 0 {
-		return platform.Instance{}, false
+		return listing.Instance{}, false
 	}
-	var regions []platform.Instance // one bridge of each
+	var regions []listing.Instance // one bridge of each
 	for _, region := range view.Regions() {
 		if region == c.self.Region {
 			continue
@@ -225,7 +225,7 @@
 }
 
 // round compares versions with a peer and takes over what is newer there.
-func (c *Carrier) round(ctx context.Context, scope int, choose func() (platform.Instance, bool)) {
+func (c *Carrier) round(ctx context.Context, scope int, choose func() (listing.Instance, bool)) {
 	to, ok := choose()
 	if !ok {
 		return
--- a/filters/admit.go
+++ b/filters/admit.go
@@ -62,7 +62,7 @@
 // up while another region can still meet its target; it waits on if none would
 // take it.
 func (f Admit) acquire(x *Exchange) (*admission.Ticket, *admission.Refusal) {
-	if x.Hop == nil && x.Work.Home == "" && f.Elsewhere != nil {
+	if x.Hop == nil && !x.Work.Bound() && f.Elsewhere != nil {
 		ticket, refused := f.acquireBy(x, x.startBy(askParts[x.Work.Rank]))
 		if refused == nil || !refused.Late() || f.Elsewhere(x) {
 			return ticket, refused
--- a/filters/body.go
+++ b/filters/body.go
@@ -29,6 +29,8 @@
 // OpenAI call, and from it the service and the work.
 type ReadBody struct {
 	MaxBytes int64
+	// Opaque bodies are not looked into: the header told what they are.
+	Opaque bool
 }
 
 // Name implements Filter.
@@ -36,11 +38,17 @@
 
 // Handle implements Filter.
 func (f ReadBody) Handle(x *Exchange, next Handler) *outcome.Error {
+	if x.Snapshot != nil && x.Snapshot.Limits.BodyBytes > 0 {
+		f.MaxBytes = min(f.MaxBytes, x.Snapshot.Limits.BodyBytes)
+	}
 	body, refusal := f.read(x)
 	if refusal != nil {
 		return refusal
 	}
 	x.Body = body
+	if f.Opaque {
+		return next(x)
+	}
 	if x.Service == nil || x.Service.Kind == catalog.Model {
 		if refusal := parseChat(x); refusal != nil {
 			return refusal
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -31,8 +31,12 @@
 
 	// Idempotency is the caller's idempotency key, or "".
 	Idempotency string
-	// Digests and size of a chat prompt, for routing.
+	// Digests and size of a prompt, for routing. PrefixTokens are the prompt
+	// tokens that each digest covers; nil for blocks of one size. Shared is the
+	// number of leading digests that other prompts have in common; 0: unknown.
 	Prefix       []uint64
+	PrefixTokens []int
+	Shared       int
 	PromptTokens int
 	// AnswerTokens is the length that the caller bounds the answer to, or 0.
 	AnswerTokens int
@@ -42,7 +46,7 @@
 }
 
 // Policy returns the policy of the request's rank.
-func (x *Exchange) Policy() catalog.RankPolicy { return x.Service.Ranks[x.Work.Rank] }
+func (x *Exchange) Policy() catalog.RankPolicy { return x.Service.PolicyOf(x.Work) }
 
 // Handler continues a request. A nil result means that the answer was sent.
 type Handler func(x *Exchange) *outcome.Error
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,10 +16,31 @@
 	Begin(x *filters.Exchange) (end func(err *outcome.Error))
 }
 
+// Codec is how callers and the gateway identify requests and tell errors.
+type Codec interface {
+	// RequestID returns the id of a request.
+	RequestID(r *http.Request) string
+	// WriteError answers with an error. The response has not been started.
+	WriteError(w http.ResponseWriter, err *outcome.Error, requestID string)
+}
+
+// ownCodec is the Codec of the product's own interface.
+type ownCodec struct{}
+
+func (ownCodec) RequestID(r *http.Request) string { return filters.RequestID(r) }
+
+func (ownCodec) WriteError(w http.ResponseWriter, err *outcome.Error, requestID string) {
+	err.Write(w, requestID)
+}
+
 // Handler serves requests through a chain.
 type Handler struct {
 	Chain    filters.Handler
 	Observer Observer
+	Codec    Codec // nil for the one of the product's own interface
+	// Abort cuts the connection if an answer that was started fails. Otherwise
+	// the answer itself has told so.
+	Abort bool
 	// Acknowledge makes the handler answer at once with the interim status 102,
 	// so that the sender knows that the instance has the request.
 	Acknowledge bool
@@ -30,14 +51,21 @@
 	if h.Acknowledge {
 		w.WriteHeader(http.StatusProcessing)
 	}
-	x := &filters.Exchange{Writer: w, Request: r, ID: filters.RequestID(r), Received: time.Now()}
+	codec := h.Codec
+	if codec == nil {
+		codec = ownCodec{}
+	}
+	x := &filters.Exchange{Writer: w, Request: r, ID: codec.RequestID(r), Received: time.Now()}
 	end := h.Observer.Begin(x)
 	err := h.Chain(x)
 	if err != nil && !x.Started {
 		if err.Status == 0 {
 			err.Status = http.StatusInternalServerError
 		}
-		err.Write(w, x.ID)
+		codec.WriteError(w, err, x.ID)
 	}
 	end(err)
+	if err != nil && x.Started && h.Abort {
+		panic(http.ErrAbortHandler)
+	}
 }
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -10,8 +10,8 @@
 
 	"github.com/fuchsiastack/fuchsiastack/exchange"
 	"github.com/fuchsiastack/fuchsiastack/internal/testlink"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/membership"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // Instance is one instance of a fleet.
@@ -28,7 +28,7 @@
 
 // Start runs an instance until ctx ends. prepare adds its topics.
 func Start(ctx context.Context, l *testlink.Link, id, region, zone string, prepare func(*Instance)) *Instance {
-	self := platform.Instance{ID: id, Region: region, Zone: zone, URL: "http://" + id + ":80", PeerAddr: id + ":81", ControlAddr: id + ":83"}
+	self := listing.Instance{ID: id, Region: region, Zone: zone, URL: "http://" + id + ":80", PeerAddr: id + ":81", ControlAddr: id + ":83"}
 	member := membership.Member{Instance: self, Generation: uint64(time.Now().UnixNano()), Serving: true}
 	i := &Instance{Node: l.Node(self), Machine: membership.NewMachine(member, rand.New(rand.NewPCG(l.Seed(), 1)))}
 	i.Runner = membership.NewRunner(i.Machine, i.Node, l, nil, directoryPeriod)
--- a/internal/testlink/link.go
+++ b/internal/testlink/link.go
@@ -14,8 +14,8 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/peer"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // callOverheadBytes are the bytes of a call under TLS beside the arguments and
@@ -41,7 +41,7 @@
 
 // Node is an instance on a Link. It implements the transport of its instance.
 type Node struct {
-	Instance platform.Instance
+	Instance listing.Instance
 	link     *Link
 	services map[string]reflect.Value
 	resume   time.Time // paused until then
@@ -75,7 +75,7 @@
 }
 
 // Node returns a node that is not yet attached.
-func (l *Link) Node(instance platform.Instance) *Node {
+func (l *Link) Node(instance listing.Instance) *Node {
 	return &Node{Instance: instance, link: l, services: make(map[string]reflect.Value)}
 }
 
@@ -115,10 +115,10 @@
 }
 
 // Instances implements the directory.
-func (l *Link) Instances(_ context.Context, region string) ([]platform.Instance, error) {
+func (l *Link) Instances(_ context.Context, region string) ([]listing.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var listed []platform.Instance
+	var listed []listing.Instance
 	for _, n := range l.nodes {
 		if l.state.Listed && !n.down && (region == "" || n.Instance.Region == region) {
 			listed = append(listed, n.Instance)
@@ -128,7 +128,7 @@
 }
 
 // Call implements the transport.
-func (n *Node) Call(ctx context.Context, to platform.Instance, method string, args, reply any) error {
+func (n *Node) Call(ctx context.Context, to listing.Instance, method string, args, reply any) error {
 	target := n.link.begin(n, to, args)
 	if err := n.link.pass(ctx, n, target); err != nil {
 		return err
@@ -154,7 +154,7 @@
 }
 
 // begin counts a call and returns its target, or nil.
-func (l *Link) begin(from *Node, to platform.Instance, args any) *Node {
+func (l *Link) begin(from *Node, to listing.Instance, args any) *Node {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	target := l.nodes[to.ControlAddr]
--- a/platform/platform.go
+++ b/listing/listing.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's list of backend servers
+// Package listing is the client of the platform's list of backend servers
 // and of its directory of entry instances.
-package platform
+package listing
 
 import (
 	"bytes"
--- a/platform/platform_test.go
+++ b/listing/listing_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package listing_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	standin "github.com/fuchsiastack/fuchsiastack/standin/platform"
 )
 
@@ -26,7 +26,7 @@
 		_, _ = w.Write(recorder.Body.Bytes())
 	}))
 	defer server.Close()
-	client := platform.New(server.URL)
+	client := listing.New(server.URL)
 	ctx := context.Background()
 	for step, want := range []int{1, 1, 2, 2} {
 		if step%2 == 0 {
--- a/membership/example_test.go
+++ b/membership/example_test.go
@@ -5,17 +5,17 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/membership"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // An instance learns of another one, which then says that it ends.
 func ExampleMachine() {
-	self := membership.Member{Instance: platform.Instance{ID: "a", Region: "cairo"}, Generation: 1, Serving: true}
+	self := membership.Member{Instance: listing.Instance{ID: "a", Region: "cairo"}, Generation: 1, Serving: true}
 	machine := membership.NewMachine(self, rand.New(rand.NewPCG(1, 2)))
 	machine.OnForget(func(id string) { fmt.Println("forget", id) })
 
-	other := membership.Member{Instance: platform.Instance{ID: "b", Region: "cairo"}, Generation: 5, Serving: true}
+	other := membership.Member{Instance: listing.Instance{ID: "b", Region: "cairo"}, Generation: 5, Serving: true}
 	now := time.Now()
 	machine.Merge(now, membership.Message{Updates: []membership.Update{{ID: "b", Region: "cairo", Incarnation: 5, Member: &other}}})
 	fmt.Println(len(machine.View().Others()), "other")
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/internal/testlink"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/membership"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // node is an instance on a link.
@@ -24,7 +24,7 @@
 
 // start runs an instance until ctx ends.
 func start(ctx context.Context, l *testlink.Link, id, region, zone, addr string) *node {
-	instance := platform.Instance{ID: id, Region: region, Zone: zone, ControlAddr: addr, URL: "http://" + addr + "0", PeerAddr: addr + "1"}
+	instance := listing.Instance{ID: id, Region: region, Zone: zone, ControlAddr: addr, URL: "http://" + addr + "0", PeerAddr: addr + "1"}
 	self := membership.Member{Instance: instance, Generation: uint64(time.Now().UnixNano()), Serving: true}
 	n := &node{Node: l.Node(instance), machine: membership.NewMachine(self, rand.New(rand.NewPCG(l.Seed(), 3)))}
 	n.machine.OnForget(func(id string) {
--- a/membership/member.go
+++ b/membership/member.go
@@ -8,12 +8,12 @@
 	"cmp"
 	"time"
 
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 // Member describes a running instance.
 type Member struct {
-	Instance   platform.Instance
+	Instance   listing.Instance
 	Generation uint64 // tells a process from its predecessor with the same id
 	Serving    bool   // takes new work: it has a configuration and is not draining
 }
--- a/membership/runner.go
+++ b/membership/runner.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 // Periods of the exchanges other than probes. All are jittered.
@@ -25,12 +25,12 @@
 
 // Transport calls other instances; *peer.Client implements it.
 type Transport interface {
-	Call(ctx context.Context, instance platform.Instance, method string, args, reply any) error
+	Call(ctx context.Context, instance listing.Instance, method string, args, reply any) error
 }
 
-// Directory lists instances, perhaps late; *platform.Client implements it.
+// Directory lists instances, perhaps late; *listing.Client implements it.
 type Directory interface {
-	Instances(ctx context.Context, region string) ([]platform.Instance, error)
+	Instances(ctx context.Context, region string) ([]listing.Instance, error)
 }
 
 // Runner drives a Machine over a transport.
@@ -142,7 +142,7 @@
 }
 
 // probe exchanges a message with an instance.
-func (r *Runner) probe(ctx context.Context, to platform.Instance) error {
+func (r *Runner) probe(ctx context.Context, to listing.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
 	args := ProbeArgs{Message: r.Machine.Compose(time.Now(), to.ID)}
@@ -157,7 +157,7 @@
 
 // probeIndirectly asks others to probe an instance and reports whether one of
 // them got an answer.
-func (r *Runner) probeIndirectly(ctx context.Context, to platform.Instance) bool {
+func (r *Runner) probeIndirectly(ctx context.Context, to listing.Instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, IndirectTimeout)
 	defer cancel()
 	helpers := r.Machine.Random(helperCount, to.ID)
@@ -253,7 +253,7 @@
 		return
 	}
 	for _, seed := range r.Seeds {
-		if r.Sync(ctx, platform.Instance{ControlAddr: seed}) == nil {
+		if r.Sync(ctx, listing.Instance{ControlAddr: seed}) == nil {
 			return
 		}
 	}
@@ -304,14 +304,14 @@
 	}
 }
 
-func (r *Runner) knows(instance platform.Instance) bool {
+func (r *Runner) knows(instance listing.Instance) bool {
 	return slices.ContainsFunc(r.Machine.View().Members(instance.Region), func(m Member) bool {
 		return m.Instance.ID == instance.ID
 	})
 }
 
 // Sync makes the records here and at another instance the same.
-func (r *Runner) Sync(ctx context.Context, to platform.Instance) error {
+func (r *Runner) Sync(ctx context.Context, to listing.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	args := DigestArgs{Hash: r.Machine.View().hash}
@@ -334,7 +334,7 @@
 
 // pull exchanges the records of the first of regions, as many as fit in a
 // message, and returns their number.
-func (r *Runner) pull(ctx context.Context, to platform.Instance, regions []string) (int, error) {
+func (r *Runner) pull(ctx context.Context, to listing.Instance, regions []string) (int, error) {
 	records, covered := r.Machine.Records(time.Now(), regions)
 	var reply PullReply
 	if err := r.Transport.Call(ctx, to, methodPull, &PullArgs{Regions: covered, Records: records}, &reply); err != nil {
--- a/membership/service.go
+++ b/membership/service.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/peer"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // Methods of the service. The name is short: net/rpc sends it twice with each
@@ -27,7 +27,7 @@
 func (a *ProbeArgs) SetCaller(caller peer.Identity) { a.caller = caller }
 
 // RelayArgs ask to probe an instance in the caller's place.
-type RelayArgs struct{ To platform.Instance }
+type RelayArgs struct{ To listing.Instance }
 
 // RelayReply tells whether it answered.
 type RelayReply struct{ Reached bool }
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 // maxPull bounds the records of one message.
@@ -114,7 +114,7 @@
 
 // Reconnect returns a dead instance to try again, since it may have been cut
 // off together with its half of the region.
-func (m *Machine) Reconnect() (platform.Instance, bool) {
+func (m *Machine) Reconnect() (listing.Instance, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var dead []*record
@@ -125,7 +125,7 @@
 	}
 	members := m.sample(dead, 1)
 	if len(members) == 0 {
-		return platform.Instance{}, false
+		return listing.Instance{}, false
 	}
 	return members[0].Instance, true
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 // View is the membership at one time. It must not be modified.
@@ -77,8 +77,8 @@
 }
 
 // Others returns all other instances that take new work.
-func (v *View) Others() []platform.Instance {
-	var others []platform.Instance
+func (v *View) Others() []listing.Instance {
+	var others []listing.Instance
 	for _, region := range v.Regions() {
 		for _, member := range v.regions[region] {
 			if member.Serving && member.Instance.ID != v.self.Instance.ID {
@@ -90,13 +90,13 @@
 }
 
 // Bridges returns the instances of a region that talk to other regions.
-func (v *View) Bridges(region string) []platform.Instance {
+func (v *View) Bridges(region string) []listing.Instance {
 	members := v.regions[region]
 	ids := make([]string, len(members))
 	for i, member := range members {
 		ids[i] = member.Instance.ID
 	}
-	var bridges []platform.Instance
+	var bridges []listing.Instance
 	for _, id := range Top(ids, purposeBridge, bridgeCount) {
 		bridges = append(bridges, members[slices.Index(ids, id)].Instance)
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -13,7 +13,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 // Client calls other instances over one connection to each.
@@ -41,7 +41,7 @@
 // Call calls method ("Name.Method") of an instance and stores the answer in
 // reply, a pointer. It ends with ctx, or after DefaultTimeout if ctx has no
 // deadline. An instance without ID is whoever answers at its ControlAddr.
-func (c *Client) Call(ctx context.Context, instance platform.Instance, method string, args, reply any) error {
+func (c *Client) Call(ctx context.Context, instance listing.Instance, method string, args, reply any) error {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, DefaultTimeout)
@@ -76,7 +76,7 @@
 
 // acquire returns the connection to an instance with one more pending call,
 // and dials it if there is none.
-func (c *Client) acquire(instance platform.Instance) (*clientConn, error) {
+func (c *Client) acquire(instance listing.Instance) (*clientConn, error) {
 	key := connKey{to: Identity{ID: instance.ID, Region: instance.Region}, addr: instance.ControlAddr}
 	if instance.ID == "" {
 		key.to = Identity{}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,8 +10,8 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiastack/fuchsiastack/internal/testca"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/peer"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // Greeting is the argument of the test methods.
@@ -58,7 +58,7 @@
 }
 
 // serve runs a server of bob and returns how to reach it.
-func serve(c *qt.C, creds *peer.Credentials, echo Echo) (platform.Instance, *peer.Server) {
+func serve(c *qt.C, creds *peer.Credentials, echo Echo) (listing.Instance, *peer.Server) {
 	server := peer.NewServer(bob, creds, &peer.Traffic{})
 	c.Assert(server.Register("Echo", echo), qt.IsNil)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -68,7 +68,7 @@
 		server.Close()
 		_ = listener.Close()
 	})
-	return platform.Instance{ID: bob.ID, Region: bob.Region, ControlAddr: listener.Addr().String()}, server
+	return listing.Instance{ID: bob.ID, Region: bob.Region, ControlAddr: listener.Addr().String()}, server
 }
 
 func newClient(c *qt.C, creds *peer.Credentials) (*peer.Client, *peer.Traffic) {
@@ -145,7 +145,7 @@
 	to, _ := serve(c, credentials(c, ca, c.TempDir(), bob), Echo{})
 	good := credentials(c, ca, c.TempDir(), alice)
 	mallory := peer.Identity{ID: "m", Region: "cairo"}
-	call := func(self peer.Identity, creds *peer.Credentials, to platform.Instance) error {
+	call := func(self peer.Identity, creds *peer.Credentials, to listing.Instance) error {
 		client := peer.NewClient(self, creds, &peer.Traffic{})
 		defer client.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/policybench/product/request.go
+++ b/policybench/product/request.go
@@ -47,7 +47,7 @@
 	r.suspect.digest = digestOf(q)
 	t.Data = r
 	t.Priority = int(q.Work.Rank)
-	n.retries.FirstTry(n.now())
+	n.retries.FirstTry(n.now(), r.task.Request.Service.Name)
 	use, refusal := n.limiter.Admit(n.now(), q.Service, q.Caller, r.estimate())
 	if refusal != nil {
 		r.finish(outcome.NotRun, outcome.CodeRateLimited)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 
+	"github.com/go-faster/errors"
+
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/stream"
 )
@@ -53,6 +55,11 @@
 	RequestID   string
 	LastEventID string // of the caller's request, who resumes a stream itself
 	OnFirst     func() // called before the first byte of the body is sent
+	// Direct passes the answer on as the backend server gave it, without the
+	// outcome: an answer that is not whole cuts the connection.
+	Direct bool
+	// Monotonic streams have rising event ids, which need not follow each other.
+	Monotonic bool
 
 	sequencer *stream.Sequencer
 	started   bool // the caller's response has been started
@@ -71,11 +78,13 @@
 		return a.copyStream(resp)
 	}
 	CopyHeader(a.Writer.Header(), resp.Header)
-	a.Writer.Header().Set(outcome.RequestIDHeader, a.RequestID)
-	if isEventStream(resp) {
+	if !a.Direct {
+		a.Writer.Header().Set(outcome.RequestIDHeader, a.RequestID)
+	}
+	if isEventStream(resp) && resp.StatusCode == http.StatusOK {
 		return a.copyStream(resp)
 	}
-	return copyWhole(a.Writer, resp, a.OnFirst)
+	return a.copyWhole(resp)
 }
 
 func isEventStream(resp *http.Response) bool {
@@ -85,20 +94,28 @@
 // copyWhole holds the answer until it is whole, so that a cut answer can
 // still become an error. A larger answer is streamed, and a cut one resets
 // the connection.
-func copyWhole(w http.ResponseWriter, resp *http.Response, onFirst func()) Result {
+func (a *Answer) copyWhole(resp *http.Response) Result {
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeBytes))
 	if err != nil {
 		return Result{Outcome: outcome.MayHaveRun, Err: err}
 	}
-	onFirst()
-	w.Header().Set(outcome.Header, outcome.Served.String())
-	w.WriteHeader(resp.StatusCode)
-	written, err := w.Write(head)
+	a.OnFirst()
+	if !a.Direct {
+		a.Writer.Header().Set(outcome.Header, outcome.Served.String())
+	}
+	if length := resp.Header.Get("Content-Length"); length != "" && a.Direct {
+		a.Writer.Header().Set("Content-Length", length)
+	}
+	a.Writer.WriteHeader(resp.StatusCode)
+	written, err := a.Writer.Write(head)
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		err = nil
+	}
 	result := Result{Outcome: outcome.Served, Started: true, Bytes: int64(written), Err: err}
 	if err != nil || len(head) < maxWholeBytes {
 		return result
 	}
-	rest, err := io.Copy(w, resp.Body)
+	rest, err := io.Copy(a.Writer, resp.Body)
 	result.Bytes += rest
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -39,21 +40,24 @@
 	for {
 		event, err := decoder.Next()
 		if err != nil {
-			return a.cut(resp, err)
+			return a.cut(resp, decoder, err)
 		}
-		if event.Offset != stream.NoOffset && resumedAfter != stream.NoOffset {
+		if !a.Monotonic && event.Offset != stream.NoOffset && resumedAfter != stream.NoOffset {
 			if event.Offset <= resumedAfter {
 				a.failed = true
-				return a.cut(resp, errNotResumed)
+				return a.cut(resp, decoder, errNotResumed)
 			}
 			resumedAfter = stream.NoOffset
 		}
-		ended, err := a.sequencer.Add(event, a.deliver)
+		ended, err := a.sequencer.Add(event, a.write)
+		if err == nil && !decoder.Buffered() {
+			_ = http.NewResponseController(a.Writer).Flush()
+		}
 		switch {
 		case ended && err == nil:
 			return a.end(outcome.Served, nil)
 		case errors.Is(err, stream.ErrGap):
-			return a.cut(resp, err)
+			return a.cut(resp, decoder, err)
 		case err != nil:
 			a.failed = true
 			return a.end(outcome.MayHaveRun, err) // the caller has gone
@@ -69,30 +73,38 @@
 		next = last + 1
 	}
 	a.sequencer = stream.NewSequencer(next)
-	a.Writer.Header().Set("Trailer", outcome.Header)
+	if a.Monotonic {
+		a.sequencer = stream.NewMonotonic(next - 1)
+	}
+	if !a.Direct {
+		a.Writer.Header().Set("Trailer", outcome.Header)
+	}
 	a.Writer.WriteHeader(resp.StatusCode)
 	a.started, a.streaming = true, true
 }
 
-// deliver sends one event to the caller.
-func (a *Answer) deliver(raw []byte) error {
+// write sends one event to the caller. It may stay in the buffer of the
+// connection until the next flush.
+func (a *Answer) write(raw []byte) error {
 	if a.bytes == 0 {
 		a.OnFirst()
 	}
 	n, err := a.Writer.Write(raw)
 	a.bytes += int64(n)
-	if err != nil {
-		return err
-	}
-	_ = http.NewResponseController(a.Writer).Flush()
-	return nil
+	return err
 }
 
-// cut ends one answer that is not whole.
-func (a *Answer) cut(resp *http.Response, err error) Result {
+// cut ends one answer that is not whole, or whose end has no marker of its own.
+func (a *Answer) cut(resp *http.Response, decoder *stream.Decoder, err error) Result {
 	if errors.Is(err, io.EOF) {
-		if o := outcome.Parse(resp.Trailer.Get(outcome.Header)); o != outcome.Unknown {
-			return a.end(o, errCut) // an instance of another region says how it ended
+		text, told := resp.Trailer[outcome.Header]
+		if told {
+			if o := outcome.Parse(strings.Join(text, "")); o != outcome.Unknown {
+				return a.end(o, errCut) // an instance of another region says how it ended
+			}
+		}
+		if a.Monotonic && !told && !decoder.Partial() {
+			return a.end(outcome.Served, nil)
 		}
 		err = errCut
 	}
@@ -102,7 +114,9 @@
 // end ends the caller's stream.
 func (a *Answer) end(o outcome.Outcome, err error) Result {
 	a.ended = true
-	a.Writer.Header().Set(outcome.Header, o.String())
+	if !a.Direct {
+		a.Writer.Header().Set(outcome.Header, o.String())
+	}
 	if o == outcome.Served {
 		err = nil
 	}
@@ -127,6 +141,10 @@
 	if !a.streaming || a.ended {
 		return
 	}
+	if a.Monotonic {
+		a.end(failure.Outcome, failure)
+		return
+	}
 	body, err := json.Marshal(failure.Body(a.RequestID))
 	if err != nil {
 		panic("relay: error body cannot be encoded: " + err.Error())
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -17,10 +17,13 @@
 	Number     int             // 1 for the first try
 	Outcome    outcome.Outcome // of this try
 	Code       outcome.Code
-	Repeatable bool          // the work may run more than once
-	Started    bool          // the caller has received a part of the answer
-	Forwarded  bool          // it was sent to another region
-	Paid       bool          // its retry has been taken from the budget already
+	Repeatable bool // the work may run more than once
+	Started    bool // the caller has received a part of the answer
+	Forwarded  bool // it was sent to another region
+	Paid       bool // its retry has been taken from the budget already
+	Service    string
+	Runs       int           // tries of the request that may have run
+	MaxRuns    int           // bound on Runs; 0 for none
 	Remaining  time.Duration // until the deadline
 	Expected   time.Duration // time to first token that the next try needs, if known
 }
@@ -62,14 +65,28 @@
 type Policy struct {
 	MaxTries int
 	Budget   *Budget        // nil for no bound
+	Budgets  *Budgets       // one for each service, in place of Budget; nil for none
 	Random   routing.Random // jitter; nil for none
 }
 
-// FirstTry counts a first try.
-func (p *Policy) FirstTry(now time.Time) {
-	if p.Budget != nil {
-		p.Budget.FirstTry(now)
+// FirstTry counts a first try at a service.
+func (p *Policy) FirstTry(now time.Time, service string) {
+	if b := p.budget(service); b != nil {
+		b.FirstTry(now)
+	}
+}
+
+// Take uses one retry at a service, and reports false if there is none.
+func (p *Policy) Take(now time.Time, service string) bool {
+	b := p.budget(service)
+	return b == nil || b.Take(now)
+}
+
+func (p *Policy) budget(service string) *Budget {
+	if p.Budgets != nil {
+		return p.Budgets.Of(service)
 	}
+	return p.Budget
 }
 
 // Decide returns the verdict on a failed try. A retry is taken from the
@@ -78,7 +95,7 @@
 	if reason := p.refusal(try); reason != "" {
 		return Verdict{Reason: reason}
 	}
-	if !free(try) && p.Budget != nil && !p.Budget.Take(now) {
+	if !free(try) && !p.Take(now, try.Service) {
 		return Verdict{Reason: ReasonBudget}
 	}
 	return Verdict{Retry: true, Reason: ReasonRetry, After: p.backoff(try)}
@@ -106,7 +123,7 @@
 		return ReasonFinal
 	case !safe(try):
 		return ReasonUnsafe
-	case try.Number >= p.triesFor(try):
+	case try.Number >= p.triesFor(try), try.MaxRuns > 0 && try.Runs >= try.MaxRuns:
 		return ReasonAttempts
 	case try.Remaining < max(try.Expected, minRemaining):
 		return ReasonDeadline
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -91,7 +91,7 @@
 		sent := 0
 		for i := range perSecond {
 			now := start.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Second/perSecond)
-			policy.FirstTry(now)
+			policy.FirstTry(now, "engines")
 			for number := 1; ; number++ {
 				sent++
 				if random.Float64() >= failure {
--- a/rollout/probe.go
+++ b/rollout/probe.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 // RevisionPath is where every instance tells callers and operators which
@@ -31,7 +31,7 @@
 
 // Revision implements Prober. An answer of another instance at the same
 // address is an error.
-func (p HTTPProber) Revision(ctx context.Context, instance platform.Instance) (uint64, error) {
+func (p HTTPProber) Revision(ctx context.Context, instance listing.Instance) (uint64, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(instance.URL, "/")+RevisionPath, http.NoBody)
 	if err != nil {
 		return 0, err
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -17,7 +17,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/config"
 	"github.com/fuchsiastack/fuchsiastack/configlog"
-	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
 const (
@@ -28,12 +28,12 @@
 
 // Directory lists the live instances of all regions.
 type Directory interface {
-	Instances(ctx context.Context, region string) ([]platform.Instance, error)
+	Instances(ctx context.Context, region string) ([]listing.Instance, error)
 }
 
 // Prober asks an instance for the revision it has in force.
 type Prober interface {
-	Revision(ctx context.Context, instance platform.Instance) (uint64, error)
+	Revision(ctx context.Context, instance listing.Instance) (uint64, error)
 }
 
 // Publisher publishes trees.
@@ -125,7 +125,7 @@
 }
 
 // probeAll reports for each instance whether it has at least revision.
-func (p *Publisher) probeAll(ctx context.Context, instances []platform.Instance, revision uint64) []bool {
+func (p *Publisher) probeAll(ctx context.Context, instances []listing.Instance, revision uint64) []bool {
 	inForce := make([]bool, len(instances))
 	var group errgroup.Group
 	group.SetLimit(maxProbes)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -26,6 +26,8 @@
 	PromptTokens int             // estimate
 	BodyBytes    int             // what crosses a link if another region is chosen
 	Prefix       []uint64        // digests of the prompt's leading blocks, longest last
+	PrefixTokens []int           // tokens that each of Prefix covers; nil for BlockTokens a block
+	Shared       int             // leading blocks that other prompts have in common; 0: unknown
 	Forwarded    bool            // arrived from another region; must be decided here
 	StayLocal    bool            // another region was tried; no second one is
 	Alone        bool            // a suspect that must not run beside other requests
@@ -218,7 +220,7 @@
 // with a home never leaves it, a forwarded request is decided here, and a
 // suspect runs where its suspicion is known.
 func (r *Router) mayLeave(req *Request) bool {
-	return !req.Forwarded && !req.StayLocal && !req.Alone && req.Work.Home == ""
+	return !req.Forwarded && !req.StayLocal && !req.Alone && !req.Work.Bound()
 }
 
 // elsewhere weighs other regions against the local decision.
--- a/routing/sample.go
+++ b/routing/sample.go
@@ -90,7 +90,11 @@
 	if len(req.Prefix) == 0 {
 		return
 	}
-	first, second := group.Ring(req.Prefix[min(ringBlock, len(req.Prefix))-1])
+	block := min(ringBlock, len(req.Prefix))
+	if req.Shared > 0 {
+		block = min(req.Shared, len(req.Prefix))
+	}
+	first, second := group.Ring(req.Prefix[block-1])
 	bonus := prefillTime(cachedTokens(req, len(req.Prefix)), 0)
 	r.addPreferred(now, req, first, bonus)
 	r.addPreferred(now, req, second, bonus/2)
@@ -114,6 +118,9 @@
 
 // cachedTokens returns the prompt tokens in the given number of blocks.
 func cachedTokens(req *Request, blocks int) int {
+	if len(req.PrefixTokens) >= blocks && blocks > 0 {
+		return min(req.PromptTokens, req.PrefixTokens[blocks-1])
+	}
 	return min(req.PromptTokens, blocks*BlockTokens)
 }
 
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -101,7 +101,7 @@
 // target has passed already is weighed against its deadline: the target is
 // missed anywhere.
 func remainingTarget(now time.Time, req *Request) time.Duration {
-	target := req.Service.Ranks[req.Work.Rank].Target
+	target := req.Service.PolicyOf(req.Work).Target
 	if target <= 0 {
 		return req.Deadline.Sub(now)
 	}
--- a/scenario/leak_test.go
+++ b/scenario/leak_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/fuchsiastack/fuchsiastack/claim"
 	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/standin/engine"
 )
 
@@ -104,7 +104,7 @@
 		req.Header.Set(header, "entry-2")
 		s.wantRefusal(ts, req, http.StatusBadRequest)
 	}
-	var answer struct{ Instances []platform.Instance }
+	var answer struct{ Instances []listing.Instance }
 	getJSON(s.platURL+"/v1/directory?region="+args[1], &answer)
 	for _, origin := range []string{args[0], "entry-of-the-same-region"} {
 		req, err := http.NewRequest(http.MethodPost, "http://"+answer.Instances[0].PeerAddr+"/services/orders-desk/stock/x", strings.NewReader("x"))
--- a/scenario/peer_test.go
+++ b/scenario/peer_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/internal/testca"
+	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/peer"
-	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // secured returns the flags of an instance with a certificate.
@@ -61,7 +61,7 @@
 	client := http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{
 		InsecureSkipVerify: true, VerifyConnection: config.VerifyConnection, GetClientCertificate: config.GetClientCertificate,
 	}}}
-	var answer struct{ Instances []platform.Instance }
+	var answer struct{ Instances []listing.Instance }
 	c.Assert(getJSON(f.platURL+"/v1/directory?region=cairo", &answer), qt.IsTrue)
 	req, err := http.NewRequest(http.MethodPost, "https://"+answer.Instances[0].PeerAddr+"/services/orders-desk/stock/samples", strings.NewReader("two"))
 	c.Assert(err, qt.IsNil)
--- a/stream/decoder.go
+++ b/stream/decoder.go
@@ -63,6 +63,12 @@
 	d.reader, d.raw = nil, nil
 }
 
+// Buffered reports whether more of the stream has been read ahead.
+func (d *Decoder) Buffered() bool { return d.reader.Buffered() > 0 }
+
+// Partial reports whether the stream ended within an event.
+func (d *Decoder) Partial() bool { return len(d.raw) > 0 }
+
 // Next returns the next event. It returns io.EOF at the end, also if the last
 // event is incomplete: without its empty line an event does not count. The
 // one exception is the end marker.
--- a/stream/sequencer.go
+++ b/stream/sequencer.go
@@ -19,8 +19,14 @@
 	heldBytes int
 	end       []byte // the end marker, held while an event is missing
 	numbered  bool   // an event with an offset has been seen
+	monotonic bool   // offsets rise, but need not follow each other
 }
 
+// NewMonotonic returns a Sequencer of a stream whose offsets rise from above
+// last, not always by one. It drops events that came before, and cannot tell
+// that one is missing.
+func NewMonotonic(last int64) *Sequencer { return &Sequencer{next: last + 1, monotonic: true} }
+
 // NewSequencer returns a Sequencer whose first event has offset next.
 func NewSequencer(next int64) *Sequencer { return &Sequencer{next: next} }
 
@@ -50,10 +56,10 @@
 	switch {
 	case e.Offset < s.next:
 		return false, nil
-	case e.Offset > s.next:
+	case e.Offset > s.next && !s.monotonic:
 		return false, s.hold(e)
 	}
-	s.next++
+	s.next = e.Offset + 1
 	if err := deliver(e.Raw); err != nil {
 		return false, err
 	}
