Run an entry instance on the hosting platform

Cause: the users want the product on their own platform. Change: platform/ holds its formats and calls; mirror follows the store and other instances' copies; roster keeps the instances by leases; hosted puts the parts together; fuchsiad hosted and deploy/system.toml run it.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -165,7 +165,7 @@
 		return old
 	}
 	s := NewServer(info)
-	if old != nil && old.Addr == info.Addr {
+	if old != nil && old.Addr == info.Addr && old.Started == info.Started {
 		s.state = old.state
 	}
 	return s
--- a/backend/server.go
+++ b/backend/server.go
@@ -15,8 +15,10 @@
 	Region  string `json:"region"`
 	Zone    string `json:"zone"`
 	Service string `json:"service"`
-	State   string `json:"state"`  // StateLive or StateLeaving
-	Fenced  bool   `json:"fenced"` // refuses orders with an old fencing number
+	State   string `json:"state"`             // StateLive or StateLeaving
+	Fenced  bool   `json:"fenced"`            // refuses orders with an old fencing number
+	Slots   int    `json:"slots,omitempty"`   // requests at once, until a load report tells; 0: not stated
+	Started int64  `json:"started,omitempty"` // Unix milliseconds; 0: not stated
 }
 
 // States of a backend server in the platform's list.
@@ -57,6 +59,8 @@
 	hold     average      // time a slot is held, seconds
 	base     average      // time to first byte of a request without a prompt, seconds
 	health   Health
+	cold     atomic.Int64 // until then its caches are cold, in nanoseconds
+	pace     pace
 }
 
 // report is a load report and the work of this instance that it may include.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -82,6 +82,8 @@
 	Home       string `json:"home,omitempty"` // region that its data must not leave and that its callers must enter, or ""
 	Repeatable bool   `json:"repeatable"`     // false: runs at most once
 
+	// Priority orders work within a rank; 0 is the most urgent.
+	Priority int `json:"priority,omitempty"`
 	// Policy replaces the one of the rank. Nil for none.
 	Policy *RankPolicy `json:"policy,omitempty"`
 	// Homes are the regions that may run the work, wherever its callers enter.
--- a/cmd/fuchsiad/main.go
+++ b/cmd/fuchsiad/main.go
@@ -16,9 +16,10 @@
 func command() *cli.Command {
 	s := daemon.DefaultSettings()
 	return &cli.Command{
-		Name:  "fuchsiad",
-		Usage: "entry instance of a multi-region inference gateway",
-		Flags: flags(&s),
+		Name:     "fuchsiad",
+		Usage:    "entry instance of a multi-region inference gateway",
+		Flags:    flags(&s),
+		Commands: []*cli.Command{hostedCommand()},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			d, err := daemon.New(s, os.Stdout)
 			if err != nil {
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -86,6 +86,9 @@
 		}
 	}
 	decision := r.Router.Decide(r.req)
+	for decision.Server != nil && !r.Router.Admit(r.req, decision.Server) {
+		decision = r.Router.Decide(r.req)
+	}
 	r.Observer.Decided(r.x, number, decision)
 	if decision.Server == nil && decision.Region == "" {
 		return decision, r.nowhere()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -119,7 +120,7 @@
 
 // exchange sends the request to a backend server and relays the answer.
 func (d *Dispatcher) exchange(ctx context.Context, x *filters.Exchange, server *backend.Server, w *watch) *outcome.Error {
-	req, err := newRequest(w.trace(ctx), x, "http://"+server.Addr+x.Path)
+	req, err := newRequest(w.trace(ctx), x, "http", server.Addr)
 	if err != nil {
 		return badPath(err)
 	}
@@ -156,11 +157,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	req, err := newRequest(ctx, x, d.PeerScheme+"://"+addr+x.Path)
+	req, err := newRequest(ctx, x, d.PeerScheme, addr)
 	if err != nil {
 		return badPath(err)
 	}
-	copyEndToEnd(req.Header, x.Request.Header)
+	CopyEndToEnd(req.Header, x.Request.Header)
 	if !d.Direct {
 		req.Header.Del("Authorization")
 	}
@@ -203,11 +204,16 @@
 	return err
 }
 
-func newRequest(ctx context.Context, x *filters.Exchange, url string) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, x.Request.Method, url, bytes.NewReader(x.Body))
+// newRequest returns a request with the method, target, host and body of the
+// caller's, byte for byte.
+func newRequest(ctx context.Context, x *filters.Exchange, scheme, addr string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, x.Request.Method, scheme+"://"+addr+"/", bytes.NewReader(x.Body))
 	if err != nil {
 		return nil, err
 	}
+	path, query, _ := strings.Cut(x.Path, "?")
+	req.URL.Opaque, req.URL.RawQuery, req.URL.ForceQuery = path, query, len(path) < len(x.Path)
+	req.Host = x.Request.Host
 	// Without GetBody the transport cannot send the request a second time.
 	req.GetBody = nil
 	return req, nil
--- a/dispatch/protocol.go
+++ b/dispatch/protocol.go
@@ -58,7 +58,7 @@
 
 // Request implements Protocol.
 func (ownProtocol) Request(header http.Header, attempt Attempt) {
-	copyEndToEnd(header, attempt.Exchange.Request.Header)
+	CopyEndToEnd(header, attempt.Exchange.Request.Header)
 	header.Del("Authorization")
 	header.Set(outcome.RequestIDHeader, attempt.Exchange.ID)
 	header.Set(relay.AttemptHeader, attempt.ID)
--- a/dispatch/wire.go
+++ b/dispatch/wire.go
@@ -18,9 +18,9 @@
 // ownPrefix begins the headers of this system.
 const ownPrefix = "Fuchsia-"
 
-// copyEndToEnd copies the headers of a request that concern more than one
+// CopyEndToEnd copies the headers of a request that concern more than one
 // connection, without those of this system.
-func copyEndToEnd(to, from http.Header) {
+func CopyEndToEnd(to, from http.Header) {
 	listed := from["Connection"]
 	for name, values := range from {
 		if !hopByHop[name] && !strings.HasPrefix(name, ownPrefix) && !lists(listed, name) {
--- /dev/null
+++ b/hosted/peers.go
@@ -0,0 +1,260 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/dispatch"
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/mirror"
+	"github.com/fuchsiastack/fuchsiastack/roster"
+	"github.com/fuchsiastack/fuchsiastack/routing"
+	"github.com/fuchsiastack/fuchsiastack/store"
+)
+
+// Paths of the calls among instances.
+const (
+	changesPath = "/fuchsia/changes"
+	statePath   = "/fuchsia/state"
+)
+
+const (
+	maxPeerAnswerBytes = 8 << 20
+	// mirrorPeerCount is how many instances are asked for changes at once.
+	mirrorPeerCount = 3
+	// warmupInstanceCount is how many instances use one cold server. Each has a
+	// part of its bound, which must leave room for whole requests.
+	warmupInstanceCount = 2
+
+	dialTimeout = time.Second
+	// silentTimeout is how long sent bytes may stay without acknowledgment
+	// before the connection counts as lost.
+	silentTimeout = 2 * time.Second
+	// idleConnTime is below the times after which servers close idle connections.
+	idleConnTime        = 2500 * time.Millisecond
+	maxIdleConnsPerHost = 64
+)
+
+// newTransport returns the transport to backend servers and instances. Its
+// connections notice a silent other end.
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control: func(_, _ string, conn syscall.RawConn) error {
+			var failure error
+			err := conn.Control(func(fd uintptr) {
+				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failure
+		},
+	}
+	return &http.Transport{
+		DialContext:         dispatch.GuardDial(dialer.DialContext),
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		IdleConnTimeout:     idleConnTime,
+		DisableCompression:  true,
+	}
+}
+
+// changesAnswer is what an instance knows of the store after a revision.
+type changesAnswer struct {
+	Changes  []store.Change `json:"changes"`
+	Revision uint64         `json:"revision"`
+}
+
+// stateAnswer is what an instance tells of itself and of its region.
+type stateAnswer struct {
+	ID        string                  `json:"id"`
+	Started   int64                   `json:"started"`
+	Ready     bool                    `json:"ready"`
+	Summaries []routing.RegionSummary `json:"summaries,omitempty"`
+}
+
+// newPeerHandler serves the other instances: forwarded requests by forwarded,
+// and questions.
+func (i *Instance) newPeerHandler(forwarded http.Handler) http.Handler {
+	questions := http.NewServeMux()
+	questions.HandleFunc("GET "+changesPath, i.answerChanges)
+	questions.HandleFunc("GET "+statePath, i.answerState)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(filters.HopOriginHeader) != "" {
+			forwarded.ServeHTTP(w, r)
+			return
+		}
+		questions.ServeHTTP(w, r)
+	})
+}
+
+func (i *Instance) answerChanges(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		http.Error(w, "since: want a revision", http.StatusBadRequest)
+		return
+	}
+	changes, revision := i.mirror.Since(since)
+	i.writeJSON(w, changesAnswer{changes, revision})
+}
+
+func (i *Instance) answerState(w http.ResponseWriter, r *http.Request) {
+	answer := stateAnswer{ID: i.settings.Instance, Started: i.roster.Self.Started, Ready: i.ready()}
+	if r.URL.Query().Has("summaries") {
+		for _, service := range i.registry.Services() {
+			answer.Summaries = append(answer.Summaries, i.router.Summarize(service))
+		}
+	}
+	i.writeJSON(w, answer)
+}
+
+func (i *Instance) writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		i.log.Warn().Str("event", "peer_answer_failed").Err(err).Msg("")
+	}
+}
+
+// ask calls another instance.
+func (i *Instance) ask(ctx context.Context, addr, path string, query url.Values, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path+"?"+query.Encode(), http.NoBody)
+	if err != nil {
+		return err
+	}
+	resp, err := i.peers.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", resp.StatusCode)
+	}
+	return json.Unmarshal(text, answer)
+}
+
+// askAlive implements roster.Ask.
+func (i *Instance) askAlive(ctx context.Context, instance roster.Instance) error {
+	var answer stateAnswer
+	if err := i.ask(ctx, instance.PeerAddr, statePath, nil, &answer); err != nil {
+		return err
+	}
+	if answer.ID != instance.ID || answer.Started != instance.Started {
+		return errors.New("another process has the address")
+	}
+	if !answer.Ready {
+		return errors.New("not ready")
+	}
+	return nil
+}
+
+// mirrorPeers returns instances to ask for changes: some of this region, one
+// of another, and the seeds while no other instance is known.
+func (i *Instance) mirrorPeers() []mirror.Peer {
+	var near, far []string
+	for _, other := range i.roster.Live() {
+		switch {
+		case other.ID == i.settings.Instance:
+		case other.Region == i.settings.Region:
+			near = append(near, other.PeerAddr)
+		default:
+			far = append(far, other.PeerAddr)
+		}
+	}
+	rand.Shuffle(len(near), func(a, b int) { near[a], near[b] = near[b], near[a] })
+	rand.Shuffle(len(far), func(a, b int) { far[a], far[b] = far[b], far[a] })
+	addrs := append(near[:min(len(near), mirrorPeerCount-1)], far[:min(len(far), 1)]...)
+	if len(addrs) == 0 {
+		addrs = i.settings.Seeds
+	}
+	var peers []mirror.Peer
+	for _, addr := range addrs {
+		if addr != i.settings.PeerAddr {
+			peers = append(peers, func(ctx context.Context, since uint64) ([]store.Change, uint64, error) {
+				var answer changesAnswer
+				err := i.ask(ctx, addr, changesPath, url.Values{"since": {strconv.FormatUint(since, 10)}}, &answer)
+				return answer.Changes, answer.Revision, err
+			})
+		}
+	}
+	return peers
+}
+
+// regionPeers finds instances of other regions.
+type regionPeers struct{ instance *Instance }
+
+// Peer implements dispatch.Peers.
+func (p regionPeers) Peer(region string) string {
+	live := p.instance.roster.In(region)
+	if len(live) == 0 {
+		return ""
+	}
+	return live[p.instance.turn.Add(1)%uint64(len(live))].PeerAddr
+}
+
+// Reachable implements routing.Regions.
+func (p regionPeers) Reachable() []string {
+	var regions []string
+	seen := map[string]bool{p.instance.settings.Region: true}
+	for _, other := range p.instance.roster.Live() {
+		if !seen[other.Region] {
+			seen[other.Region] = true
+			regions = append(regions, other.Region)
+		}
+	}
+	return regions
+}
+
+// share returns this instance's part of what the instances of its region have
+// together.
+func (i *Instance) share() float64 { return 1 / float64(max(len(i.roster.In(i.settings.Region)), 1)) }
+
+// warmupInstances implements the choice of routing.Warmup.
+func (i *Instance) warmupInstances(server *backend.Server) (count int, self bool) {
+	var ids []string
+	for _, other := range i.roster.In(i.settings.Region) {
+		ids = append(ids, other.ID)
+	}
+	chosen := membership.Top(ids, server.ID, warmupInstanceCount)
+	for _, id := range chosen {
+		self = self || id == i.settings.Instance
+	}
+	return len(chosen), self
+}
+
+// askSummaries asks one instance of each other region for its load.
+func (i *Instance) askSummaries(ctx context.Context) {
+	for _, region := range (regionPeers{i}).Reachable() {
+		addr := (regionPeers{i}).Peer(region)
+		if addr == "" {
+			continue
+		}
+		var answer stateAnswer
+		sent := time.Now()
+		if err := i.ask(ctx, addr, statePath, url.Values{"summaries": {"1"}}, &answer); err != nil {
+			i.log.Debug().Str("event", "summary_failed").Str("region", region).Err(err).Msg("")
+			continue
+		}
+		for _, summary := range answer.Summaries {
+			summary.At = sent
+			i.summaries.Put(summary)
+		}
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -138,7 +138,9 @@
 	Filters []Filter
 	// Health removes servers that should not be used. If it leaves none, it is
 	// ignored: a server that is believed to fail is better than none.
-	Health  []Filter
+	Health []Filter
+	// Warmup bounds what cold servers are sent; nil for no bound.
+	Warmup  *Warmup
 	Scorer  Scorer
 	Picker  Picker       // nil picks the least cost
 	Prefix  *PrefixIndex // nil for no prefix affinity
@@ -300,6 +302,12 @@
 	}
 }
 
+// Admit takes what the request uses up of the chosen server's warm-up. It
+// reports false if nothing is left of it: the request must be decided again.
+func (r *Router) Admit(req *Request, server *backend.Server) bool {
+	return r.Warmup == nil || r.Warmup.Take(r.now(), req, server)
+}
+
 // Dispatched tells the router that a request was sent to a server, so that
 // later requests with the same prefix may be sent there too.
 func (r *Router) Dispatched(req *Request, server *backend.Server) {
--- a/routing/sample.go
+++ b/routing/sample.go
@@ -190,6 +190,9 @@
 
 // permitted reports whether a server passes the filters that always hold.
 func (r *Router) permitted(now time.Time, req *Request, server *backend.Server) bool {
+	if r.Warmup != nil && !r.Warmup.Keep(now, req, server) {
+		return false
+	}
 	for _, f := range r.Filters {
 		if !f.Keep(now, req, server) {
 			return false
