--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -214,6 +214,10 @@
 
 // judge tells the ejector how the server did.
 func (r *run) judge(decision routing.Decision, failed, unreachable, served bool) {
+	if unreachable {
+		// It may come back with cold caches before its entry says so.
+		decision.Server.ExtendCold(time.Now().Add(r.x.Service.Warmup.Time))
+	}
 	if r.Ejector == nil {
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -62,31 +62,37 @@
 	Monotonic bool
 
 	sequencer *stream.Sequencer
-	started   bool // the caller's response has been started
-	streaming bool // it is a stream of events
-	ended     bool // its end or an error event has been sent
-	failed    bool // no other answer can continue it
+	first     *http.Response // whose header the caller gets; nil once it was sent
+	started   bool           // the caller's response has been started
+	streaming bool           // a stream of events has begun
+	ended     bool           // its end or an error event has been sent
+	failed    bool           // no other answer can continue it
 	bytes     int64
 }
 
 // Copy sends the answer resp, or the rest of it, to the caller.
 func (a *Answer) Copy(resp *http.Response) Result {
-	if a.streaming {
+	if a.started {
 		if resp.StatusCode != http.StatusOK || !isEventStream(resp) {
 			return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: a.bytes, Err: errNotResumed}
 		}
 		return a.copyStream(resp)
 	}
-	CopyHeader(a.Writer.Header(), resp.Header)
-	if !a.Direct {
-		a.Writer.Header().Set(outcome.RequestIDHeader, a.RequestID)
-	}
 	if isEventStream(resp) && resp.StatusCode == http.StatusOK {
 		return a.copyStream(resp)
 	}
 	return a.copyWhole(resp)
 }
 
+// copyHeader copies the header of the answer that the caller gets. It must be
+// called once that answer is certain: no other one takes its place.
+func (a *Answer) copyHeader(resp *http.Response) {
+	CopyHeader(a.Writer.Header(), resp.Header)
+	if !a.Direct {
+		a.Writer.Header().Set(outcome.RequestIDHeader, a.RequestID)
+	}
+}
+
 func isEventStream(resp *http.Response) bool {
 	return bytes.HasPrefix([]byte(resp.Header.Get("Content-Type")), []byte(eventStreamType))
 }
@@ -100,6 +106,7 @@
 		return Result{Outcome: outcome.MayHaveRun, Err: err}
 	}
 	a.OnFirst()
+	a.copyHeader(resp)
 	if !a.Direct {
 		a.Writer.Header().Set(outcome.Header, outcome.Served.String())
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -66,8 +66,10 @@
 	}
 }
 
-// start sends the header of the caller's stream.
+// start begins the caller's stream. Its header leaves with the first event, so
+// that a stream that is cut before it can still become an error.
 func (a *Answer) start(resp *http.Response) {
+	a.first = resp
 	next := int64(0)
 	if last, err := strconv.ParseInt(a.LastEventID, 10, 64); err == nil && last >= 0 {
 		next = last + 1
@@ -76,11 +78,21 @@
 	if a.Monotonic {
 		a.sequencer = stream.NewMonotonic(next - 1)
 	}
+	a.streaming = true
+}
+
+// writeHeader sends the header of the caller's stream once.
+func (a *Answer) writeHeader() {
+	if a.started {
+		return
+	}
+	a.started = true
+	a.copyHeader(a.first)
 	if !a.Direct {
 		a.Writer.Header().Set("Trailer", outcome.Header)
 	}
-	a.Writer.WriteHeader(resp.StatusCode)
-	a.started, a.streaming = true, true
+	a.Writer.WriteHeader(a.first.StatusCode)
+	a.first = nil
 }
 
 // write sends one event to the caller. It may stay in the buffer of the
@@ -89,6 +101,7 @@
 	if a.bytes == 0 {
 		a.OnFirst()
 	}
+	a.writeHeader()
 	n, err := a.Writer.Write(raw)
 	a.bytes += int64(n)
 	return err
@@ -108,12 +121,13 @@
 		}
 		err = errCut
 	}
-	return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: a.bytes, Err: err}
+	return Result{Outcome: outcome.MayHaveRun, Started: a.started, Bytes: a.bytes, Err: err}
 }
 
 // end ends the caller's stream.
 func (a *Answer) end(o outcome.Outcome, err error) Result {
 	a.ended = true
+	a.writeHeader()
 	if !a.Direct {
 		a.Writer.Header().Set(outcome.Header, o.String())
 	}
@@ -138,7 +152,7 @@
 // Fail ends a stream that was cut and is not resumed, in the form that clients
 // of the OpenAI API report as an error. It does nothing for other answers.
 func (a *Answer) Fail(failure *outcome.Error) {
-	if !a.streaming || a.ended {
+	if !a.started || a.ended {
 		return
 	}
 	if a.Monotonic {
--- a/routing/warmup.go
+++ b/routing/warmup.go
@@ -37,6 +37,9 @@
 	if !self || count == 0 {
 		return 0, 0, true
 	}
+	// One more part than there are instances: those that are out of touch may
+	// choose another one.
+	parts := float64(count + 1)
 	bound := req.Service.Warmup
-	return bound.Rate / float64(count), bound.Burst / float64(count), true
+	return bound.Rate / parts, bound.Burst / parts, true
 }
