Send work that cannot run here to the region that serves it soonest

The ramp began anew with each failed request, and short work took all free slots of a summary although they turn over many times before the next one.

Change: Spiller.Late sends such work where its deadline is met and without the ramp; a summary tells how long slots are held; only an instance that does not answer restarts the ramp.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -140,6 +140,8 @@
 	err     *outcome.Error
 	crashed bool // the backend server was lost under the request
 	stalled bool // canceled, since the answer did not begin in time
+	// unreachable means that no instance of the region answered.
+	unreachable bool
 }
 
 func (r *run) attempt(decision routing.Decision, number int) attemptEnd {
@@ -147,7 +149,9 @@
 	if decision.Server != nil {
 		end = r.toServer(decision)
 	} else {
-		end.err = r.toRegion(r.ctx, r.x, decision.Region, r.answer)
+		var answered bool
+		end.err, answered = r.toRegion(r.ctx, r.x, decision.Region, r.answer)
+		end.unreachable = !answered
 	}
 	result := outcome.Served
 	var cause error
@@ -165,7 +169,7 @@
 		r.req.Tried[decision.Server.ID] = true
 	} else {
 		r.req.StayLocal = true
-		if r.Router.Spill != nil && end.err.Code == outcome.CodeBackendFailed {
+		if r.Router.Spill != nil && end.unreachable && r.ctx.Err() == nil {
 			r.Router.Spill.Failed(decision.Region)
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -147,19 +147,21 @@
 	return d.relay(x, resp, w.run.answer)
 }
 
-func (d *Dispatcher) toRegion(ctx context.Context, x *filters.Exchange, region string, answer *relay.Answer) *outcome.Error {
+// toRegion sends the request to an instance of another region. It reports
+// whether that instance answered at all.
+func (d *Dispatcher) toRegion(ctx context.Context, x *filters.Exchange, region string, answer *relay.Answer) (err *outcome.Error, answered bool) {
 	if x.Hop != nil || !x.Service.Permits(x.Work, region) {
 		panic("dispatch: request must not be forwarded to " + region)
 	}
 	addr := d.Peers.Peer(region)
 	if addr == "" {
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoBackend, "no instance of region %s is known", region)
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNoBackend, "no instance of region %s is known", region), false
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	req, err := newRequest(ctx, x, d.PeerScheme, addr)
-	if err != nil {
-		return badPath(err)
+	req, invalid := newRequest(ctx, x, d.PeerScheme, addr)
+	if invalid != nil {
+		return badPath(invalid), true
 	}
 	CopyEndToEnd(req.Header, x.Request.Header)
 	if !d.Direct {
@@ -171,13 +173,13 @@
 	defer ack.stop()
 	resp, failure := d.send(req.WithContext(ack.attach(ctx)))
 	if failure != nil {
-		return ack.explain(failure)
+		return ack.explain(failure), false
 	}
 	defer resp.Body.Close()
 	if o := outcome.Parse(resp.Header.Get(outcome.Header)); o != outcome.Unknown && o != outcome.Served {
-		return peerError(resp, o)
+		return peerError(resp, o), true
 	}
-	return d.relay(x, resp, answer)
+	return d.relay(x, resp, answer), true
 }
 
 func (d *Dispatcher) setHop(header http.Header, x *filters.Exchange) {
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
@@ -10,6 +11,15 @@
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
 
+const (
+	// spillEnter is above the noise of one estimate, and well below the targets.
+	spillEnter = 50 * time.Millisecond
+	spillLeave = time.Second
+	// rampStart is the requests a second that a region may be sent right after
+	// a heal: about what one backend server with cold caches takes.
+	rampStart = 20
+)
+
 type handlers struct{ callers, peers, ready, directory http.Handler }
 
 func (i *Instance) newHandlers() *handlers {
@@ -106,6 +116,8 @@
 		Scorer:  routing.FirstTokenScorer{Zone: i.settings.Zone},
 		Prefix:  routing.NewPrefixIndex(0),
 		Waiting: i.waiting,
-		Spill:   &routing.Spiller{Summaries: i.summaries, Share: i.share},
+		Spill: &routing.Spiller{
+			Summaries: i.summaries, Share: i.share, Late: true, Enter: spillEnter, Leave: spillLeave, RampStart: rampStart,
+		},
 	}
 }
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -49,6 +49,10 @@
 	MaxAge      time.Duration // summaries older than this are not used
 	RampStart   float64       // requests per second after a heal
 	RampMax     float64       // requests per second at most, to one region
+	// Late work that cannot run here is sent where its deadline is met, if its
+	// target is missed everywhere. The ramp does not hold it back: there is no
+	// other place for it.
+	Late bool
 	// Share returns this instance's part of what its region may send, 0..1.
 	// Nil stands for the whole.
 	Share func() float64
@@ -184,7 +188,7 @@
 			blind = region
 			continue
 		}
-		cost, worth := s.worth(req, local, next, remaining)
+		cost, worth := s.worth(now, req, local, next, remaining)
 		if !worth {
 			best.why = SpillNotBetter
 		} else if best.summary.Region == "" || cost < best.cost {
@@ -202,11 +206,15 @@
 // the link allow it.
 func (s *Spiller) best(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router) Decision {
 	choice := s.choose(now, req, local, remaining, r)
+	stuck := s.Late && local.Server == nil
+	if choice.summary.Region == "" && stuck {
+		choice = s.choose(now, req, local, req.Deadline.Sub(now), r)
+	}
 	if choice.summary.Region == "" {
 		local.Spill = choice.why
 		return local
 	}
-	if refusal := s.take(now, req, choice.summary); refusal != SpillNone {
+	if refusal := s.take(now, req, choice.summary, stuck); refusal != SpillNone {
 		local.Spill = refusal
 		return local
 	}
@@ -228,9 +236,9 @@
 
 // worth returns the cost of a region and whether sending the request there is
 // worth it.
-func (s *Spiller) worth(req *Request, local Decision, summary RegionSummary, remaining time.Duration) (time.Duration, bool) {
+func (s *Spiller) worth(now time.Time, req *Request, local Decision, summary RegionSummary, remaining time.Duration) (time.Duration, bool) {
 	cost, met := s.remoteCost(req, summary, remaining)
-	if !met || summary.Servers == 0 || s.claimed(summary) >= s.free(summary) {
+	if !met || summary.Servers == 0 || s.claimed(summary) >= s.free(summary, now.Sub(summary.At)) {
 		return cost, false
 	}
 	return cost, local.Server == nil || cost < local.Cost
@@ -245,10 +253,14 @@
 	return cost, cost <= time.Duration(float64(remaining)*remoteMargin)
 }
 
-// free returns the free slots of a region that this instance may use until
-// the next summary. The other instances of its region use the same summary.
-func (s *Spiller) free(summary RegionSummary) int {
-	return int(math.Ceil(float64(summary.FreeSlots) * s.share()))
+// free returns the slots of a region that this instance may use until the next
+// summary: those that were free, and those that have become free since. The other instances of its region use the same summary.
+func (s *Spiller) free(summary RegionSummary, age time.Duration) int {
+	free := float64(summary.FreeSlots)
+	if summary.Hold > 0 {
+		free += float64(summary.Slots) * float64(age) / float64(summary.Hold)
+	}
+	return int(math.Ceil(free * s.share()))
 }
 
 // claimed returns the requests sent since the given summary.
@@ -263,7 +275,7 @@
 }
 
 // take uses the region's ramp and the link's budget for one request.
-func (s *Spiller) take(now time.Time, req *Request, summary RegionSummary) SpillReason {
+func (s *Spiller) take(now time.Time, req *Request, summary RegionSummary, stuck bool) SpillReason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.channel(summary.Region)
@@ -273,7 +285,7 @@
 	}
 	c.seenAt = now
 	rate := s.ramp(now.Sub(c.upAt)) * s.share()
-	if !c.bucket.Take(now, 1, rate, max(1, rate)) {
+	if !c.bucket.Take(now, 1, rate, max(1, rate)) && !stuck {
 		return SpillRamp
 	}
 	if s.Link != nil && !s.Link.Take(now, req.BodyBytes) {
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -16,6 +16,7 @@
 	Slots       int           // of these servers
 	FreeSlots   int           // of these servers, less those that waiting requests take
 	Wait        time.Duration // expected wait for a slot
+	Hold        time.Duration // median time that a request holds a slot; 0: unknown
 	PrefillRate float64       // median, in tokens per second; 0: unknown
 	At          time.Time     // when it was measured, by the clock of the reader
 }
@@ -65,6 +66,7 @@
 	summary := RegionSummary{Region: r.Region, Service: service, At: now}
 	req := &Request{}
 	var rates []float64
+	var holds []time.Duration
 	var wait time.Duration
 	for _, server := range r.Registry.Of(service) {
 		if !r.usable(now, req, server) {
@@ -75,6 +77,7 @@
 		summary.Slots += slots
 		summary.FreeSlots += max(0, slots-server.Occupied())
 		rates = append(rates, server.PrefillRate())
+		holds = append(holds, server.HoldTime())
 		if w := serverWait(server); summary.Servers == 1 || w < wait {
 			wait = w
 		}
@@ -82,6 +85,8 @@
 	if len(rates) > 0 {
 		slices.Sort(rates)
 		summary.PrefillRate = rates[len(rates)/2]
+		slices.Sort(holds)
+		summary.Hold = holds[len(holds)/2]
 	}
 	summary.Wait = wait
 	if r.Waiting != nil {
