--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -2,9 +2,17 @@
 
 import "time"
 
-// minPrefillSample is the fewest prompt tokens that the prefill rate is
-// learned from; below it the fixed time of a call dominates.
-const minPrefillSample = 64
+const (
+	// minPrefillSample is the fewest prompt tokens that the prefill rate is
+	// learned from; below it the fixed time of a call dominates.
+	minPrefillSample = 1024
+	// maxBaseSample is the most prompt tokens that the fixed time of a call is
+	// learned from.
+	maxBaseSample = 512
+	// minRatePart is the least part of the time to first token that counts as
+	// prefill, however long the fixed time seems to be.
+	minRatePart = 0.3
+)
 
 // Attempt is one request in flight on a server. It is used by one goroutine.
 type Attempt struct {
@@ -23,7 +31,7 @@
 	occupied := s.Occupied()
 	a := &Attempt{
 		server: s, begun: now, tokens: tokens,
-		alone: s.prefill.Load() == 0 && (occupied == 0 || occupied < load.Slots),
+		alone: s.PendingPrefill() == 0 && (occupied == 0 || occupied < load.Slots),
 	}
 	s.inFlight.Add(1)
 	s.prefill.Add(int64(tokens))
@@ -43,10 +51,12 @@
 	if elapsed <= 0 || !a.alone {
 		return
 	}
-	if a.tokens >= minPrefillSample {
-		a.server.learnRate(now, float64(a.tokens)/elapsed)
-	} else if a.tokens == 0 {
-		a.server.base.add(elapsed)
+	switch {
+	case a.tokens >= minPrefillSample:
+		prefill := max(elapsed-a.server.base.value(), elapsed*minRatePart)
+		a.server.learnRate(now, float64(a.tokens)/prefill)
+	case a.tokens <= maxBaseSample:
+		a.server.learnBase(elapsed, a.tokens)
 	}
 }
 
@@ -70,6 +80,18 @@
 // next sample instead of averaged with it.
 const staleRate = 30 * time.Second
 
+// learnBase learns the fixed time of a call from a short prompt.
+func (s *Server) learnBase(elapsed float64, tokens int) {
+	if rate := s.rate.value(); rate > 0 {
+		elapsed -= float64(tokens) / rate
+	} else if tokens > 0 {
+		return
+	}
+	if elapsed > 0 {
+		s.base.add(elapsed)
+	}
+}
+
 func (s *Server) learnRate(now time.Time, sample float64) {
 	if s.PrefillRateAge(now) > staleRate {
 		s.rate.bits.Store(0)
--- a/backend/server.go
+++ b/backend/server.go
@@ -52,6 +52,7 @@
 type state struct {
 	inFlight atomic.Int64
 	prefill  atomic.Int64 // prompt tokens sent whose first token has not come
+	others   atomic.Int64 // the same of other instances, as far as they have told
 	report   atomic.Pointer[report]
 	leaving  atomic.Bool
 	rate     average      // prefill rate, tokens per second
@@ -82,9 +83,15 @@
 // InFlight returns the number of requests this instance has on the server.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// PendingPrefill returns the prompt tokens that this instance has sent and
-// whose first token has not come.
-func (s *Server) PendingPrefill() int { return int(max(0, s.prefill.Load())) }
+// PendingPrefill returns the prompt tokens that have been sent and whose first
+// token has not come, those of other instances as far as they have told.
+func (s *Server) PendingPrefill() int { return s.OwnPrefill() + int(s.others.Load()) }
+
+// OwnPrefill returns the part of PendingPrefill that this instance has sent.
+func (s *Server) OwnPrefill() int { return int(max(0, s.prefill.Load())) }
+
+// SetOthersPrefill states the part that other instances have sent.
+func (s *Server) SetOthersPrefill(tokens int) { s.others.Store(int64(tokens)) }
 
 // Load returns the last load report, or the zero Load before the first one.
 func (s *Server) Load() Load {
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -49,6 +49,7 @@
 	group.Go(func() error { every(ctx, stateInterval, i.expire); return nil })
 	group.Go(func() error { every(ctx, askInterval, i.askSummaries); return nil })
 	group.Go(func() error { i.reloads(ctx); return nil })
+	group.Go(func() error { i.followPrefill(ctx); return nil })
 }
 
 // every calls f at once and then each interval until ctx ends.
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -18,6 +18,8 @@
 	// rampStart is the requests a second that a region may be sent right after
 	// a heal: about what one backend server with cold caches takes.
 	rampStart = 20
+	// rereadWeight stands for the requests that wait behind a prompt.
+	rereadWeight = 2
 )
 
 type handlers struct{ callers, peers, ready, directory http.Handler }
@@ -116,6 +118,7 @@
 		Scorer:  routing.FirstTokenScorer{Zone: i.settings.Zone},
 		Prefix:  routing.NewPrefixIndex(0),
 		Waiting: i.waiting,
+		Reread:  rereadWeight,
 		Spill: &routing.Spiller{
 			Summaries: i.summaries, Share: i.share, Late: true, Enter: spillEnter, Leave: spillLeave, RampStart: rampStart,
 		},
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -85,6 +85,7 @@
 	Started   int64                   `json:"started"`
 	Ready     bool                    `json:"ready"`
 	Summaries []routing.RegionSummary `json:"summaries,omitempty"`
+	Prefill   map[string]int          `json:"prefill,omitempty"` // tokens sent and not computed, by backend server
 }
 
 // newPeerHandler serves the other instances: forwarded requests by forwarded,
@@ -119,6 +120,14 @@
 			answer.Summaries = append(answer.Summaries, i.router.Summarize(service))
 		}
 	}
+	if r.URL.Query().Has("prefill") {
+		answer.Prefill = make(map[string]int)
+		for _, server := range i.registry.All() {
+			if tokens := server.OwnPrefill(); tokens > 0 {
+				answer.Prefill[server.ID] = tokens
+			}
+		}
+	}
 	i.writeJSON(w, answer)
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -150,9 +150,12 @@
 	// service. They take its free slots before any request of another region.
 	// Nil stands for none.
 	Waiting func(service string) int
-	Sample  int              // candidates drawn at random; 0 for DefaultSample
-	Now     func() time.Time // nil for time.Now
-	Random  Random           // nil for the generator of the runtime
+	// Reread is how much more a prompt token that has to be computed again
+	// weighs than its own time: others wait behind it. 0 counts the time alone.
+	Reread float64
+	Sample int              // candidates drawn at random; 0 for DefaultSample
+	Now    func() time.Time // nil for time.Now
+	Random Random           // nil for the generator of the runtime
 }
 
 // Decide routes one request.
@@ -285,6 +288,7 @@
 			c.CachedTokens, c.Bonus = 0, 0
 		}
 		c.Cost = r.Scorer.Score(req, c.Server, c.CachedTokens)
+		c.Bonus += time.Duration(r.Reread * float64(prefillTime(c.CachedTokens, req.PrefillRate(c.Server))))
 	}
 	picker := r.Picker
 	if picker == nil {
