--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -15,11 +15,16 @@
 	// spillEnter is above the noise of one estimate, and well below the targets.
 	spillEnter = 50 * time.Millisecond
 	spillLeave = time.Second
+	// spillPart leaves most of the target for errors of the estimate and for the
+	// answer itself.
+	spillPart = 0.3
 	// rampStart is the requests a second that a region may be sent right after
 	// a heal: about what one backend server with cold caches takes.
 	rampStart = 20
+	// sampleSize covers all backend servers of a service in most regions.
+	sampleSize = 16
 	// rereadWeight stands for the requests that wait behind a prompt.
-	rereadWeight = 2
+	rereadWeight = 1
 )
 
 type handlers struct{ callers, peers, ready, directory http.Handler }
@@ -119,8 +124,9 @@
 		Prefix:  routing.NewPrefixIndex(0),
 		Waiting: i.waiting,
 		Reread:  rereadWeight,
+		Sample:  sampleSize,
 		Spill: &routing.Spiller{
-			Summaries: i.summaries, Share: i.share, Late: true, Enter: spillEnter, Leave: spillLeave, RampStart: rampStart,
+			Summaries: i.summaries, Share: i.share, Late: true, Part: spillPart, Enter: spillEnter, Leave: spillLeave, RampStart: rampStart,
 		},
 	}
 }
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -49,6 +49,10 @@
 	MaxAge      time.Duration // summaries older than this are not used
 	RampStart   float64       // requests per second after a heal
 	RampMax     float64       // requests per second at most, to one region
+	// Part of the target from which on another region is asked, 0..1. A backend
+	// server whose queue takes up the whole target also slows the answers that
+	// it has begun.
+	Part float64
 	// Late work that cannot run here is sent where its deadline is met, if its
 	// target is missed everywhere. The ramp does not hold it back: there is no
 	// other place for it.
@@ -88,7 +92,7 @@
 // decide weighs leaving against the local decision.
 func (s *Spiller) decide(now time.Time, req *Request, local Decision, r *Router) Decision {
 	remaining := remainingTarget(now, req)
-	missed := local.Server == nil || local.Cost > remaining
+	missed := local.Server == nil || local.Cost > time.Duration(float64(remaining)*s.part())
 	leave := s.hysteresis(now, req, missed, local.Server == nil)
 	if !missed {
 		local.Spill = SpillTargetMet
@@ -340,6 +344,13 @@
 func (s *Spiller) leave() time.Duration       { return orDefault(s.Leave, defaultLeave) }
 func (s *Spiller) maxAge() time.Duration      { return orDefault(s.MaxAge, defaultMaxAge) }
 
+func (s *Spiller) part() float64 {
+	if s.Part <= 0 {
+		return 1
+	}
+	return s.Part
+}
+
 func (s *Spiller) linkRate() float64 {
 	if s.LinkRate <= 0 {
 		return defaultLinkRate
