--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -17,7 +17,7 @@
 	spillLeave = time.Second
 	// spillPart leaves most of the target for errors of the estimate and for the
 	// answer itself.
-	spillPart = 0.3
+	spillPart = 0.15
 	// rampStart is the requests a second that a region may be sent right after
 	// a heal: about what one backend server with cold caches takes.
 	rampStart = 20
