Keep long prompts of batch work away from servers with many answers in progress

Cause: a prompt is computed between the tokens of the answers that its server has begun; with prompts spread evenly, answers took 10 s at the peak and were cut at their deadline.

Change: the choice of a server weighs how long the prompt holds up what runs there, for batch work only.

--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -23,6 +23,9 @@
 	rampStart = 20
 	// sampleSize covers all backend servers of a service in most regions.
 	sampleSize = 16
+	// crowdingWeight is the part of the requests of a server that a prompt
+	// holds up in a way that its callers notice.
+	crowdingWeight = 0.4
 	// rereadWeight stands for the requests that wait behind a prompt.
 	rereadWeight = 1
 )
@@ -123,8 +126,8 @@
 		Scorer:  routing.FirstTokenScorer{Zone: i.settings.Zone},
 		Prefix:  routing.NewPrefixIndex(0),
 		Waiting: i.waiting,
-		Reread:  rereadWeight,
-		Sample:  sampleSize,
+		Reread:  rereadWeight, Crowding: crowdingWeight,
+		Sample: sampleSize,
 		Spill: &routing.Spiller{
 			Summaries: i.summaries, Share: i.share, Late: true, Part: spillPart, Enter: spillEnter, Leave: spillLeave, RampStart: rampStart,
 		},
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -153,9 +153,13 @@
 	// Reread is how much more a prompt token that has to be computed again
 	// weighs than its own time: others wait behind it. 0 counts the time alone.
 	Reread float64
-	Sample int              // candidates drawn at random; 0 for DefaultSample
-	Now    func() time.Time // nil for time.Now
-	Random Random           // nil for the generator of the runtime
+	// Crowding weighs how long a prompt holds up each request that a server
+	// runs already. It keeps long prompts of batch work away from servers with
+	// many answers in progress. 0 for none.
+	Crowding float64
+	Sample   int              // candidates drawn at random; 0 for DefaultSample
+	Now      func() time.Time // nil for time.Now
+	Random   Random           // nil for the generator of the runtime
 }
 
 // Decide routes one request.
@@ -288,7 +292,12 @@
 			c.CachedTokens, c.Bonus = 0, 0
 		}
 		c.Cost = r.Scorer.Score(req, c.Server, c.CachedTokens)
-		c.Bonus += time.Duration(r.Reread * float64(prefillTime(c.CachedTokens, req.PrefillRate(c.Server))))
+		rate := req.PrefillRate(c.Server)
+		c.Bonus += time.Duration(r.Reread * float64(prefillTime(c.CachedTokens, rate)))
+		if req.Work.Rank == catalog.Urgent {
+			continue
+		}
+		c.Bonus -= time.Duration(r.Crowding * c.Occupied * float64(prefillTime(max(req.PromptTokens-c.CachedTokens, 0), rate)))
 	}
 	picker := r.Picker
 	if picker == nil {
