Carry the runs that are left across regions, and let homed work leave

Found by the new end-to-end tests: work with one home never left a region that is not its home, and answers from another region kept a header of ours.

Change: the hop states the runs left; Work.MayLeave looks at the region; direct answers lose our headers. The bonus of a place on the hash ring is again at the default rate, as routing's TestPrefixAffinityUnderLoadBound demands.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -107,8 +107,14 @@
 	return len(w.Homes) == 0 || slices.Contains(w.Homes, region)
 }
 
-// Bound reports whether the work may run in one region only.
-func (w *Work) Bound() bool { return w.Home != "" || len(w.Homes) == 1 }
+// MayLeave reports whether the work may run in a region other than the given
+// one.
+func (w *Work) MayLeave(region string) bool {
+	if w.Home != "" {
+		return false // its callers enter at home
+	}
+	return len(w.Homes) == 0 || slices.ContainsFunc(w.Homes, func(home string) bool { return home != region })
+}
 
 // Limits bound one caller's use of a service over all instances of a region.
 // Zero means unlimited.
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -80,9 +80,9 @@
 	return filters.Admit{Queue: d.admission.queue, Serves: d.serves, Elsewhere: d.couldLeave, Observer: d.admission.observer}
 }
 
-// serves reports whether a backend server of this region accepts work.
-func (d *Daemon) serves(service string) bool {
-	for _, server := range d.registry.Of(service) {
+// serves reports whether a backend server of this region accepts the request.
+func (d *Daemon) serves(x *filters.Exchange) bool {
+	for _, server := range d.registry.Of(x.Service.Name) {
 		if server.Accepts() {
 			return true
 		}
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -150,7 +150,7 @@
 		end = r.toServer(decision)
 	} else {
 		var answered bool
-		end.err, answered = r.toRegion(r.ctx, r.x, decision.Region, r.answer)
+		end.err, answered = r.toRegion(r.ctx, r.x, decision.Region, r.runs, r.answer)
 		end.unreachable = !answered
 	}
 	result := outcome.Served
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -147,9 +147,10 @@
 	return d.relay(x, resp, w.run.answer)
 }
 
-// toRegion sends the request to an instance of another region. It reports
+// toRegion sends the request to an instance of another region, after a number
+// of runs. It reports
 // whether that instance answered at all.
-func (d *Dispatcher) toRegion(ctx context.Context, x *filters.Exchange, region string, answer *relay.Answer) (err *outcome.Error, answered bool) {
+func (d *Dispatcher) toRegion(ctx context.Context, x *filters.Exchange, region string, runs int, answer *relay.Answer) (err *outcome.Error, answered bool) {
 	if x.Hop != nil || !x.Service.Permits(x.Work, region) {
 		panic("dispatch: request must not be forwarded to " + region)
 	}
@@ -168,6 +169,9 @@
 		req.Header.Del("Authorization")
 	}
 	d.setHop(req.Header, x)
+	if x.Work.MaxServers > 0 {
+		req.Header.Set(filters.HopRunsHeader, strconv.Itoa(max(x.Work.MaxServers-runs, 1)))
+	}
 	answer.SetResume(req.Header)
 	ack := newAckTimer(cancel)
 	defer ack.stop()
--- a/filters/admission_test.go
+++ b/filters/admission_test.go
@@ -85,7 +85,7 @@
 		seen := &recorder{}
 		queue := admission.NewQueue(admission.DefaultBounds(), 1)
 		queue.SetCapacity(service, admission.Capacity{Slots: 2, Fraction: 1, Members: 1})
-		filter := Admit{Queue: queue, Observer: seen, Serves: func(string) bool { return true }}
+		filter := Admit{Queue: queue, Observer: seen, Serves: func(*Exchange) bool { return true }}
 		var mu sync.Mutex
 		running, highest, served, refused := 0, 0, 0, 0
 		slow := func(*Exchange) *outcome.Error {
@@ -125,7 +125,7 @@
 	service := testService(catalog.Limits{})
 	filter := Admit{
 		Queue: admission.NewQueue(admission.Bounds{CallerEntries: 9, CallerBytes: 1 << 20}, 1), Observer: &recorder{},
-		Serves: func(string) bool { return true }, Elsewhere: func(*Exchange) bool { return true },
+		Serves: func(*Exchange) bool { return true }, Elsewhere: func(*Exchange) bool { return true },
 	}
 	x := testExchange(t.Context(), service, catalog.Batch)
 	c.Assert(filter.Handle(x, answer("")) == nil, qt.IsTrue)
@@ -145,7 +145,7 @@
 			queue := admission.NewQueue(admission.DefaultBounds(), 1)
 			queue.SetCapacity(service, admission.Capacity{Slots: 1, Fraction: 1, Members: 1})
 			filter := Admit{
-				Queue: queue, Observer: &recorder{}, Serves: func(string) bool { return true },
+				Queue: queue, Observer: &recorder{}, Serves: func(*Exchange) bool { return true },
 				Elsewhere: func(*Exchange) bool { return taken },
 			}
 			target := service.Ranks[catalog.Urgent].Target
--- a/filters/admit.go
+++ b/filters/admit.go
@@ -29,9 +29,9 @@
 // those of the backend servers of this region.
 type Admit struct {
 	Queue *admission.Queue
-	// Serves reports whether a backend server of this region accepts work of a
-	// service. Without one, routing decides where the request goes.
-	Serves func(service string) bool
+	// Serves reports whether a backend server of this region may run the
+	// request. Without one, routing decides where it goes.
+	Serves func(x *Exchange) bool
 	// Elsewhere reports whether another region may serve a request that gets
 	// no slot here. A nil Elsewhere refuses all of them.
 	Elsewhere func(x *Exchange) bool
@@ -43,7 +43,7 @@
 
 // Handle implements Filter.
 func (f Admit) Handle(x *Exchange, next Handler) *outcome.Error {
-	if !f.Serves(x.Service.Name) {
+	if !f.Serves(x) {
 		return next(x)
 	}
 	ticket, refused := f.acquire(x)
@@ -62,7 +62,7 @@
 // up while another region can still meet its target; it waits on if none would
 // take it.
 func (f Admit) acquire(x *Exchange) (*admission.Ticket, *admission.Refusal) {
-	if x.Hop == nil && !x.Work.Bound() && f.Elsewhere != nil {
+	if x.Hop == nil && x.Work.Home == "" && f.Elsewhere != nil {
 		ticket, refused := f.acquireBy(x, x.startBy(askParts[x.Work.Rank]))
 		if refused == nil || !refused.Late() || f.Elsewhere(x) {
 			return ticket, refused
--- a/filters/hop.go
+++ b/filters/hop.go
@@ -20,6 +20,7 @@
 	HopWorkHeader     = hopPrefix + "Work"     // name of the work
 	HopDeadlineHeader = hopPrefix + "Deadline" // remaining time in milliseconds
 	HopStreamHeader   = hopPrefix + "Stream"   // "true" for a stream
+	HopRunsHeader     = hopPrefix + "Runs"     // backend servers that the request may still run on, if bounded
 )
 
 // Hop describes the forwarding of a request.
@@ -83,6 +84,9 @@
 		return unknownService(lookupErr)
 	}
 	x.Service, x.Work = service, work
+	if runs, err := strconv.Atoi(header.Get(HopRunsHeader)); err == nil && runs > 0 {
+		x.Work.MaxServers = runs
+	}
 	x.Path = x.Request.URL.RequestURI()
 	return next(x)
 }
--- /dev/null
+++ b/filters/hop_test.go
@@ -0,0 +1,35 @@
+package filters
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+)
+
+// TestHopCarriesRunsLeft checks that a request that has run elsewhere does not
+// begin its bound on backend servers anew in another region.
+func TestHopCarriesRunsLeft(t *testing.T) {
+	c := qt.New(t)
+	work := catalog.Work{Name: "query", MaxServers: 3}
+	snapshot := &catalog.Snapshot{Services: map[string]*catalog.Service{
+		"drafts": {Name: "drafts", Work: map[string]catalog.Work{"query": work}},
+	}}
+	req := httptest.NewRequest(http.MethodPost, "/query/", http.NoBody)
+	for name, value := range map[string]string{
+		HopOriginHeader: "entry-1", HopRegionHeader: "cairo", HopServiceHeader: "drafts", HopWorkHeader: "query",
+		HopDeadlineHeader: "1000", HopRunsHeader: "1",
+	} {
+		req.Header.Set(name, value)
+	}
+	x := &Exchange{Request: req, Snapshot: snapshot, Received: time.Now()}
+	refusal := AcceptHop{Instance: "entry-2", Region: "alex"}.Handle(x, func(*Exchange) *outcome.Error { return nil })
+	c.Assert(refusal, qt.IsNil)
+	c.Assert(x.Work.MaxServers, qt.Equals, 1)
+	c.Assert(snapshot.Services["drafts"].Work["query"].MaxServers, qt.Equals, 3)
+}
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -87,9 +87,12 @@
 	return i.router.CouldLeave(dispatch.RouteRequest(x))
 }
 
-// serves reports whether a backend server of this region accepts work.
-func (i *Instance) serves(service string) bool {
-	for _, server := range i.registry.Of(service) {
+// serves reports whether a backend server of this region may run the request.
+func (i *Instance) serves(x *filters.Exchange) bool {
+	if !x.Work.RunsIn(i.settings.Region) {
+		return false
+	}
+	for _, server := range i.registry.Of(x.Service.Name) {
 		if server.Accepts() {
 			return true
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -84,12 +85,22 @@
 	return a.copyWhole(resp)
 }
 
+// ownPrefix begins the headers of this system.
+const ownPrefix = "Fuchsia-"
+
 // copyHeader copies the header of the answer that the caller gets. It must be
 // called once that answer is certain: no other one takes its place.
 func (a *Answer) copyHeader(resp *http.Response) {
-	CopyHeader(a.Writer.Header(), resp.Header)
+	header := a.Writer.Header()
+	CopyHeader(header, resp.Header)
 	if !a.Direct {
-		a.Writer.Header().Set(outcome.RequestIDHeader, a.RequestID)
+		header.Set(outcome.RequestIDHeader, a.RequestID)
+		return
+	}
+	for name := range header {
+		if strings.HasPrefix(name, ownPrefix) {
+			delete(header, name)
+		}
 	}
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -226,10 +226,10 @@
 }
 
 // mayLeave reports whether the request may be sent to another region. Work
-// with a home never leaves it, a forwarded request is decided here, and a
+// never leaves its only home, a forwarded request is decided here, and a
 // suspect runs where its suspicion is known.
 func (r *Router) mayLeave(req *Request) bool {
-	return !req.Forwarded && !req.StayLocal && !req.Alone && !req.Work.Bound()
+	return !req.Forwarded && !req.StayLocal && !req.Alone && req.Work.MayLeave(r.Region)
 }
 
 // elsewhere weighs other regions against the local decision.
--- a/routing/sample.go
+++ b/routing/sample.go
@@ -90,25 +90,17 @@
 	if len(req.Prefix) == 0 {
 		return
 	}
-	block := min(ringBlock, len(req.Prefix))
+	block, shared := min(ringBlock, len(req.Prefix)), len(req.Prefix)
 	if req.Shared > 0 {
 		block = min(req.Shared, len(req.Prefix))
+		shared = block
 	}
 	first, second := group.Ring(req.Prefix[block-1])
-	bonus := prefillTime(cachedTokens(req, block), r.rate(now, req, first))
+	bonus := prefillTime(cachedTokens(req, shared), 0)
 	r.addPreferred(now, req, first, bonus)
 	r.addPreferred(now, req, second, bonus/2)
 }
 
-// rate returns the prefill rate of a server for the bonus of its place on the
-// ring; 0 stands for the default.
-func (r *Router) rate(now time.Time, req *Request, server *backend.Server) float64 {
-	if server == nil || !known(now, req.Work.Rank, server) {
-		return 0
-	}
-	return server.PrefillRate()
-}
-
 func (r *Router) addPreferred(now time.Time, req *Request, server *backend.Server, bonus time.Duration) {
 	s := &req.scratch
 	if server == nil {
--- /dev/null
+++ b/standin/hosting/store.go
@@ -0,0 +1,282 @@
+// Package hosting stands in for the hosting platform in tests: its key-value
+// service and its backend servers.
+package hosting
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Store is the key-value service, on a free port.
+type Store struct {
+	*httptest.Server
+
+	mu       sync.Mutex
+	items    map[string]item
+	events   []item
+	compact  uint64 // events up to it are gone
+	revision uint64
+	leases   map[uint64]*lease
+	down     bool
+	changed  chan struct{} // closed at the next change
+}
+
+type item struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Rev       uint64 `json:"rev"`
+	Created   uint64 `json:"created,omitempty"`
+	Lease     uint64 `json:"lease,omitempty"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// NewStore starts an empty store.
+func NewStore() *Store {
+	s := &Store{items: make(map[string]item), revision: 1, leases: make(map[uint64]*lease), changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv-range", s.answerRange)
+	mux.HandleFunc("GET /v1/kv-watch", s.answerWatch)
+	mux.HandleFunc("POST /v1/kv-txn", s.answerTxn)
+	mux.HandleFunc("POST /v1/kv-lease", s.answerLease)
+	mux.HandleFunc("POST /v1/kv-keep/{id}", s.answerKeep)
+	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.answerEnd)
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isDown() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	}))
+	return s
+}
+
+// Addr returns host:port.
+func (s *Store) Addr() string { return strings.TrimPrefix(s.URL, "http://") }
+
+// SetDown lets every call fail with 503, or ends that.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+func (s *Store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.compact = nil, s.revision
+	s.wake()
+}
+
+// Put writes a key as the operator or a backend server does.
+func (s *Store) Put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(key, []byte(value), 0)
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+}
+
+// Keys returns the keys below a prefix.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for _, i := range s.below(prefix, "") {
+		keys = append(keys, i.Key)
+	}
+	return keys
+}
+
+func (s *Store) put(key string, value []byte, leaseID uint64) {
+	i := item{Key: key, Value: value, Rev: s.revision, Created: s.revision, Lease: leaseID}
+	s.items[key] = i
+	s.events = append(s.events, i)
+	s.wake()
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	s.events = append(s.events, item{Key: key, Rev: s.revision, Tombstone: true})
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) below(prefix, after string) []item {
+	var found []item
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, i)
+		}
+	}
+	slices.SortFunc(found, func(a, b item) int { return cmp.Compare(a.Key, b.Key) })
+	return found
+}
+
+// pageItems is small, so that tests see several pages.
+const pageItems = 3
+
+func (s *Store) answerRange(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.below(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
+	more := len(found) > pageItems
+	writeJSON(w, map[string]any{"items": found[:min(len(found), pageItems)], "has-more": more, "current-rev": s.revision})
+}
+
+func (s *Store) answerWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	waitMS, _ := strconv.Atoi(query.Get("wait-ms"))
+	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if s.down {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if after < s.compact {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		var events []item
+		for _, e := range s.events {
+			if e.Rev > after && strings.HasPrefix(e.Key, query.Get("prefix")) {
+				events = append(events, e)
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			writeJSON(w, map[string]any{"events": events, "current-rev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timeout:
+			writeJSON(w, map[string]any{"events": []item{}, "current-rev": revision})
+			return
+		}
+	}
+}
+
+func (s *Store) answerTxn(w http.ResponseWriter, r *http.Request) {
+	var txn struct {
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease uint64 `json:"lease"`
+		} `json:"puts"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range txn.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	s.revision++
+	for _, p := range txn.Puts {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	writeJSON(w, map[string]any{"rev": s.revision})
+}
+
+func (s *Store) answerLease(w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		TTL int64 `json:"ttl-ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := uint64(len(s.leases) + 1)
+	ttl := time.Duration(request.TTL) * time.Millisecond
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.End(id) })}
+	writeJSON(w, map[string]any{"lease": id, "ttl-ms": request.TTL})
+}
+
+func (s *Store) answerKeep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	l.timer.Reset(l.ttl)
+	writeJSON(w, map[string]any{"ttl-ms": l.ttl.Milliseconds()})
+}
+
+func (s *Store) answerEnd(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.End(id)
+	writeJSON(w, map[string]any{})
+}
+
+// End ends a lease and removes its keys.
+func (s *Store) End(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == nil {
+		return
+	}
+	s.leases[id].timer.Stop()
+	s.leases[id] = nil
+	s.revision++
+	for key, i := range s.items {
+		if i.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
