--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,209 @@
+package mirror
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiastack/fuchsiastack/store"
+)
+
+// feed is a key-value service in memory.
+type feed struct {
+	mu       sync.Mutex
+	entries  map[string]store.Entry
+	changes  []store.Change
+	revision uint64
+	compact  uint64
+	down     bool
+	lists    int
+}
+
+func newFeed() *feed { return &feed{entries: make(map[string]store.Entry)} }
+
+func (f *feed) write(key, value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	e := store.Entry{Key: key, Value: []byte(value), Version: f.revision}
+	f.entries[key] = e
+	f.changes = append(f.changes, store.Change{Entry: e})
+}
+
+func (f *feed) remove(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	delete(f.entries, key)
+	f.changes = append(f.changes, store.Change{Entry: store.Entry{Key: key, Version: f.revision}, Removed: true})
+}
+
+func (f *feed) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *feed) Page(_ context.Context, prefix, after string) (store.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return store.Page{}, store.ErrUnavailable
+	}
+	f.lists++
+	page := store.Page{Revision: f.revision}
+	for key, e := range f.entries {
+		if key > after && len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+			page.Entries = append(page.Entries, e)
+		}
+	}
+	return page, nil
+}
+
+func (f *feed) Changes(ctx context.Context, _ string, since uint64, limit time.Duration) ([]store.Change, uint64, error) {
+	end := time.Now().Add(limit)
+	for {
+		f.mu.Lock()
+		switch {
+		case f.down:
+			f.mu.Unlock()
+			return nil, 0, store.ErrUnavailable
+		case since < f.compact:
+			f.mu.Unlock()
+			return nil, 0, store.ErrCompacted
+		}
+		var found []store.Change
+		for _, c := range f.changes {
+			if c.Version > since {
+				found = append(found, c)
+			}
+		}
+		revision := f.revision
+		f.mu.Unlock()
+		if len(found) > 0 || !time.Now().Before(end) {
+			return found, revision, nil
+		}
+		wait(ctx, 10*time.Millisecond)
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// follow runs a mirror in virtual time.
+func follow(t *testing.T, test func(c *qt.C, f *feed, m *Mirror)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFeed()
+		m := &Mirror{Feed: f, Prefixes: []string{"a/"}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { m.Run(ctx) })
+		defer group.Wait()
+		defer cancel()
+		time.Sleep(time.Second)
+		test(qt.New(t), f, m)
+	})
+}
+
+func value(m *Mirror, key string) string {
+	e, ok := m.Get(key)
+	if !ok {
+		return "-"
+	}
+	return string(e.Value)
+}
+
+func TestFollowsChanges(t *testing.T) {
+	follow(t, func(c *qt.C, f *feed, m *Mirror) {
+		f.write("a/1", "x")
+		f.write("b/1", "not copied")
+		time.Sleep(time.Second)
+		c.Assert(value(m, "a/1"), qt.Equals, "x")
+		c.Assert(value(m, "b/1"), qt.Equals, "-")
+		f.remove("a/1")
+		time.Sleep(time.Second)
+		c.Assert(value(m, "a/1"), qt.Equals, "-")
+	})
+}
+
+// TestForgottenHistory checks that a removal within a history that the service
+// has dropped is noticed.
+func TestForgottenHistory(t *testing.T) {
+	follow(t, func(c *qt.C, f *feed, m *Mirror) {
+		f.write("a/1", "x")
+		f.write("a/2", "y")
+		time.Sleep(time.Second)
+		f.set(func() { f.down = true })
+		time.Sleep(3 * time.Second)
+		f.remove("a/1")
+		f.set(func() { f.down, f.changes, f.compact = false, nil, f.revision })
+		time.Sleep(2 * time.Second)
+		c.Assert(value(m, "a/1"), qt.Equals, "-")
+		c.Assert(value(m, "a/2"), qt.Equals, "y")
+	})
+}
+
+// TestPeersTellWhileTheServiceIsAway checks that changes which one instance
+// has seen reach another one that the service turns away.
+func TestPeersTellWhileTheServiceIsAway(t *testing.T) {
+	follow(t, func(c *qt.C, f *feed, m *Mirror) {
+		f.write("a/1", "x")
+		time.Sleep(time.Second)
+		cut := newFeed()
+		cut.down = true
+		other := &Mirror{Feed: cut, Prefixes: []string{"a/"}, Peers: func() []Peer {
+			return []Peer{func(_ context.Context, since uint64) ([]store.Change, uint64, error) {
+				changes, revision := m.Since(since)
+				return changes, revision, nil
+			}}
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { other.Run(ctx) })
+		time.Sleep(time.Second)
+		c.Assert(value(other, "a/1"), qt.Equals, "x")
+		f.write("a/1", "z")
+		f.write("a/2", "y")
+		f.remove("a/2")
+		time.Sleep(2 * time.Second)
+		c.Assert(value(other, "a/1"), qt.Equals, "z")
+		c.Assert(value(other, "a/2"), qt.Equals, "-")
+		c.Assert(other.Away() > 0, qt.IsTrue)
+		cancel()
+		group.Wait()
+	})
+}
+
+// TestNeverGoesBack applies changes in any order and as often as they come.
+// The newest of each key must stand in the end.
+func TestNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &Mirror{Prefixes: []string{"a/"}}
+		newest := make(map[string]store.Change)
+		var all []store.Change
+		for revision := uint64(1); revision <= 12; revision++ {
+			key := rapid.SampledFrom([]string{"a/1", "a/2", "a/3"}).Draw(t, "key")
+			change := store.Change{Entry: store.Entry{Key: key, Version: revision}, Removed: rapid.Bool().Draw(t, "removed")}
+			newest[key] = change
+			all = append(all, change)
+		}
+		seen := make(map[string]uint64)
+		for _, i := range rapid.Permutation([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 11, 5, 0}).Draw(t, "order") {
+			m.Apply(all[i:i+1], 0)
+			if e, ok := m.Get(all[i].Key); ok && e.Version < seen[all[i].Key] {
+				t.Fatalf("%s went back to %d", all[i].Key, e.Version)
+			}
+			seen[all[i].Key] = max(seen[all[i].Key], all[i].Version)
+		}
+		for key, change := range newest {
+			if _, ok := m.Get(key); ok == change.Removed {
+				t.Fatalf("%s: present %v after %+v", key, ok, change)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/routing/warmup_test.go
@@ -0,0 +1,48 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+)
+
+// TestWarmupBound lets several instances send to one cold server as fast as
+// they may, one more of them than should. Any second must stay within the
+// bound.
+func TestWarmupBound(t *testing.T) {
+	c := qt.New(t)
+	service := &catalog.Service{Name: "drafts", Warmup: catalog.Warmup{Rate: 2.18, Burst: 3}}
+	req := &Request{Service: service}
+	const instances = 3 // two chosen, and one that is out of touch
+	info := backend.Info{ID: "i-1", State: backend.StateLive, Service: service.Name}
+	var servers [instances]*backend.Server
+	for i := range servers {
+		servers[i] = backend.NewServer(info)
+		servers[i].SetCold(start.Add(time.Minute))
+	}
+	warmup := Warmup{Instances: func(*backend.Server) (int, bool) { return 2, true }}
+	var sent []time.Time
+	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		for _, server := range servers {
+			if warmup.Keep(now, req, server) && warmup.Take(now, req, server) {
+				sent = append(sent, now)
+			}
+		}
+	}
+	c.Assert(len(sent) > 0, qt.IsTrue)
+	bound := service.Warmup.Rate + service.Warmup.Burst
+	for i, at := range sent {
+		count := 0
+		for _, other := range sent[i:] {
+			if other.Sub(at) < time.Second {
+				count++
+			}
+		}
+		c.Assert(float64(count) <= bound, qt.IsTrue, qt.Commentf("%d in the second after %v", count, at.Sub(start)))
+	}
+	c.Assert(warmup.Keep(start.Add(2*time.Minute), req, servers[0]), qt.IsTrue)
+}
