Send work that cannot run here to regions whose known free slots are used up

Cause: found by the new test of an evacuated zone: requests that could run elsewhere only were refused once as many were sent since the last summary as it had free slots, though they had ended long ago; a server without a report counted as one slot.

Change: Spiller admits a used-up region for such work; backend.Server.SlotCount falls back on the entry. Test: hosted.TestEvacuatedZone, failing first.

--- a/backend/server.go
+++ b/backend/server.go
@@ -101,6 +101,15 @@
 	return Load{}
 }
 
+// SlotCount returns the slots of the last load report, or before the first one
+// those that the server is listed with; 0: unknown.
+func (s *Server) SlotCount() int {
+	if slots := s.Load().Slots; slots > 0 {
+		return slots
+	}
+	return s.Slots
+}
+
 // SetLoad records a load report.
 func (s *Server) SetLoad(l Load) {
 	own := s.inFlight.Load()
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -113,9 +113,9 @@
 	for _, service := range snapshot.Services {
 		total, free := 0, 0
 		for server := range i.router.Healthy(service.Name) {
-			slots := server.Load().Slots
+			slots := server.SlotCount()
 			if slots == 0 {
-				slots = max(server.Slots, assumedSlots)
+				slots = assumedSlots
 			}
 			total += slots
 			free += max(slots-max(server.Load().Running+server.Load().Waiting, server.InFlight()), 0)
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -294,3 +294,28 @@
 		f.Assert(a.ID, qt.Not(qt.Equals), "inner")
 	}
 }
+
+// TestEvacuatedZone checks that servers of a zone under evacuation get nothing,
+// that the work goes to another region meanwhile, and that it comes back
+// afterwards.
+func TestEvacuatedZone(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("stock", "safe", "orders"))
+	here, there := f.server("orders", "cairo-a", 0), f.server("orders", "alex-a", 0)
+	n := f.start(f.settings("cairo")).knows(1)
+	f.start(f.settings("alex")).knows(1)
+	f.eventually("the other region", func() bool { return len(n.roster.In("alex")) == 1 })
+	f.store.Put("op/evacuate/cairo-a", "{}")
+	f.eventually("evacuated", func() bool { return !n.registry.Of("orders")[0].Accepts() })
+	before := len(here.Arrivals())
+	for i := range 10 {
+		got := n.send(n.request("GET", "/stock/", fmt.Sprintf("id-%d", i), ""))
+		f.Assert(got.status, qt.Equals, http.StatusOK)
+		f.Assert(got.body, qt.Contains, there.ID)
+	}
+	f.Assert(here.Arrivals(), qt.HasLen, before)
+	f.store.Delete("op/evacuate/cairo-a")
+	f.eventually("taken back", func() bool { return n.registry.Of("orders")[0].Accepts() })
+	f.Assert(n.send(n.request("GET", "/stock/", "id-x", "")).body, qt.Contains, here.ID)
+}
--- a/routing/plugins.go
+++ b/routing/plugins.go
@@ -116,7 +116,7 @@
 // slotWait returns the expected wait for a slot of the server's batch. With
 // all slots held one is freed each hold/slots on average.
 func slotWait(server *backend.Server, occupied float64) time.Duration {
-	slots := float64(max(server.Load().Slots, 1))
+	slots := float64(max(server.SlotCount(), 1))
 	ahead := occupied - slots + 1
 	if ahead <= 0 {
 		return 0
@@ -162,7 +162,7 @@
 // penalized returns the cost with the penalty for held slots and less the
 // bonus.
 func (c *Candidate) penalized(full time.Duration) time.Duration {
-	slots := c.Server.Load().Slots
+	slots := c.Server.SlotCount()
 	if slots == 0 {
 		return c.Cost - c.Bonus
 	}
@@ -184,7 +184,7 @@
 // overBound reports whether a server is too loaded to attract requests by its
 // cache. A server with half of its slots free is not.
 func overBound(c *Candidate, mean float64) bool {
-	return 2*c.Occupied > float64(c.Server.Load().Slots) && c.Occupied > affinityBound*mean+1
+	return 2*c.Occupied > float64(c.Server.SlotCount()) && c.Occupied > affinityBound*mean+1
 }
 
 // maxSharers bounds the number of instances that are taken to share servers.
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -165,7 +165,7 @@
 	if !s.hysteresis(now, req, true, true) {
 		return false
 	}
-	choice := s.choose(now, req, Decision{}, remainingTarget(now, req), r)
+	choice := s.choose(now, req, Decision{}, remainingTarget(now, req), r, false)
 	return choice.summary.Region != "" && !choice.blind
 }
 
@@ -179,8 +179,9 @@
 
 // choose finds the region with the least expected time to first token among
 // those that meet the target. With no local server left, a region of unknown
-// load is better than a refusal.
-func (s *Spiller) choose(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router) choice {
+// load is better than a refusal. full admits regions whose free slots this
+// instance has used up since their summary.
+func (s *Spiller) choose(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router, full bool) choice {
 	best := choice{why: SpillNoRegion}
 	blind := ""
 	for _, region := range r.Regions.Reachable() {
@@ -192,7 +193,7 @@
 			blind = region
 			continue
 		}
-		cost, worth := s.worth(now, req, local, next, remaining)
+		cost, worth := s.worth(now, req, local, next, remaining, full)
 		if !worth {
 			best.why = SpillNotBetter
 		} else if best.summary.Region == "" || cost < best.cost {
@@ -209,10 +210,10 @@
 // best sends the request to the best region, if there is one and its ramp and
 // the link allow it.
 func (s *Spiller) best(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router) Decision {
-	choice := s.choose(now, req, local, remaining, r)
+	choice := s.choose(now, req, local, remaining, r, false)
 	stuck := s.Late && local.Server == nil
 	if choice.summary.Region == "" && stuck {
-		choice = s.choose(now, req, local, req.Deadline.Sub(now), r)
+		choice = s.choose(now, req, local, req.Deadline.Sub(now), r, true)
 	}
 	if choice.summary.Region == "" {
 		local.Spill = choice.why
@@ -240,9 +241,12 @@
 
 // worth returns the cost of a region and whether sending the request there is
 // worth it.
-func (s *Spiller) worth(now time.Time, req *Request, local Decision, summary RegionSummary, remaining time.Duration) (time.Duration, bool) {
+func (s *Spiller) worth(now time.Time, req *Request, local Decision, summary RegionSummary, remaining time.Duration, full bool) (time.Duration, bool) {
 	cost, met := s.remoteCost(req, summary, remaining)
-	if !met || summary.Servers == 0 || s.claimed(summary) >= s.free(summary, now.Sub(summary.At)) {
+	if !met || summary.Servers == 0 {
+		return cost, false
+	}
+	if !full && s.claimed(summary) >= s.free(summary, now.Sub(summary.At)) {
 		return cost, false
 	}
 	return cost, local.Server == nil || cost < local.Cost
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -72,7 +72,7 @@
 		if !r.usable(now, req, server) {
 			continue
 		}
-		slots := max(server.Load().Slots, 1)
+		slots := max(server.SlotCount(), 1)
 		summary.Servers++
 		summary.Slots += slots
 		summary.FreeSlots += max(0, slots-server.Occupied())
