Learn the fixed time of a call before the rate is known, and drop what nothing uses

A service of short prompts alone learned nothing.

Fields, methods and settings without a reader are gone.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -80,12 +80,11 @@
 // next sample instead of averaged with it.
 const staleRate = 30 * time.Second
 
-// learnBase learns the fixed time of a call from a short prompt.
+// learnBase learns the fixed time of a call from a short prompt. Until the rate
+// is known, its prefill counts as fixed too.
 func (s *Server) learnBase(elapsed float64, tokens int) {
 	if rate := s.rate.value(); rate > 0 {
 		elapsed -= float64(tokens) / rate
-	} else if tokens > 0 {
-		return
 	}
 	if elapsed > 0 {
 		s.base.add(elapsed)
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -151,11 +151,6 @@
 	Callers map[string]Limits     `json:"callers,omitempty"`
 	Engine  *EngineState          `json:"engine,omitempty"` // wanted state of its engines; nil: not managed
 	Warmup  Warmup                `json:"warmup,omitzero"`
-	// MaxConns is the number of connections that a backend server accepts from
-	// all instances together; 0: not stated.
-	MaxConns   int    `json:"max_conns,omitempty"`
-	HealthPath string `json:"health_path,omitempty"` // of the health check, or ""
-	Memory     int    `json:"memory,omitempty"`      // tokens that fit the KV cache of an engine; 0: not stated
 }
 
 // Warmup bounds what a backend server with cold caches may be sent.
--- a/catalog/route.go
+++ b/catalog/route.go
@@ -59,9 +59,6 @@
 	return nil
 }
 
-// Hosts returns whether any route has the host.
-func (r Routes) Hosts(host string) bool { return len(r[normalHost(host)]) > 0 }
-
 func normalHost(host string) string {
 	if name, _, found := strings.Cut(host, ":"); found {
 		host = name
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -132,7 +132,7 @@
 		Reread:  rereadWeight, Crowding: crowdingWeight,
 		Sample: sampleSize,
 		Spill: &routing.Spiller{
-			Summaries: i.summaries, Share: i.share, Late: true, Part: spillPart, Enter: spillEnter, Leave: spillLeave, RampStart: rampStart,
+			Summaries: i.summaries, Share: i.share, Late: true, Turnover: true, Part: spillPart, Enter: spillEnter, Leave: spillLeave, RampStart: rampStart,
 		},
 	}
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -48,8 +48,9 @@
 	// that an idle connection is closed by its caller.
 	idleTimeout    = time.Minute
 	maxHeaderBytes = 32 << 10
-	queueEntries   = 1024
-	callerParts    = 1 // the platform does not name callers
+	queueEntries   = 1024 // requests of one service and rank that wait
+	// bodyPart is the part of the memory for request bodies.
+	bodyPart = 8
 )
 
 // memberPrefix begins the keys of the instances in the store.
@@ -112,12 +113,13 @@
 		table:     &catalog.Table{},
 		registry:  backend.NewRegistry(),
 		queue: admission.NewQueue(admission.Bounds{
-			Entries: queueEntries, CallerEntries: queueEntries / callerParts,
-			Bytes: settings.MemoryBytes / 8, CallerBytes: settings.MemoryBytes / 8 / callerParts,
+			// The platform does not name callers, so that one has the whole queue.
+			Entries: queueEntries, CallerEntries: queueEntries,
+			Bytes: settings.MemoryBytes / bodyPart, CallerBytes: settings.MemoryBytes / bodyPart,
 		}, rand.Uint64()),
 		guard: overload.NewGuard(overload.Limits{
 			InFlight:  int64(max(settings.MaxFiles-reservedFiles, reservedFiles) / filesPerRequest),
-			BodyBytes: settings.MemoryBytes / 8,
+			BodyBytes: settings.MemoryBytes / bodyPart,
 			HeapBytes: int64(float64(settings.MemoryBytes) * heapPart),
 		}),
 		summaries: &routing.SummaryTable{},
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,8 +40,8 @@
 	"Content-Length": true, AttemptHeader: true, outcome.Header: true, outcome.RequestIDHeader: true,
 }
 
-// CopyHeader copies the end-to-end headers of an answer.
-func CopyHeader(to, from http.Header) {
+// copyEndToEnd copies the end-to-end headers of an answer.
+func copyEndToEnd(to, from http.Header) {
 	for name, values := range from {
 		if !hopByHop[name] {
 			to[name] = values
@@ -92,7 +92,7 @@
 // called once that answer is certain: no other one takes its place.
 func (a *Answer) copyHeader(resp *http.Response) {
 	header := a.Writer.Header()
-	CopyHeader(header, resp.Header)
+	copyEndToEnd(header, resp.Header)
 	if !a.Direct {
 		header.Set(outcome.RequestIDHeader, a.RequestID)
 		return
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -1,9 +1,6 @@
 package retry
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // Budgets holds a budget for each service, of which the instances that share it
 // have equal parts. It is safe for concurrent use.
@@ -52,11 +49,3 @@
 	b.Burst = burst
 	b.level = min(b.level, burst)
 }
-
-// Level returns the retries left.
-func (b *Budget) Level(now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.fill(now)
-	return b.level
-}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -226,15 +226,6 @@
 	}
 }
 
-// Failed records that an instance could not be reached.
-func (r *Roster) Failed(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if m := r.members[id]; m != nil {
-		m.failed = true
-	}
-}
-
 // live reports whether an instance is believed to take requests. r.mu is held.
 func (r *Roster) live(m *member, away bool) bool {
 	if m.ID == r.Self.ID {
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -57,6 +57,9 @@
 	// target is missed everywhere. The ramp does not hold it back: there is no
 	// other place for it.
 	Late bool
+	// Turnover counts slots that have become free since a summary as free. It
+	// suits short work; for long answers the summary itself is the safer bound.
+	Turnover bool
 	// Share returns this instance's part of what its region may send, 0..1.
 	// Nil stands for the whole.
 	Share func() float64
@@ -262,10 +265,10 @@
 }
 
 // free returns the slots of a region that this instance may use until the next
-// summary: those that were free, and those that have become free since. The other instances of its region use the same summary.
+// summary: those that were free and, with Turnover, those that have become free since. The other instances of its region use the same summary.
 func (s *Spiller) free(summary RegionSummary, age time.Duration) int {
 	free := float64(summary.FreeSlots)
-	if summary.Hold > 0 {
+	if s.Turnover && summary.Hold > 0 {
 		free += float64(summary.Slots) * float64(age) / float64(summary.Hold)
 	}
 	return int(math.Ceil(free * s.share()))
