--- a/backend/server.go
+++ b/backend/server.go
@@ -57,7 +57,6 @@
 	leaving  atomic.Bool
 	rate     average      // prefill rate, tokens per second
 	rateAt   atomic.Int64 // when the rate was last learned, in nanoseconds
-	longAt   atomic.Int64 // when it was last learned from a long prompt, in nanoseconds
 	hold     average      // time a slot is held, seconds
 	base     average      // time to first byte of a request without a prompt, seconds
 	health   Health
