Split the controllers of the hosted instance by job, and log unreadable entries

Cause: one file held the controllers, the directory, draining and the log adapters; an entry of an instance that cannot be read was skipped without a line; the package page of routing did not tell the bonus and when a request leaves.

Change: moves, comments, one observer method. No decision changes.

--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -2,43 +2,33 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 	"time"
 
-	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiastack/fuchsiastack/admission"
 	"github.com/fuchsiastack/fuchsiastack/overload"
-	"github.com/fuchsiastack/fuchsiastack/platform"
-	"github.com/fuchsiastack/fuchsiastack/roster"
 )
 
 const (
 	maxBodyBytes = 16 << 20 // the configuration sets the bound below it
-	bodyTimeout  = 15 * time.Second
+	// bodyTimeout exceeds the deadlines of requests: it ends callers that send
+	// nothing at all.
+	bodyTimeout = 15 * time.Second
+	// writeTimeout exceeds the pause after which callers give up themselves.
 	writeTimeout = 10 * time.Second
 
-	// directoryTTL is short, so that callers leave an instance that drains
-	// before it ends, also those that keep an answer three times as long.
-	directoryTTL  = time.Second
-	maxDirectory  = 64
-	minZoneAddrs  = 2 // fewer instances of one zone are not named alone
-	assumedSlots  = 4 // of a backend server that has told nothing
+	assumedSlots = 4 // of a backend server that has told nothing
+	// slotsInterval is about the time that plain services take for a request.
 	slotsInterval = 100 * time.Millisecond
+	// stateInterval is short against the time that a vanished server is kept.
 	stateInterval = 250 * time.Millisecond
-	askInterval   = 500 * time.Millisecond
-
-	// noticeTime is how long a draining instance takes new connections: callers
-	// keep an answer of the directory for three times its life.
-	noticeTime = 3*directoryTTL + 500*time.Millisecond
-	// stopReserve is left of the time until the process is killed.
-	stopReserve  = 700 * time.Millisecond
-	leaveTimeout = 500 * time.Millisecond
+	// askInterval is the age that a summary of another region may have: a few
+	// round trips.
+	askInterval = 500 * time.Millisecond
 )
 
 // startControllers runs every controller until ctx ends.
@@ -149,106 +139,3 @@
 		}
 	}
 }
-
-func (i *Instance) newRoster() *roster.Roster {
-	s := i.settings
-	return &roster.Roster{
-		Self: roster.Instance{
-			ID: s.Instance, Started: time.Now().UnixMilli(), Region: s.Region, Zone: s.Zone,
-			CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr,
-		},
-		Leases: i.store, Prefix: memberPrefix, Ask: i.askAlive, Observer: rosterLog{i.log},
-	}
-}
-
-// answerDirectory names the instances that a caller may use: those of its zone
-// if there are several, else those of its region, else all.
-func (i *Instance) answerDirectory(w http.ResponseWriter, r *http.Request) {
-	question := platform.ReadDirectoryQuestion(r)
-	live := i.roster.Live()
-	var inZone, inRegion, all []string
-	for _, other := range live {
-		all = append(all, other.CallerAddr)
-		if other.Region == question.Region {
-			inRegion = append(inRegion, other.CallerAddr)
-		}
-		if other.Zone == question.Zone {
-			inZone = append(inZone, other.CallerAddr)
-		}
-	}
-	addrs := all
-	switch {
-	case len(inZone) >= minZoneAddrs:
-		addrs = inZone
-	case len(inRegion) > 0:
-		addrs = inRegion
-	}
-	if err := platform.WriteDirectoryAnswer(w, addrs[:min(len(addrs), maxDirectory)], min(directoryTTL, i.settings.Bounds.MaxTTL)); err != nil {
-		i.log.Warn().Str("event", "directory_answer_failed").Err(err).Msg("")
-	}
-}
-
-// drain leaves the directory, serves what still arrives until no caller knows
-// the instance any more, and ends what is in flight.
-func (i *Instance) drain(l *listeners) {
-	begun := time.Now()
-	i.draining.Store(true)
-	i.log.Info().Str("event", "draining").Int64("in_flight", i.guard.Held().InFlight).Msg("")
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	if err := i.roster.Leave(ctx); err != nil {
-		i.log.Warn().Str("event", "leave_failed").Err(err).Msg("")
-	}
-	cancel()
-	deadline := begun.Add(i.settings.Bounds.StopTime - stopReserve)
-	time.Sleep(time.Until(begun.Add(min(noticeTime, i.settings.Bounds.StopTime/2))))
-	end, stop := context.WithDeadline(context.Background(), deadline)
-	defer stop()
-	shutdown(end, l.callers)
-	shutdown(end, l.others)
-	i.log.Info().Str("event", "stopped").Int64("in_flight", i.guard.Held().InFlight).Dur("drain", time.Since(begun)).Msg("")
-}
-
-// shutdown ends servers after what they have in flight, or when ctx ends.
-func shutdown(ctx context.Context, servers []*http.Server) {
-	var group sync.WaitGroup
-	for _, server := range servers {
-		group.Go(func() {
-			if server.Shutdown(ctx) != nil {
-				server.Close()
-			}
-		})
-	}
-	group.Wait()
-}
-
-// sourceLog logs the loss and the return of the store.
-type sourceLog struct{ log *log.Logger }
-
-// SourceLost implements mirror.Observer.
-func (l sourceLog) SourceLost(err error) {
-	l.log.Warn().Str("event", "store_lost").Err(err).Msg("")
-}
-
-// SourceBack implements mirror.Observer.
-func (l sourceLog) SourceBack(revision uint64, away time.Duration) {
-	l.log.Info().Str("event", "store_back").Uint64("store_revision", revision).Dur("away", away).Msg("")
-}
-
-// rosterLog logs changes of the belief about instances.
-type rosterLog struct{ log *log.Logger }
-
-// InstanceSeen implements roster.Observer.
-func (l rosterLog) InstanceSeen(instance roster.Instance, listed bool) {
-	l.log.Info().Str("event", "instance_seen").Str("peer", instance.ID).Str("region", instance.Region).
-		Int64("started", instance.Started).Bool("listed", listed).Msg("")
-}
-
-// InstanceGone implements roster.Observer.
-func (l rosterLog) InstanceGone(instance roster.Instance, cause error) {
-	l.log.Info().Str("event", "instance_gone").Str("peer", instance.ID).Str("region", instance.Region).Err(cause).Msg("")
-}
-
-// RegistrationFailed implements roster.Observer.
-func (l rosterLog) RegistrationFailed(err error) {
-	l.log.Warn().Str("event", "registration_failed").Err(err).Msg("")
-}
--- /dev/null
+++ b/hosted/observers.go
@@ -0,0 +1,46 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/fuchsiastack/fuchsiastack/roster"
+)
+
+// sourceLog logs the loss and the return of the store.
+type sourceLog struct{ log *log.Logger }
+
+// SourceLost implements mirror.Observer.
+func (l sourceLog) SourceLost(err error) {
+	l.log.Warn().Str("event", "store_lost").Err(err).Msg("")
+}
+
+// SourceBack implements mirror.Observer.
+func (l sourceLog) SourceBack(revision uint64, away time.Duration) {
+	l.log.Info().Str("event", "store_back").Uint64("store_revision", revision).Dur("away", away).Msg("")
+}
+
+// rosterLog logs changes of the belief about instances.
+type rosterLog struct{ log *log.Logger }
+
+// InstanceSeen implements roster.Observer.
+func (l rosterLog) InstanceSeen(instance roster.Instance, listed bool) {
+	l.log.Info().Str("event", "instance_seen").Str("peer", instance.ID).Str("region", instance.Region).
+		Int64("started", instance.Started).Bool("listed", listed).Msg("")
+}
+
+// InstanceGone implements roster.Observer.
+func (l rosterLog) InstanceGone(instance roster.Instance, cause error) {
+	l.log.Info().Str("event", "instance_gone").Str("peer", instance.ID).Str("region", instance.Region).Err(cause).Msg("")
+}
+
+// RegistrationFailed implements roster.Observer.
+func (l rosterLog) RegistrationFailed(err error) {
+	l.log.Warn().Str("event", "registration_failed").Err(err).Msg("")
+}
+
+// EntryUnreadable implements roster.Observer.
+func (l rosterLog) EntryUnreadable(key string, err error) {
+	l.log.Warn().Str("event", "instance_unreadable").Str("key", key).Err(err).Msg("")
+}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -268,3 +268,15 @@
 		}
 	}
 }
+
+// newRoster returns the roster with this instance in it.
+func (i *Instance) newRoster() *roster.Roster {
+	s := i.settings
+	return &roster.Roster{
+		Self: roster.Instance{
+			ID: s.Instance, Started: time.Now().UnixMilli(), Region: s.Region, Zone: s.Zone,
+			CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr,
+		},
+		Leases: i.store, Prefix: memberPrefix, Ask: i.askAlive, Observer: rosterLog{i.log},
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -305,8 +305,8 @@
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
-			changes, revision, err := peer(ctx, m.Revision())
-			if err == nil {
+			// An instance that does not answer is noticed by whoever lists them.
+			if changes, revision, err := peer(ctx, m.Revision()); err == nil {
 				m.Apply(changes, revision)
 			}
 		})
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -50,6 +50,7 @@
 	InstanceSeen(instance Instance, listed bool)
 	InstanceGone(instance Instance, cause error)
 	RegistrationFailed(err error)
+	EntryUnreadable(key string, err error)
 }
 
 // Roster follows the instances and registers one of them. Its methods are safe
@@ -91,7 +92,8 @@
 	for _, e := range entries {
 		var instance Instance
 		if err := json.Unmarshal(e.Value, &instance); err != nil || instance.ID == "" {
-			continue // written by something else
+			r.Observer.EntryUnreadable(e.Key, err)
+			continue
 		}
 		listed[instance.ID] = true
 		m := r.members[instance.ID]
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -88,9 +88,10 @@
 
 type silent struct{}
 
-func (silent) InstanceSeen(Instance, bool)  {}
-func (silent) InstanceGone(Instance, error) {}
-func (silent) RegistrationFailed(error)     {}
+func (silent) InstanceSeen(Instance, bool)   {}
+func (silent) InstanceGone(Instance, error)  {}
+func (silent) RegistrationFailed(error)      {}
+func (silent) EntryUnreadable(string, error) {}
 
 // world is an instance and another one that may be dead.
 type world struct {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,7 +1,19 @@
 // Package routing decides which backend server runs a request, or which other
-// region it is sent to. A decision samples a few candidates, filters them,
-// scores them by their expected time to first token and picks one. The package
-// does no I/O; time and randomness are passed in.
+// region it is sent to. The package does no I/O; time and randomness are passed
+// in.
+//
+// A decision draws a few candidates: servers that may have the prompt's prefix
+// cached, those at the prefix's place on a hash ring, and some at random. Filters
+// remove those that must not or should not be used; a cold server counts only
+// within its warm-up bound. The scorer estimates the time to first token: the wait
+// for a slot, the prompts that are still to be computed there, and the uncached
+// part of the request's own. The picker takes the least, less a bonus for tokens
+// that need not be computed again and, for batch work, plus the time that the
+// prompt holds up answers in progress.
+//
+// The request leaves the region if a part of its target would pass here and
+// another region serves it sooner, the link included; if it cannot run here, it
+// goes to the region that serves it soonest.
 package routing
 
 import (
