--- a/daemon/controllers.go
+++ b/daemon/controllers.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 	"github.com/fuchsiastack/fuchsiastack/listing"
 )
 
@@ -14,32 +14,18 @@
 	group.Go(func() error { d.config.Run(ctx); return nil })
 	group.Go(func() error { d.orders.Keeper.Run(ctx); return nil })
 	group.Go(func() error { d.orders.Run(ctx); return nil })
-	group.Go(func() error { every(ctx, d.settings.ListInterval, d.readList); return nil })
-	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.loads.Round); return nil })
-	group.Go(func() error { every(ctx, d.settings.LoadInterval, d.updateSlots); return nil })
-	group.Go(func() error { every(ctx, tickInterval, d.tickLimits); return nil })
-	group.Go(func() error { every(ctx, d.settings.DirectoryTTL/3, d.register); return nil })
-	group.Go(func() error { every(ctx, evaluateInterval, d.evaluateServers); return nil })
+	group.Go(func() error { loop.Every(ctx, d.settings.ListInterval, d.readList); return nil })
+	group.Go(func() error { loop.Every(ctx, d.settings.LoadInterval, d.loads.Round); return nil })
+	group.Go(func() error { loop.Every(ctx, d.settings.LoadInterval, d.updateSlots); return nil })
+	group.Go(func() error { loop.Every(ctx, tickInterval, d.tickLimits); return nil })
+	group.Go(func() error { loop.Every(ctx, d.settings.DirectoryTTL/3, d.register); return nil })
+	group.Go(func() error { loop.Every(ctx, evaluateInterval, d.evaluateServers); return nil })
 	group.Go(func() error { d.members.Run(ctx); return nil })
 	group.Go(func() error { d.announceReady(ctx); return nil })
 	group.Go(func() error { d.carrier.Run(ctx); return nil })
 	d.startClaims(ctx, group)
 }
 
-// every calls f at once and then each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (d *Daemon) self() listing.Instance {
 	return listing.Instance{
 		ID:          d.settings.Instance,
@@ -59,11 +45,3 @@
 		d.log.Warn().Str("event", "register_failed").Err(err).Msg("")
 	}
 }
-
-// sleep waits for interval or until ctx ends.
-func sleep(ctx context.Context, interval time.Duration) {
-	select {
-	case <-time.After(interval):
-	case <-ctx.Done():
-	}
-}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 	"github.com/fuchsiastack/fuchsiastack/membership"
 )
 
@@ -33,7 +34,7 @@
 			return
 		}
 	}
-	sleep(ctx, d.settings.JoinDelay-time.Since(begun))
+	loop.Sleep(ctx, d.settings.JoinDelay-time.Since(begun))
 	d.joined.Store(true)
 	if !d.draining.Load() && ctx.Err() == nil {
 		d.register(ctx)
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiastack/fuchsiastack/admission"
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 	"github.com/fuchsiastack/fuchsiastack/overload"
 )
 
@@ -35,27 +36,13 @@
 func (i *Instance) startControllers(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { i.mirror.Run(ctx); return nil })
 	group.Go(func() error { i.registerWhenReady(ctx); return nil })
-	group.Go(func() error { every(ctx, slotsInterval, i.updateSlots); return nil })
-	group.Go(func() error { every(ctx, stateInterval, i.expire); return nil })
-	group.Go(func() error { every(ctx, askInterval, i.askSummaries); return nil })
+	group.Go(func() error { loop.Every(ctx, slotsInterval, i.updateSlots); return nil })
+	group.Go(func() error { loop.Every(ctx, stateInterval, i.expire); return nil })
+	group.Go(func() error { loop.Every(ctx, askInterval, i.askSummaries); return nil })
 	group.Go(func() error { i.reloads(ctx); return nil })
 	group.Go(func() error { i.followPrefill(ctx); return nil })
 }
 
-// every calls f at once and then each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // registerWhenReady enters the instance once callers may be sent to it.
 func (i *Instance) registerWhenReady(ctx context.Context) {
 	for !i.ready() && ctx.Err() == nil {
--- a/hosted/prefill.go
+++ b/hosted/prefill.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 )
 
 const (
@@ -25,7 +27,7 @@
 func (i *Instance) followPrefill(ctx context.Context) {
 	told := make(map[string]map[string]int) // by instance and backend server
 	next := 0
-	every(ctx, prefillInterval, func(ctx context.Context) {
+	loop.Every(ctx, prefillInterval, func(ctx context.Context) {
 		neighbors := i.neighbors()
 		for id := range told {
 			if _, live := neighbors[id]; !live {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 	"github.com/fuchsiastack/fuchsiastack/store"
 )
 
@@ -78,7 +79,7 @@
 		}
 		m.lost(err)
 		m.askPeers(ctx)
-		wait(ctx, retryDelay/2+rand.N(retryDelay))
+		loop.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
 	}
 }
 
@@ -101,7 +102,7 @@
 	}
 	m.Apply(changes, revision)
 	if len(changes) > 0 {
-		wait(ctx, settleTime)
+		loop.Sleep(ctx, settleTime)
 	}
 	return nil
 }
@@ -313,10 +314,3 @@
 	}
 	group.Wait()
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 	"github.com/fuchsiastack/fuchsiastack/store"
 )
 
@@ -88,7 +89,7 @@
 		if len(found) > 0 || !time.Now().Before(end) {
 			return found, revision, nil
 		}
-		wait(ctx, 10*time.Millisecond)
+		loop.Sleep(ctx, 10*time.Millisecond)
 		if ctx.Err() != nil {
 			return nil, 0, ctx.Err()
 		}
