--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,7 +99,7 @@
 	*qt.C
 	*leases
 	roster *Roster
-	dead   bool
+	dead   atomic.Bool
 }
 
 func inWorld(t *testing.T, test func(w *world)) {
@@ -108,7 +109,7 @@
 			Self: Instance{ID: "self", Region: "cairo"}, Leases: w.leases, Observer: silent{},
 			Away: func() time.Duration { return 0 },
 			Ask: func(context.Context, Instance) error {
-				if w.dead {
+				if w.dead.Load() {
 					return errors.New("no answer")
 				}
 				return nil
@@ -144,7 +145,7 @@
 		w.forget("other")
 		w.pass(10 * time.Second)
 		w.Assert(w.live(), qt.Equals, 2)
-		w.dead = true
+		w.dead.Store(true)
 		w.pass(trustTime + 2*askInterval)
 		w.Assert(w.live(), qt.Equals, 1)
 	})
