Undo a registration that leaving has overtaken

Ruled out: the order of the test's own steps; with the key written between, the new test fails each time.

Change: after it has entered, the roster looks whether it is leaving and ends the new lease. Test: TestLeaveOvertakesRegistration, failing first.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -147,11 +147,25 @@
 			return
 		}
 	}
-	if err = r.enter(ctx); err != nil {
+	if err = r.enter(ctx); err == nil {
+		err = r.undo(ctx)
+	}
+	if err != nil {
 		r.Observer.RegistrationFailed(err)
 	}
 }
 
+// undo ends a registration that Leave has overtaken.
+func (r *Roster) undo(ctx context.Context) error {
+	r.mu.Lock()
+	lease, leaving := r.lease, r.leaving
+	r.mu.Unlock()
+	if !leaving {
+		return nil
+	}
+	return r.Leases.Revoke(ctx, lease)
+}
+
 // enter writes the key under a new lease.
 func (r *Roster) enter(ctx context.Context) error {
 	value, err := json.Marshal(r.Self)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -24,6 +24,8 @@
 	keys   map[string]store.Entry
 	under  map[string]store.LeaseID
 	writes int
+	// entering is called before a key is written.
+	entering func()
 }
 
 func newLeases() *leases {
@@ -62,6 +64,9 @@
 }
 
 func (l *leases) Acquire(_ context.Context, key string, value []byte, id store.LeaseID) error {
+	if l.entering != nil {
+		l.entering()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.writes++
@@ -171,3 +176,19 @@
 		w.Assert(w.live(), qt.Equals, 1)
 	})
 }
+
+// TestLeaveOvertakesRegistration leaves while the instance enters itself again.
+// Its key must not stay.
+func TestLeaveOvertakesRegistration(t *testing.T) {
+	c := qt.New(t)
+	l := newLeases()
+	r := &Roster{Self: Instance{ID: "self"}, Leases: l, Observer: silent{}}
+	l.entering = func() {
+		l.entering = nil
+		c.Assert(r.Leave(context.Background()), qt.IsNil)
+	}
+	r.register(context.Background())
+	c.Assert(l.entries(), qt.HasLen, 0)
+	r.register(context.Background())
+	c.Assert(l.entries(), qt.HasLen, 0)
+}
