Log what the link carries, unanswered questions, and how late timers run

Each instance now writes one line a second: bytes in and out by purpose (callers, peers, servers, questions), questions asked, unanswered and answered, and the longest delay of a timer; the bytes and questions are counters at the metrics address too. The delay is taken from a loop that runs anyway, so that nothing wakes up for it. Questions get a transport of their own, as the counts go by connection. go test ./hosted passes.

--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -30,6 +30,9 @@
 	// askInterval is the age that a summary of another region may have: a few
 	// round trips.
 	askInterval = 500 * time.Millisecond
+	// trafficInterval is short against the time in which a link fills or a
+	// caller gives up.
+	trafficInterval = time.Second
 )
 
 // startControllers runs every controller until ctx ends.
@@ -39,6 +42,7 @@
 	group.Go(func() error { loop.Every(ctx, slotsInterval, i.updateSlots); return nil })
 	group.Go(func() error { loop.Every(ctx, stateInterval, i.expire); return nil })
 	group.Go(func() error { loop.Every(ctx, askInterval, i.askSummaries); return nil })
+	group.Go(func() error { loop.Every(ctx, trafficInterval, i.traffic.Report); return nil })
 	group.Go(func() error { i.reloads(ctx); return nil })
 	group.Go(func() error { i.followNeighbors(ctx); return nil })
 	group.Go(func() error { i.followRemote(ctx); return nil })
@@ -82,6 +86,7 @@
 // updateSlots gives the queue this instance's part of the slots of each
 // service.
 func (i *Instance) updateSlots(context.Context) {
+	i.traffic.Beat(time.Now(), slotsInterval)
 	i.guard.SetHeap(overload.ReadHeap())
 	snapshot := i.table.Current()
 	if snapshot == nil {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -81,6 +81,7 @@
 	queue     *admission.Queue
 	guard     *overload.Guard
 	admission *telemetry.Admission
+	traffic   *telemetry.Traffic
 	router    *routing.Router
 	ejector   *routing.Ejector
 	summaries *routing.SummaryTable
@@ -105,10 +106,14 @@
 	if err != nil {
 		return nil, err
 	}
+	traffic, err := telemetry.NewTraffic(logger, metrics)
+	if err != nil {
+		return nil, err
+	}
 	i := &Instance{
 		settings: settings, options: options, log: logger, lines: lines, metrics: metrics,
 		observer:  &telemetry.Observer{Log: logger, Metrics: metrics},
-		admission: observer,
+		admission: observer, traffic: traffic,
 		store:     platform.NewStore(settings.StoreAddr),
 		table:     &catalog.Table{},
 		registry:  backend.NewRegistry(),
@@ -125,8 +130,8 @@
 		summaries: &routing.SummaryTable{},
 		retry:     &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
-	i.transport = newTransport()
-	i.peers = &http.Client{Transport: i.transport}
+	i.transport = i.newTransport(telemetry.ForServers)
+	i.peers = &http.Client{Transport: i.newTransport(telemetry.ForQuestions)}
 	i.roster = i.newRoster()
 	i.servers = newServers(i)
 	i.mirror = &mirror.Mirror{
@@ -180,12 +185,13 @@
 		addr    string
 		handler http.Handler
 		list    *[]*http.Server
+		purpose telemetry.Purpose
 	}{
-		{i.settings.CallerAddr, handlers.callers, &l.callers},
-		{i.settings.PeerAddr, handlers.peers, &l.others},
-		{i.settings.ReadyAddr, handlers.ready, &l.others},
-		{i.settings.DirectoryAddr, handlers.directory, &l.others},
-		{i.metricsAddr(), i.metrics, &l.others},
+		{i.settings.CallerAddr, handlers.callers, &l.callers, telemetry.ForCallers},
+		{i.settings.PeerAddr, handlers.peers, &l.others, telemetry.ForPeers},
+		{i.settings.ReadyAddr, handlers.ready, &l.others, telemetry.ForCallers},
+		{i.settings.DirectoryAddr, handlers.directory, &l.others, telemetry.ForCallers},
+		{i.metricsAddr(), i.metrics, &l.others, telemetry.ForCallers},
 	} {
 		if s.addr == "" {
 			continue
@@ -199,7 +205,7 @@
 		}
 		*s.list = append(*s.list, server)
 		group.Go(func() error {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(i.traffic.Listener(listener, s.purpose)); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -25,6 +25,7 @@
 	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 	"github.com/fuchsiastack/fuchsiastack/store"
+	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
 // Paths of the calls among instances.
@@ -50,9 +51,9 @@
 	maxIdleConnsPerHost = 64
 )
 
-// newTransport returns the transport to backend servers and instances. Its
+// newTransport returns a transport to backend servers or instances. Its
 // connections notice a silent other end.
-func newTransport() *http.Transport {
+func (i *Instance) newTransport(purpose telemetry.Purpose) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
@@ -68,7 +69,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:         dispatch.GuardDial(dialer.DialContext),
+		DialContext:         dispatch.GuardDial(i.traffic.Dial(dialer.DialContext, purpose)),
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTime,
 		DisableCompression:  true,
@@ -167,13 +168,24 @@
 
 func (i *Instance) writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(v); err != nil {
+	text, err := json.Marshal(v)
+	if err == nil {
+		i.traffic.Answered(len(text))
+		_, err = w.Write(text)
+	}
+	if err != nil {
 		i.log.Warn().Str("event", "peer_answer_failed").Err(err).Msg("")
 	}
 }
 
 // ask calls another instance.
 func (i *Instance) ask(ctx context.Context, addr, path string, query url.Values, answer any) error {
+	err := i.question(ctx, addr, path, query, answer)
+	i.traffic.Asked(err)
+	return err
+}
+
+func (i *Instance) question(ctx context.Context, addr, path string, query url.Values, answer any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path+"?"+query.Encode(), http.NoBody)
 	if err != nil {
 		return err
--- /dev/null
+++ b/telemetry/traffic.go
@@ -0,0 +1,198 @@
+package telemetry
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Purpose is what bytes on the instance's link are for.
+type Purpose int
+
+const (
+	ForCallers   Purpose = iota // requests of callers and their answers
+	ForPeers                    // what other instances send and ask
+	ForServers                  // attempts at backend servers and other regions
+	ForQuestions                // this instance's questions to other instances
+	purposes
+)
+
+var purposeNames = [purposes]string{"callers", "peers", "servers", "questions"}
+
+// Traffic counts what an instance moves over its link, the questions among
+// instances, and how late its timers run. It tells a link that is full from a
+// processor that is used up. It is safe for concurrent use.
+type Traffic struct {
+	log      *log.Logger
+	received [purposes]atomic.Int64
+	sent     [purposes]atomic.Int64
+
+	asked         atomic.Int64
+	unanswered    atomic.Int64
+	answered      atomic.Int64
+	answeredBytes atomic.Int64
+
+	beat    atomic.Int64 // time of the last Beat, in ns
+	latest  atomic.Int64 // longest delay of a Beat since the last report, in ns
+	lastLog trafficCounts
+}
+
+// trafficCounts are the counters at one moment.
+type trafficCounts struct {
+	received, sent                             [purposes]int64
+	asked, unanswered, answered, answeredBytes int64
+}
+
+// NewTraffic registers the instruments.
+func NewTraffic(logger *log.Logger, metrics *Metrics) (*Traffic, error) {
+	t := &Traffic{log: logger}
+	meter := metrics.Meter()
+	bytes, err := meter.Int64ObservableCounter("fuchsia.link.bytes", metric.WithUnit("By"),
+		metric.WithDescription("Bytes over the link, by purpose and direction."))
+	if err != nil {
+		return nil, errors.Wrap(err, "create instrument")
+	}
+	questions, err := meter.Int64ObservableCounter("fuchsia.questions",
+		metric.WithDescription("Questions to other instances, by whether an answer came."))
+	if err != nil {
+		return nil, errors.Wrap(err, "create instrument")
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for p, name := range purposeNames {
+			purpose := attribute.String("purpose", name)
+			o.ObserveInt64(bytes, t.received[p].Load(), metric.WithAttributes(purpose, attribute.String("direction", "in")))
+			o.ObserveInt64(bytes, t.sent[p].Load(), metric.WithAttributes(purpose, attribute.String("direction", "out")))
+		}
+		unanswered := t.unanswered.Load()
+		o.ObserveInt64(questions, unanswered, metric.WithAttributes(attribute.Bool("answered", false)))
+		o.ObserveInt64(questions, t.asked.Load()-unanswered, metric.WithAttributes(attribute.Bool("answered", true)))
+		return nil
+	}, bytes, questions)
+	if err != nil {
+		return nil, errors.Wrap(err, "register callback")
+	}
+	return t, nil
+}
+
+// Asked counts a question to another instance and whether it failed.
+func (t *Traffic) Asked(err error) {
+	t.asked.Add(1)
+	if err != nil {
+		t.unanswered.Add(1)
+	}
+}
+
+// Answered counts the answer to a question of another instance.
+func (t *Traffic) Answered(bytes int) {
+	t.answered.Add(1)
+	t.answeredBytes.Add(int64(bytes))
+}
+
+// Beat is called by a loop each interval. It learns how late timers run.
+func (t *Traffic) Beat(now time.Time, interval time.Duration) {
+	last := t.beat.Swap(now.UnixNano())
+	if last == 0 {
+		return
+	}
+	late := now.UnixNano() - last - int64(interval)
+	for {
+		latest := t.latest.Load()
+		if late <= latest || t.latest.CompareAndSwap(latest, late) {
+			return
+		}
+	}
+}
+
+// Report writes one line on what has passed since the last one. It must not be
+// called concurrently.
+func (t *Traffic) Report(context.Context) {
+	now := t.counts()
+	last := t.lastLog
+	t.lastLog = now
+	entry := t.log.Info().Str("event", "traffic")
+	for p, name := range purposeNames {
+		entry = entry.Int64(name+"_in", now.received[p]-last.received[p]).Int64(name+"_out", now.sent[p]-last.sent[p])
+	}
+	entry.Int64("asked", now.asked-last.asked).Int64("unanswered", now.unanswered-last.unanswered).
+		Int64("answered", now.answered-last.answered).Int64("answered_bytes", now.answeredBytes-last.answeredBytes).
+		Dur("timers_late", time.Duration(t.latest.Swap(0))).Msg("")
+}
+
+func (t *Traffic) counts() trafficCounts {
+	c := trafficCounts{
+		asked: t.asked.Load(), unanswered: t.unanswered.Load(), answered: t.answered.Load(), answeredBytes: t.answeredBytes.Load(),
+	}
+	for p := range purposes {
+		c.received[p], c.sent[p] = t.received[p].Load(), t.sent[p].Load()
+	}
+	return c
+}
+
+// Listener returns l with its connections counted.
+func (t *Traffic) Listener(l net.Listener, purpose Purpose) net.Listener {
+	return &countedListener{Listener: l, traffic: t, purpose: purpose}
+}
+
+type countedListener struct {
+	net.Listener
+	traffic *Traffic
+	purpose Purpose
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.traffic.count(conn, l.purpose), nil
+}
+
+// Dial returns dial with its connections counted.
+func (t *Traffic) Dial(dial func(ctx context.Context, network, addr string) (net.Conn, error), purpose Purpose) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return t.count(conn, purpose), nil
+	}
+}
+
+func (t *Traffic) count(conn net.Conn, purpose Purpose) net.Conn {
+	return &countedConn{Conn: conn, received: &t.received[purpose], sent: &t.sent[purpose]}
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	received, sent *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// CloseWrite lets an HTTP server end its side before the connection.
+func (c *countedConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
