--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -114,9 +114,9 @@
 		settings: settings, options: options, log: logger, lines: lines, metrics: metrics,
 		observer:  &telemetry.Observer{Log: logger, Metrics: metrics},
 		admission: observer, traffic: traffic,
-		store:     platform.NewStore(settings.StoreAddr),
-		table:     &catalog.Table{},
-		registry:  backend.NewRegistry(),
+		store:    platform.NewStore(settings.StoreAddr),
+		table:    &catalog.Table{},
+		registry: backend.NewRegistry(),
 		queue: admission.NewQueue(admission.Bounds{
 			// The platform does not name callers, so that one has the whole queue.
 			Entries: queueEntries, CallerEntries: queueEntries,
