--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
+	"github.com/fuchsiastack/fuchsiastack/standin/thinlink"
 )
 
 // patience bounds the wait for something that must come about.
@@ -45,6 +46,7 @@
 	Service   string   `json:"service"`
 	Timeout   int      `json:"timeout-ms"`
 	Target    int      `json:"slo-ms"`
+	Pause     int      `json:"gap-slo-ms,omitempty"`
 	Attempts  int      `json:"attempts"`
 	Resumable bool     `json:"resumable"`
 	Homes     []string `json:"home-regions"`
@@ -82,6 +84,18 @@
 	return s
 }
 
+// serverBehind starts a backend server that instances reach over their link.
+func (f *fleet) serverBehind(link *thinlink.Link, service, zone string, events int) *hosting.Server {
+	f.count++
+	s := hosting.NewServer(fmt.Sprintf("i-%d", f.count), events)
+	f.Cleanup(s.Close)
+	f.Cleanup(s.CloseClientConnections)
+	addr, err := link.Outbound(s.Addr())
+	f.Assert(err, qt.IsNil)
+	f.store.Put(platform.ServerPrefix+s.ID, strings.Replace(s.Entry(service, zone, "ready"), s.Addr(), addr, 1))
+	return s
+}
+
 func (f *fleet) enter(s *hosting.Server, service, zone, state string) {
 	f.store.Put(platform.ServerPrefix+s.ID, s.Entry(service, zone, state))
 }
@@ -128,8 +142,14 @@
 
 // start runs an instance and waits until it is ready.
 func (f *fleet) start(settings *platform.Settings) *node {
+	return f.startBehind(settings, settings.PeerAddr)
+}
+
+// startBehind runs an instance that others reach at peerAddr.
+func (f *fleet) startBehind(settings *platform.Settings, peerAddr string) *node {
 	instance, err := New(settings, Options{LogLevel: "info"}, io.Discard)
 	f.Assert(err, qt.IsNil)
+	instance.roster.Self.PeerAddr = peerAddr
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Instance: instance, f: f, stop: cancel, done: make(chan struct{})}
 	go func() {
