Bound the answers that instances give each other by size and by link

Callers saw: servers worked on up to 1.1 s after they had left (GONE), on instances with a link of 10 Mbit/s. Cause: an answer to a question of another instance held all that had been placed since that one's last answered question, up to 4,096 placements of 62 bytes, with no bound on the sum. An answer that did not arrive within the question's timeout was asked for again in full, and by then was larger. So the more the link fell behind, the more was sent, and the close of an attempt waited behind it. Instances also began at the same name and so asked the same ones at the same time. Change: 256 placements are kept, those of 512 tokens or more, each told again after 2.5 s, packed as 16 bytes; prompts are told of 32 servers; answers on the own work take 0.05 of the link (settings, limits) and leave that work out beyond it; each instance begins to ask elsewhere. TestPlacementsAreBounded passes the digests to tell instead of their number; its check is the same.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -85,6 +85,7 @@
 	router    *routing.Router
 	ejector   *routing.Ejector
 	summaries *routing.SummaryTable
+	work      *workBudget
 	retry     *retry.Policy
 	peers     *http.Client
 	transport *http.Transport
@@ -127,8 +128,8 @@
 			BodyBytes: settings.MemoryBytes / bodyPart,
 			HeapBytes: int64(float64(settings.MemoryBytes) * heapPart),
 		}),
-		summaries: &routing.SummaryTable{},
-		retry:     &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
+		summaries: &routing.SummaryTable{}, work: newWorkBudget(settings.LinkRate),
+		retry: &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
 	i.transport = i.newTransport(telemetry.ForServers)
 	i.peers = &http.Client{Transport: i.newTransport(telemetry.ForQuestions)}
--- a/hosted/leave_test.go
+++ b/hosted/leave_test.go
@@ -44,6 +44,7 @@
 			fmt.Fprintf(&prefix, "%x:100,", i*parts+part)
 		}
 		req.Header.Set("Prefix-Hash", prefix.String()+"ffff:10")
+		req.Header.Set("Tokens", "3210,10")
 		f.Assert(n.send(req).status, qt.Equals, http.StatusOK)
 	}
 	gone := make(chan struct{})
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -34,6 +36,22 @@
 	statePath   = "/fuchsia/state"
 )
 
+// Bounds of what is told of this instance's work. Requests and the ends of
+// connections wait behind it where the link is thin.
+const (
+	// workPart is the part of the link that such answers may take.
+	workPart = 0.05
+	// workBurst is the time whose worth of bytes may be sent at once.
+	workBurst = time.Second
+	// assumedLinkRate stands for a link whose rate is not told, in bytes a second.
+	assumedLinkRate = 10e6 / 8
+	// maxPrefillServers bounds the backend servers whose prompts are told: those
+	// with the most, which others should avoid.
+	maxPrefillServers = 32
+	// placementBytes is the size of two numbers of 64 bits.
+	placementBytes = 16
+)
+
 const (
 	maxPeerAnswerBytes = 8 << 20
 	// mirrorPeerCount is how many instances are asked for changes at once.
@@ -94,9 +112,40 @@
 // workAnswer tells what an instance has sent to the backend servers of its
 // region.
 type workAnswer struct {
-	Prefill    prefill             `json:"prefill,omitempty"`
-	Placements []routing.Placement `json:"placements,omitempty"` // since the question before
-	Next       uint64              `json:"next"`                 // to ask from
+	Prefill    prefill    `json:"prefill,omitempty"`
+	Placements placements `json:"placements,omitempty"` // since the question before
+	Next       uint64     `json:"next"`                 // to ask from
+}
+
+// placements are written as the bytes of their numbers.
+type placements []routing.Placement
+
+// MarshalJSON implements json.Marshaler.
+func (p placements) MarshalJSON() ([]byte, error) {
+	text := make([]byte, 0, len(p)*placementBytes)
+	for _, placement := range p {
+		text = binary.LittleEndian.AppendUint64(text, placement.Server)
+		text = binary.LittleEndian.AppendUint64(text, placement.Digest)
+	}
+	return json.Marshal(text)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *placements) UnmarshalJSON(encoded []byte) error {
+	var text []byte
+	if err := json.Unmarshal(encoded, &text); err != nil {
+		return err
+	}
+	if len(text)%placementBytes != 0 {
+		return errors.New("placements: part of a number")
+	}
+	*p = make(placements, 0, len(text)/placementBytes)
+	for ; len(text) > 0; text = text[placementBytes:] {
+		*p = append(*p, routing.Placement{
+			Server: binary.LittleEndian.Uint64(text), Digest: binary.LittleEndian.Uint64(text[8:]),
+		})
+	}
+	return nil
 }
 
 // prefill is prompt tokens that were sent and are not computed, by backend
@@ -141,32 +190,80 @@
 			http.Error(w, "placements: want a number", http.StatusBadRequest)
 			return
 		}
-		answer.Work = &workAnswer{}
-		answer.Work.Placements, answer.Work.Next = i.router.Prefix.Since(number)
-		if r.URL.Query().Has("prefill") {
-			answer.Work.Prefill = i.ownPrefill()
+		if i.work.open() {
+			answer.Work = &workAnswer{}
+			answer.Work.Placements, answer.Work.Next = i.router.Prefix.Since(number)
+			if r.URL.Query().Has("prefill") {
+				answer.Work.Prefill = i.ownPrefill()
+			}
 		}
 	}
-	i.writeJSON(w, answer)
+	bytes := i.writeJSON(w, answer)
+	if answer.Work != nil {
+		i.work.spend(bytes)
+	}
 }
 
 // ownPrefill returns the prompts that this instance has sent to backend servers
-// and that are not computed.
+// and that are not computed, where there are most.
 func (i *Instance) ownPrefill() prefill {
-	own := make(prefill)
+	type waiting struct {
+		server string
+		tokens [catalog.RankCount]int
+		total  int
+	}
+	var all []waiting
 	for _, server := range i.registry.All() {
-		var tokens [catalog.RankCount]int
-		for rank := range tokens {
-			tokens[rank] = server.OwnPrefill(catalog.Rank(rank))
+		w := waiting{server: server.ID}
+		for rank := range w.tokens {
+			w.tokens[rank] = server.OwnPrefill(catalog.Rank(rank))
+			w.total += w.tokens[rank]
 		}
-		if tokens != ([catalog.RankCount]int{}) {
-			own[server.ID] = tokens
+		if w.total > 0 {
+			all = append(all, w)
 		}
 	}
+	if len(all) > maxPrefillServers {
+		slices.SortFunc(all, func(a, b waiting) int { return b.total - a.total })
+		all = all[:maxPrefillServers]
+	}
+	own := make(prefill, len(all))
+	for _, w := range all {
+		own[w.server] = w.tokens
+	}
 	return own
 }
 
-func (i *Instance) writeJSON(w http.ResponseWriter, v any) {
+// workBudget bounds the bytes of answers that tell of this instance's work.
+type workBudget struct {
+	rate float64 // bytes a second
+
+	mu     sync.Mutex
+	bucket routing.Bucket
+}
+
+func newWorkBudget(linkRate float64) *workBudget {
+	if linkRate <= 0 {
+		linkRate = assumedLinkRate
+	}
+	return &workBudget{rate: linkRate * workPart}
+}
+
+// open reports whether another answer may be sent. Its size is not known yet.
+func (b *workBudget) open() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bucket.Take(time.Now(), 0, b.rate, b.rate*workBurst.Seconds())
+}
+
+func (b *workBudget) spend(bytes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bucket.Spend(time.Now(), float64(bytes), b.rate, b.rate*workBurst.Seconds())
+}
+
+// writeJSON answers with v and returns the size of the answer.
+func (i *Instance) writeJSON(w http.ResponseWriter, v any) int {
 	w.Header().Set("Content-Type", "application/json")
 	text, err := json.Marshal(v)
 	if err == nil {
@@ -176,6 +273,7 @@
 	if err != nil {
 		i.log.Warn().Str("event", "peer_answer_failed").Err(err).Msg("")
 	}
+	return len(text)
 }
 
 // ask calls another instance.
--- a/hosted/work.go
+++ b/hosted/work.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"maps"
+	"math"
+	"math/rand/v2"
 	"net/url"
 	"slices"
 	"strconv"
@@ -91,7 +93,8 @@
 
 // run asks until ctx ends.
 func (f *workFollower) run(ctx context.Context) {
-	first := 0
+	// Each instance begins elsewhere, so that they do not all ask the same one.
+	first := rand.IntN(math.MaxInt32)
 	loop.Every(ctx, f.interval, func(ctx context.Context) {
 		addrs := f.addrs()
 		f.forget(addrs)
--- a/routing/placements.go
+++ b/routing/placements.go
@@ -7,26 +7,48 @@
 
 // Placement tells that a prompt with a prefix was sent to a server.
 type Placement struct {
-	Server uint64 `json:"server"` // key
-	Digest uint64 `json:"digest"`
+	Server uint64 // key
+	Digest uint64
 }
 
-// placementLimit bounds the placements that are kept for other instances: those
-// of some seconds at the highest rate of an instance.
-const placementLimit = 1 << 12
+const (
+	// placementLimit bounds the placements that are kept for other instances, and
+	// so the size of an answer: older ones are hints that are not worth their
+	// bytes.
+	placementLimit = 256
+	// minToldTokens is the least part of a prompt that others are told of: a
+	// shorter one is computed again sooner than anyone else learns of it.
+	minToldTokens = minFetchTokens
+	// retellInterval is the time after which others are told again that a server
+	// has a part: often enough that they do not take it for evicted.
+	retellInterval = remoteLife / 4
+)
 
 // placements are the last ones of this instance, in order.
 type placements struct {
 	mu   sync.Mutex
 	ring [placementLimit]Placement
-	next uint64 // number of the next one
+	next uint64              // number of the next one
+	told map[Placement]int64 // when those in the ring were added, in ns
 }
 
-func (p *placements) add(server uint64, digests []uint64) {
+func (p *placements) add(at time.Time, server uint64, digests []uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.told == nil {
+		p.told = make(map[Placement]int64, placementLimit)
+	}
 	for _, digest := range digests {
-		p.ring[p.next%placementLimit] = Placement{Server: server, Digest: digest}
+		placement := Placement{Server: server, Digest: digest}
+		if last, ok := p.told[placement]; ok && at.UnixNano()-last < int64(retellInterval) {
+			continue
+		}
+		slot := &p.ring[p.next%placementLimit]
+		if p.next >= placementLimit {
+			delete(p.told, *slot)
+		}
+		*slot = placement
+		p.told[placement] = at.UnixNano()
 		p.next++
 	}
 }
--- a/routing/placements_test.go
+++ b/routing/placements_test.go
@@ -42,7 +42,7 @@
 	c := qt.New(t)
 	x := NewPrefixIndex(0)
 	for i := range uint64(placementLimit + 10) {
-		x.addPrompt(start, i, []uint64{i}, 1)
+		x.addPrompt(start, i, []uint64{i}, []uint64{i})
 	}
 	list, next := x.Since(0)
 	c.Assert(next, qt.Equals, uint64(placementLimit+10))
@@ -50,6 +50,31 @@
 	c.Assert(list[0].Server, qt.Equals, uint64(10))
 }
 
+// TestPlacementsWorthTelling tells others of long parts only, and of each one
+// once in a while.
+func TestPlacementsWorthTelling(t *testing.T) {
+	c := qt.New(t)
+	registry := newRegistry(4, 64)
+	sender := newRouter(registry, 1)
+	sender.Prefix = NewPrefixIndex(0)
+	now := start
+	sender.Now = func() time.Time { return now }
+	req := &Request{
+		Service: testService, Work: testWork, PromptTokens: 9000,
+		Prefix: []uint64{1, 2, 3, 4}, PrefixTokens: []int{100, 6000, 7000, 9000}, Shared: 3,
+	}
+	server, _ := registry.Group(testService.Name).Ring(2)
+	told := []Placement{{server.Key, 2}, {server.Key, 3}}
+	sender.Dispatched(req, server)
+	sender.Dispatched(req, server)
+	list, next := sender.Prefix.Since(0)
+	c.Assert(list, qt.DeepEquals, told)
+	now = now.Add(retellInterval)
+	sender.Dispatched(req, server)
+	list, _ = sender.Prefix.Since(next)
+	c.Assert(list, qt.DeepEquals, told)
+}
+
 // TestUrgentPromptsPassOthers checks that the prompts of batch work do not
 // count for urgent work where servers compute that first.
 func TestUrgentPromptsPassOthers(t *testing.T) {
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -80,10 +80,10 @@
 	}
 }
 
-// addPrompt records a dispatch at the depths that are looked up. The first
-// blocks, as many as shared, are kept for other instances.
-func (x *PrefixIndex) addPrompt(at time.Time, server uint64, prefix []uint64, shared int) {
-	x.own.add(server, prefix[:min(shared, len(prefix))])
+// addPrompt records a dispatch at the depths that are looked up, and for other
+// instances those of its first blocks that are told.
+func (x *PrefixIndex) addPrompt(at time.Time, server uint64, prefix, told []uint64) {
+	x.own.add(at, server, told)
 	for _, depth := range depths {
 		if depth > len(prefix) {
 			return
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -401,10 +401,21 @@
 	return r.Warmup == nil || r.Warmup.Take(r.now(), req, server)
 }
 
+// told returns the digests of the shared parts that other instances are told of.
+func (r *Request) told() []uint64 {
+	shared := r.Prefix[:min(r.Shared, len(r.Prefix))]
+	for n := range shared {
+		if cachedTokens(r, n+1) >= minToldTokens {
+			return shared[n:]
+		}
+	}
+	return nil
+}
+
 // Dispatched tells the router that a request was sent to a server, so that
 // later requests with the same prefix may be sent there too.
 func (r *Router) Dispatched(req *Request, server *backend.Server) {
 	if r.Prefix != nil {
-		r.Prefix.addPrompt(r.now(), server.Key, req.Prefix, req.Shared)
+		r.Prefix.addPrompt(r.now(), server.Key, req.Prefix, req.told())
 	}
 }
