End a stream that has not begun when its caller has surely left

Callers saw: a server worked on for a caller of another region after that had left, as long as the close of its connection was on its way between two instances; without end, until the deadline, if the close was lost. Cause: the end of a forwarded request was known by a message only. The class: work that goes on until somebody says stop, though both sides could tell by their clocks. What has begun, and work without that time, is as before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -97,6 +97,9 @@
 	Streamed  bool          `json:"streamed,omitempty"`
 	Resumable bool          `json:"resumable,omitempty"`
 	MaxGap    time.Duration `json:"max_gap,omitempty"`
+	// Patience is how long a caller of streamed work waits for the first event
+	// before it leaves; 0: unknown.
+	Patience time.Duration `json:"patience,omitempty"`
 }
 
 // RunsIn reports whether the work may run in region.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -30,6 +30,11 @@
 // errOtherAttempt is the cause of an answer that carries another attempt's id.
 var errOtherAttempt = errors.New("the answer belongs to another attempt")
 
+// errNotBegun cancels a request whose caller has left, as its stream did not
+// begin in time. It does not depend on the close of the caller's connection,
+// which may be late or lost on the way.
+var errNotBegun = errors.New("the stream did not begin before its caller left")
+
 // Peers finds instances of other regions.
 type Peers interface {
 	// Peer returns the host:port of an instance in region for other instances,
@@ -85,15 +90,28 @@
 func (d *Dispatcher) Handle(x *filters.Exchange) *outcome.Error {
 	ctx, cancel := context.WithDeadline(x.Request.Context(), x.Deadline)
 	defer cancel()
+	ctx, began := untilBegun(ctx, x.FirstBy)
+	defer began()
 	r := &run{Dispatcher: d, ctx: ctx, x: x, req: RouteRequest(x), answer: &relay.Answer{
 		Writer: x.Writer, RequestID: x.ID, LastEventID: x.Request.Header.Get("Last-Event-ID"),
 		Direct: d.Direct && x.Hop == nil, Monotonic: d.Direct,
-		OnFirst: func() { d.Observer.FirstByte(x) },
+		OnFirst: func() { began(); d.Observer.FirstByte(x) },
 	}}
 	r.suspect.run = r
 	return r.attempts()
 }
 
+// untilBegun returns a context that is canceled at a time, if began has not been
+// called before. A zero time stands for never.
+func untilBegun(ctx context.Context, at time.Time) (_ context.Context, began func()) {
+	if at.IsZero() {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(time.Until(at), func() { cancel(errNotBegun) })
+	return ctx, func() { timer.Stop() }
+}
+
 // RouteRequest returns what routing needs to know of a request.
 func RouteRequest(x *filters.Exchange) *routing.Request {
 	return &routing.Request{
@@ -190,6 +208,9 @@
 	header.Set(filters.HopServiceHeader, x.Service.Name)
 	header.Set(filters.HopWorkHeader, x.Work.Name)
 	header.Set(filters.HopDeadlineHeader, strconv.FormatInt(time.Until(x.Deadline).Milliseconds(), 10))
+	if !x.FirstBy.IsZero() && !x.Started {
+		header.Set(filters.HopFirstByHeader, strconv.FormatInt(time.Until(x.FirstBy).Milliseconds(), 10))
+	}
 	header.Set(filters.HopStreamHeader, strconv.FormatBool(x.Stream))
 }
 
@@ -244,7 +265,7 @@
 		failure.Code = outcome.CodeDeadline
 		failure.Status = http.StatusGatewayTimeout
 	}
-	if errors.Is(err, context.Canceled) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, errNotBegun) {
 		failure.Code = outcome.CodeCanceled
 	}
 	return nil, failure
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -25,10 +25,13 @@
 	Work     catalog.Work
 	Path     string // path at the backend server
 	Deadline time.Time
-	Body     []byte
-	Stream   bool // the caller asked for a stream of events
-	Started  bool // the response has been started
-	Status   int  // of the answer that was passed on; 0: none
+	// FirstBy is when the caller has surely left if its stream has not begun;
+	// zero: unknown.
+	FirstBy time.Time
+	Body    []byte
+	Stream  bool // the caller asked for a stream of events
+	Started bool // the response has been started
+	Status  int  // of the answer that was passed on; 0: none
 
 	// Idempotency is the caller's idempotency key, or "".
 	Idempotency string
--- a/filters/hop.go
+++ b/filters/hop.go
@@ -19,6 +19,7 @@
 	HopServiceHeader  = hopPrefix + "Service"  // name of the service
 	HopWorkHeader     = hopPrefix + "Work"     // name of the work
 	HopDeadlineHeader = hopPrefix + "Deadline" // remaining time in milliseconds
+	HopFirstByHeader  = hopPrefix + "First-By" // remaining time in milliseconds until the caller has left if its stream has not begun, if known
 	HopStreamHeader   = hopPrefix + "Stream"   // "true" for a stream
 	HopRunsHeader     = hopPrefix + "Runs"     // backend servers that the request may still run on, if bounded
 )
@@ -77,6 +78,9 @@
 		return outcome.Refuse(http.StatusGatewayTimeout, outcome.CodeDeadline, "forwarded request has no time left")
 	}
 	x.Deadline = x.Received.Add(time.Duration(remaining) * time.Millisecond)
+	if firstBy, err := strconv.ParseInt(header.Get(HopFirstByHeader), 10, 64); err == nil {
+		x.FirstBy = x.Received.Add(time.Duration(firstBy) * time.Millisecond)
+	}
 	x.Caller = header.Get(HopCallerHeader)
 	x.Stream = header.Get(HopStreamHeader) == "true"
 	service, work, lookupErr := x.Snapshot.Resolve(header.Get(HopServiceHeader), header.Get(HopWorkHeader))
--- a/filters/hop_test.go
+++ b/filters/hop_test.go
@@ -12,9 +12,9 @@
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
-// TestHopCarriesRunsLeft checks that a request that has run elsewhere does not
-// begin its bound on backend servers anew in another region.
-func TestHopCarriesRunsLeft(t *testing.T) {
+// TestHopCarriesWhatIsLeft checks that a request does not begin its bound on
+// backend servers, nor its caller's patience, anew in another region.
+func TestHopCarriesWhatIsLeft(t *testing.T) {
 	c := qt.New(t)
 	work := catalog.Work{Name: "query", MaxServers: 3}
 	snapshot := &catalog.Snapshot{Services: map[string]*catalog.Service{
@@ -23,7 +23,7 @@
 	req := httptest.NewRequest(http.MethodPost, "/query/", http.NoBody)
 	for name, value := range map[string]string{
 		HopOriginHeader: "entry-1", HopRegionHeader: "cairo", HopServiceHeader: "drafts", HopWorkHeader: "query",
-		HopDeadlineHeader: "1000", HopRunsHeader: "1",
+		HopDeadlineHeader: "1000", HopRunsHeader: "1", HopFirstByHeader: "400",
 	} {
 		req.Header.Set(name, value)
 	}
@@ -31,5 +31,6 @@
 	refusal := AcceptHop{Instance: "entry-2", Region: "alex"}.Handle(x, func(*Exchange) *outcome.Error { return nil })
 	c.Assert(refusal == nil, qt.IsTrue)
 	c.Assert(x.Work.MaxServers, qt.Equals, 1)
+	c.Assert(x.FirstBy.Sub(x.Received), qt.Equals, 400*time.Millisecond)
 	c.Assert(snapshot.Services["drafts"].Work["query"].MaxServers, qt.Equals, 3)
 }
