Bound the header and the body of answers

A faulty server may send bytes that are no answer without end, in a header or a body, until its connection is closed. What callers would see: a body was read and passed on until the deadline (60 s if neither caller nor route states one), at the full rate of the link; a header up to 10 MB; up to 4 MB of each answer were held, with no bound on their sum. Change: a header has at most 64 KB and a body 16 MB, stated or counted, streams included. A larger answer ends the attempt as failed, its connection is closed, and the caller is told an error or cut. What is held until it is whole is reserved from the memory for bodies; without memory the answer is passed on as it comes. A cut answer of that kind now leaves a line 'request' (it left by a panic before the line).

--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -80,5 +80,7 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: dispatch.MaxAnswerHeadBytes,
 	}
 }
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -82,6 +82,7 @@
 		DigestKey:  d.routes.digestKey,
 		Link:       d.routes.link,
 		OwnerURL:   d.ownerURL,
+		Memory:     d.admission.guard,
 	}
 }
 
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -347,8 +347,11 @@
 // Read implements io.Reader. A cut answer is held back until the other
 // instances know of the crash: the caller may send the request again at once.
 func (b *watchedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
 	w := b.watch
+	if w.bytes > w.run.maxAnswerBytes() {
+		return 0, errTooLarge
+	}
+	n, err := b.ReadCloser.Read(p)
 	if n > 0 && w.bytes == 0 && w.run.beginsEarly() {
 		w.attempt.FirstToken(time.Now())
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,6 +27,17 @@
 // was asked has no room. Slots are held for about as long.
 const refusedRetryAfter = 200 * time.Millisecond
 
+// DefaultMaxAnswerBytes is well above the largest answer of a model or a plain
+// service.
+const DefaultMaxAnswerBytes = 16 << 20
+
+// MaxAnswerHeadBytes bounds the header of an answer. It is for the transport of a
+// Dispatcher.
+const MaxAnswerHeadBytes = 64 << 10
+
+// errTooLarge is the cause of an answer whose body exceeds MaxAnswerBytes.
+var errTooLarge = errors.New("the answer is larger than the bound")
+
 // errOtherAttempt is the cause of an answer that carries another attempt's id.
 var errOtherAttempt = errors.New("the answer belongs to another attempt")
 
@@ -79,6 +90,10 @@
 	Quarantine *quarantine.Table   // nil for none
 	DigestKey  quarantine.Key      // of the digests in Quarantine
 	Link       *routing.LinkBudget // nil for no cap on the links between regions
+	Memory     relay.Memory        // for answers that are held until they are whole; nil for no bound
+	// MaxAnswerBytes bounds the body of an answer. A larger one counts as without
+	// end, and is cut. 0 stands for DefaultMaxAnswerBytes.
+	MaxAnswerBytes int64
 	// Dial tells whether a backend server accepts connections; nil for TCP.
 	Dial func(ctx context.Context, addr string) error
 	// OwnerURL returns the URL for callers of the instance, or of one in the
@@ -94,7 +109,7 @@
 	defer began()
 	r := &run{Dispatcher: d, ctx: ctx, x: x, req: RouteRequest(x), answer: &relay.Answer{
 		Writer: x.Writer, RequestID: x.ID, LastEventID: x.Request.Header.Get("Last-Event-ID"),
-		Direct: d.Direct && x.Hop == nil, Monotonic: d.Direct,
+		Direct: d.Direct && x.Hop == nil, Monotonic: d.Direct, Memory: d.Memory,
 		OnFirst: func() { began(); d.Observer.FirstByte(x) },
 	}}
 	r.suspect.run = r
@@ -132,6 +147,13 @@
 	}
 }
 
+func (d *Dispatcher) maxAnswerBytes() int64 {
+	if d.MaxAnswerBytes > 0 {
+		return d.MaxAnswerBytes
+	}
+	return DefaultMaxAnswerBytes
+}
+
 // exchange sends the request to a backend server and relays the answer.
 func (d *Dispatcher) exchange(ctx context.Context, x *filters.Exchange, server *backend.Server, w *watch) *outcome.Error {
 	req, err := newRequest(w.trace(ctx), x, "http", server.Addr)
@@ -147,6 +169,9 @@
 	}
 	w.header(resp)
 	defer resp.Body.Close()
+	if resp.ContentLength > d.maxAnswerBytes() {
+		return outcome.Fail(outcome.CodeBackendFailed, errTooLarge, "the answer is too large")
+	}
 	answer := d.protocol().Answer(attempt, resp)
 	answer.learn(server)
 	switch {
@@ -278,6 +303,7 @@
 	x.Status = resp.StatusCode
 	result := answer.Copy(resp)
 	x.Started = x.Started || result.Started
+	x.Reset = x.Reset || result.Reset
 	if result.Outcome == outcome.Served {
 		return nil
 	}
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -32,6 +32,7 @@
 	Stream  bool // the caller asked for a stream of events
 	Started bool // the response has been started
 	Status  int  // of the answer that was passed on; 0: none
+	Reset   bool // only a reset tells the caller that the answer is not whole
 
 	// Idempotency is the caller's idempotency key, or "".
 	Idempotency string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,7 +67,7 @@
 		codec.WriteError(w, err, x.ID)
 	}
 	end(err)
-	if err != nil && x.Started && h.Abort {
+	if err != nil && x.Started && (h.Abort || x.Reset) {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -221,6 +221,9 @@
 	return req
 }
 
+// maxTestBytes bounds what a caller reads of an answer.
+const maxTestBytes = 64 << 20
+
 // caller asks for no encoding of its own.
 var caller = &http.Client{Transport: &http.Transport{DisableCompression: true}}
 
@@ -230,6 +233,6 @@
 		return answer{err: err}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxTestBytes))
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, closes: resp.Close}
 }
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -40,7 +40,7 @@
 	dispatcher := &dispatch.Dispatcher{
 		Instance: i.settings.Instance, Region: i.settings.Region, Router: i.router, Peers: regionPeers{i},
 		Transport: i.transport, PeerScheme: "http", Observer: i.observer, Protocol: platform.ServerProtocol{}, Direct: true,
-		Retry: i.retry, Ejector: i.ejector,
+		Retry: i.retry, Ejector: i.ejector, Memory: i.guard,
 	}
 	front := platform.Front{}
 	callers := &gateway.Handler{Chain: i.callerChain(front, dispatcher.Handle), Observer: i.observer, Codec: front, Abort: true}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -91,6 +91,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTime,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: dispatch.MaxAnswerHeadBytes,
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 
 const (
 	maxWholeBytes   = 4 << 20 // largest answer that is held until it is whole
+	holdPiece       = 32 << 10
 	eventStreamType = "text/event-stream"
 )
 
@@ -26,6 +27,16 @@
 	Started bool            // the caller's response has been started
 	Bytes   int64           // bytes of the answer sent to the caller
 	Err     error           // why the answer is not whole, or nil
+	// Reset means that only a reset tells the caller that the answer is not whole.
+	Reset bool
+}
+
+// Memory bounds what answers hold together.
+type Memory interface {
+	// Reserve takes some bytes, or reports false if they are not there.
+	Reserve(bytes int64) bool
+	// Return gives bytes back.
+	Return(bytes int64)
 }
 
 // AttemptHeader carries the id of an attempt to a backend server. A server that
@@ -59,6 +70,8 @@
 	// Direct passes the answer on as the backend server gave it, without the
 	// outcome: an answer that is not whole cuts the connection.
 	Direct bool
+	// Memory is for what is held until it is whole; nil for no bound.
+	Memory Memory
 	// Monotonic streams have rising event ids, which need not follow each other.
 	Monotonic bool
 
@@ -109,10 +122,11 @@
 }
 
 // copyWhole holds the answer until it is whole, so that a cut answer can
-// still become an error. A larger answer is streamed, and a cut one resets
-// the connection.
+// still become an error. A larger answer, or one for which there is no memory, is
+// passed on as it comes, and a cut one resets the connection.
 func (a *Answer) copyWhole(resp *http.Response) Result {
-	head, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeBytes))
+	held, whole, err := a.hold(resp.Body)
+	defer a.release(held)
 	if err != nil {
 		return Result{Outcome: outcome.MayHaveRun, Err: err}
 	}
@@ -125,18 +139,50 @@
 		a.Writer.Header().Set("Content-Length", length)
 	}
 	a.Writer.WriteHeader(resp.StatusCode)
-	written, err := a.Writer.Write(head)
+	written, err := a.Writer.Write(held.bytes)
 	if errors.Is(err, http.ErrBodyNotAllowed) {
 		err = nil
 	}
 	result := Result{Outcome: outcome.Served, Started: true, Bytes: int64(written), Err: err}
-	if err != nil || len(head) < maxWholeBytes {
+	if err != nil || whole {
 		return result
 	}
 	rest, err := io.Copy(a.Writer, resp.Body)
 	result.Bytes += rest
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		result.Outcome, result.Err, result.Reset = outcome.MayHaveRun, err, true
 	}
 	return result
 }
+
+// held is the beginning of an answer.
+type held struct {
+	bytes    []byte
+	reserved int64 // of Memory
+}
+
+// hold reads an answer to its end, or to where no more of it is held.
+func (a *Answer) hold(body io.Reader) (h held, whole bool, err error) {
+	var buffer bytes.Buffer
+	for buffer.Len() < maxWholeBytes {
+		n, err := io.CopyN(&buffer, body, holdPiece)
+		h.bytes = buffer.Bytes()
+		if errors.Is(err, io.EOF) {
+			return h, true, nil
+		}
+		if err != nil {
+			return h, false, err
+		}
+		if a.Memory != nil && !a.Memory.Reserve(n) {
+			return h, false, nil
+		}
+		h.reserved += n
+	}
+	return h, false, nil
+}
+
+func (a *Answer) release(h held) {
+	if a.Memory != nil {
+		a.Memory.Return(h.reserved)
+	}
+}
--- a/telemetry/traffic.go
+++ b/telemetry/traffic.go
@@ -80,6 +80,9 @@
 	return t, nil
 }
 
+// Received returns the bytes received for a purpose.
+func (t *Traffic) Received(purpose Purpose) int64 { return t.received[purpose].Load() }
+
 // Asked counts a question to another instance and whether it failed.
 func (t *Traffic) Asked(err error) {
 	t.asked.Add(1)
