Bound calls by their progress instead of by their whole answer

What would be seen: an instance that starts while the store is away, with a configuration of some hundred KB, never becomes ready behind a link of 10 Mbit/s. Change: such calls end when nothing of the answer has arrived for that time (internal/progress). Questions state their limit; the one for summaries of regions had none, so that an instance that accepts and never answers would have stopped the loop.

--- a/hosted/leave_test.go
+++ b/hosted/leave_test.go
@@ -148,3 +148,24 @@
 		f.Fatal("the backend server still works")
 	}
 }
+
+// TestNewcomerLearnsOverAThinLink guards against answers among instances that are
+// asked for again and again, as they take longer than the question may wait.
+func TestNewcomerLearnsOverAThinLink(t *testing.T) {
+	t.Parallel()
+	f, link := newFleet(t), thinLink(t)
+	routes := make([]route, 3000) // 0.8 MB as it is told, 0.6 s of the link
+	for i := range routes {
+		routes[i] = newRoute(fmt.Sprintf("stock-%d", i), "safe", "orders")
+	}
+	f.configure(3, routes...)
+	f.server("orders", "cairo-a", 0)
+	first := f.start(f.settings("cairo")).knows(1)
+	f.store.SetDown(true)
+	addr, err := link.Inbound(first.settings.PeerAddr)
+	f.Assert(err, qt.IsNil)
+	late := f.settings("cairo")
+	late.Seeds = []string{addr}
+	second := f.start(late).knows(1)
+	f.Assert(second.revision(), qt.Equals, uint64(3))
+}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -22,6 +22,7 @@
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/internal/progress"
 	"github.com/fuchsiastack/fuchsiastack/membership"
 	"github.com/fuchsiastack/fuchsiastack/mirror"
 	"github.com/fuchsiastack/fuchsiastack/roster"
@@ -54,6 +55,11 @@
 
 const (
 	maxPeerAnswerBytes = 8 << 20
+	// remoteTimeout bounds the time in which nothing of an answer of another region
+	// arrives: two round trips, as the connection may be new.
+	remoteTimeout = 400 * time.Millisecond
+	// aliveTimeout is longer, as an instance that does not answer counts as gone.
+	aliveTimeout = 700 * time.Millisecond
 	// mirrorPeerCount is how many instances are asked for changes at once.
 	mirrorPeerCount = 3
 	// warmupInstanceCount is how many instances use one cold server. Each has a
@@ -278,15 +284,24 @@
 	return len(text)
 }
 
+// question is a call of another instance.
+type question struct {
+	addr, path string
+	query      url.Values
+	limit      time.Duration // in which nothing of the answer arrives
+}
+
 // ask calls another instance.
-func (i *Instance) ask(ctx context.Context, addr, path string, query url.Values, answer any) error {
-	err := i.question(ctx, addr, path, query, answer)
+func (i *Instance) ask(ctx context.Context, q question, answer any) error {
+	err := i.call(ctx, q, answer)
 	i.traffic.Asked(err)
 	return err
 }
 
-func (i *Instance) question(ctx context.Context, addr, path string, query url.Values, answer any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path+"?"+query.Encode(), http.NoBody)
+func (i *Instance) call(ctx context.Context, q question, answer any) error {
+	ctx, timer := progress.WithTimeout(ctx, q.limit)
+	defer timer.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+q.addr+q.path+"?"+q.query.Encode(), http.NoBody)
 	if err != nil {
 		return err
 	}
@@ -295,7 +310,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerAnswerBytes))
+	text, err := io.ReadAll(io.LimitReader(timer.Reader(resp.Body), maxPeerAnswerBytes))
 	if err != nil {
 		return err
 	}
@@ -308,7 +323,7 @@
 // askAlive implements roster.Ask.
 func (i *Instance) askAlive(ctx context.Context, instance roster.Instance) error {
 	var answer stateAnswer
-	if err := i.ask(ctx, instance.PeerAddr, statePath, nil, &answer); err != nil {
+	if err := i.ask(ctx, question{instance.PeerAddr, statePath, nil, aliveTimeout}, &answer); err != nil {
 		return err
 	}
 	if answer.ID != instance.ID || answer.Started != instance.Started {
@@ -344,7 +359,7 @@
 		if addr != i.settings.PeerAddr {
 			peers = append(peers, func(ctx context.Context, since uint64) ([]store.Change, uint64, error) {
 				var answer changesAnswer
-				err := i.ask(ctx, addr, changesPath, url.Values{"since": {strconv.FormatUint(since, 10)}}, &answer)
+				err := i.ask(ctx, question{addr, changesPath, url.Values{"since": {strconv.FormatUint(since, 10)}}, remoteTimeout}, &answer)
 				return answer.Changes, answer.Revision, err
 			})
 		}
@@ -403,7 +418,7 @@
 		}
 		var answer stateAnswer
 		sent := time.Now()
-		if err := i.ask(ctx, addr, statePath, url.Values{"summaries": {"1"}}, &answer); err != nil {
+		if err := i.ask(ctx, question{addr, statePath, url.Values{"summaries": {"1"}}, remoteTimeout}, &answer); err != nil {
 			i.log.Debug().Str("event", "summary_failed").Str("region", region).Err(err).Msg("")
 			continue
 		}
--- a/hosted/work.go
+++ b/hosted/work.go
@@ -24,7 +24,6 @@
 	// remoteInterval is the time between two rounds of questions to instances of
 	// other regions: a few round trips.
 	remoteInterval = 500 * time.Millisecond
-	remoteTimeout  = 400 * time.Millisecond
 	// workPeers is how many instances are asked at an interval. With more of them
 	// each is asked less often.
 	workPeers = 3
@@ -124,14 +123,12 @@
 }
 
 func (f *workFollower) ask(ctx context.Context, id, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, f.timeout)
-	defer cancel()
 	query := url.Values{"placements": {strconv.FormatUint(f.from(id), 10)}}
 	if f.prefill {
 		query.Set("prefill", "1")
 	}
 	var answer stateAnswer
-	err := f.instance.ask(ctx, addr, statePath, query, &answer)
+	err := f.instance.ask(ctx, question{addr, statePath, query, f.timeout}, &answer)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.told[id]
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -26,14 +26,15 @@
 	settleTime = 200 * time.Millisecond
 	// retryDelay is the mean time between two tries after a failure.
 	retryDelay = 250 * time.Millisecond
-	// peerTimeout bounds a question to another instance.
-	peerTimeout = 400 * time.Millisecond
+	// peerTimeout bounds a question to another instance. One that does not answer
+	// ends sooner; this is for a large answer over a thin link.
+	peerTimeout = 5 * time.Second
 	// maxRemoved bounds the removed keys that are remembered.
 	maxRemoved = 8192
 )
 
 // Peer asks another instance for the changes after a revision, and for the
-// revision up to which it knows all.
+// revision up to which it knows all. It gives up soon if nothing arrives.
 type Peer func(ctx context.Context, since uint64) ([]store.Change, uint64, error)
 
 // Observer is told when the copy loses and regains its source.
