--- a/telemetry/traffic.go
+++ b/telemetry/traffic.go
@@ -15,6 +15,7 @@
 // Purpose is what bytes on the instance's link are for.
 type Purpose int
 
+// Purposes.
 const (
 	ForCallers   Purpose = iota // requests of callers and their answers
 	ForPeers                    // what other instances send and ask
