Begin the ramp to a region after it was away, not after it was unused

Cause: the ramp after a heal began anew when nothing had been sent to a region for 10 s, since the time at which its summaries were last seen was noted at a send only. So the first requests of each peak met a limit of one a second. Change: summaries tell since when they come without a break of 10 s; the ramp counts from there, or from the last failure.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -173,7 +173,7 @@
 	} else {
 		r.req.StayLocal = true
 		if r.Router.Spill != nil && end.unreachable && r.ctx.Err() == nil {
-			r.Router.Spill.Failed(decision.Region)
+			r.Router.Spill.Failed(time.Now(), decision.Region)
 		}
 	}
 	return retry.Try{
--- a/policybench/product/attempt.go
+++ b/policybench/product/attempt.go
@@ -104,7 +104,7 @@
 	}
 	r.route.StayLocal = true
 	if result.Code == outcome.CodeBackendFailed {
-		r.node.router.Spill.Failed(r.decision.Region)
+		r.node.router.Spill.Failed(r.node.now(), r.decision.Region)
 	}
 	r.again(result)
 }
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -86,8 +86,8 @@
 // channel limits what is sent to one region.
 type channel struct {
 	bucket Bucket
-	upAt   time.Time // when the region was first seen again
-	seenAt time.Time // when a fresh summary was last seen
+	upAt   time.Time // from which the ramp counts
+	failed time.Time // when it could last not be reached
 	sentAt time.Time // summary that sent counts against
 	sent   int       // requests sent since that summary
 }
@@ -290,11 +290,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.channel(summary.Region)
-	if c.seenAt.IsZero() || now.Sub(c.seenAt) > s.maxAge() {
-		c.upAt = now
-		c.bucket = Bucket{}
-	}
-	c.seenAt = now
+	c.seen(now, summary.Since)
 	rate := s.ramp(now.Sub(c.upAt)) * s.share()
 	if !c.bucket.Take(now, 1, rate, max(1, rate)) && !stuck {
 		return SpillRamp
@@ -308,10 +304,25 @@
 
 // Failed tells that a region could not be reached: what is sent there starts
 // again from the beginning of the ramp.
-func (s *Spiller) Failed(region string) {
+func (s *Spiller) Failed(now time.Time, region string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.channel(region).seenAt = time.Time{}
+	s.channel(region).failed = now
+}
+
+// seen begins the ramp anew if the region has been away: if its summaries have
+// come since a later time only, or if it has failed. A region that was merely not
+// needed has not been away. since is zero if there is no summary.
+func (c *channel) seen(now, since time.Time) {
+	if since.Before(c.failed) {
+		since = c.failed
+	}
+	switch {
+	case c.upAt.IsZero() && since.IsZero():
+		c.upAt = now
+	case since.After(c.upAt):
+		c.upAt, c.bucket = since, Bucket{}
+	}
 }
 
 // ramp returns the requests per second that a region may be sent some time
--- a/routing/spill_test.go
+++ b/routing/spill_test.go
@@ -86,6 +86,28 @@
 	c.Assert(after[len(after)-1] >= 60, qt.IsTrue)
 }
 
+// TestRegionThatWasNotNeededHasNoRamp guards against refusals while another
+// region has free slots: a region that was sent nothing for a while has not been
+// away. One that could not be reached begins again.
+func TestRegionThatWasNotNeededHasNoRamp(t *testing.T) {
+	c := qt.New(t)
+	table := &SummaryTable{}
+	spill := &Spiller{Summaries: table}
+	router, now := overloaded(spill)
+	before := sent(router, now, table, 100, 0, 20*time.Second)
+	for range 30 {
+		table.Put(idle(*now, 1000))
+		*now = now.Add(time.Second)
+	}
+	after := sent(router, now, table, 100, 0, 2*time.Second)
+	t.Logf("a second before %d, after %v", before[len(before)-1], after)
+	c.Assert(before[len(before)-1] >= 60, qt.IsTrue)
+	// The first requests wait for the hysteresis.
+	c.Assert(after[1], qt.Equals, 100)
+	spill.Failed(*now, "alex")
+	c.Assert(sent(router, now, table, 100, 0, time.Second)[0] <= 4, qt.IsTrue)
+}
+
 func TestLinkCap(t *testing.T) {
 	c := qt.New(t)
 	const bytes = 1 << 20
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -20,8 +20,15 @@
 	Hold        time.Duration // median time that a request holds a slot; 0: unknown
 	PrefillRate float64       // median, in tokens per second; 0: unknown
 	At          time.Time     // when it was measured, by the clock of the reader
+	// Since is when the first of the summaries was measured that have come one after
+	// another, by the clock of the reader. A SummaryTable sets it.
+	Since time.Time `json:"-"`
 }
 
+// summaryBreak is the time between two summaries after which their region counts
+// as having been away.
+const summaryBreak = defaultMaxAge
+
 // Summaries holds the newest summaries of the other regions. Its methods are
 // safe for concurrent use and do no I/O.
 type Summaries interface {
@@ -47,9 +54,15 @@
 		t.summaries = make(map[summaryKey]RegionSummary)
 	}
 	key := summaryKey{s.Region, s.Service}
-	if old, ok := t.summaries[key]; !ok || s.At.After(old.At) {
-		t.summaries[key] = s
+	old, ok := t.summaries[key]
+	if ok && !s.At.After(old.At) {
+		return
+	}
+	s.Since = s.At
+	if ok && s.At.Sub(old.At) <= summaryBreak {
+		s.Since = old.Since
 	}
+	t.summaries[key] = s
 }
 
 // Summary implements Summaries.
