Keep slots free for bursts of urgent work in proportion to its demand

Cause, from a trace of the refusals: at the instances that refuse, 26 to 35 of 40 to 43 slots run batch work for some 15 s each, 3 to 7 urgent requests wait, and most of those refused are bound to their home. What was kept for bursts was 1.25 slots whatever the demand. Change: 1.5 times the square root of the mean demand is kept, at most 1/16 of the slots.

--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -14,10 +14,16 @@
 	maxRetryAfter = time.Minute
 )
 
-// burstSlots is the number of slots beyond its mean demand that urgent work finds
-// free while batch work waits. It need not grow with the demand: where more
-// urgent work runs, more of its slots come back within the target.
-const burstSlots = 1.25
+// What urgent work finds free beyond its mean demand while batch work waits.
+const (
+	// burstFactor is in standard deviations of the demand: that of independent
+	// requests varies by the square root of its mean, and with 1.5 of it fewer than
+	// one request in ten waits for a slot (Halfin and Whitt: 0.085).
+	burstFactor = 1.5
+	// burstPart bounds it, as a part of the slots: most of the tenth of them that
+	// may stay unused while work waits.
+	burstPart = 1.0 / 16
+)
 
 // Entry is a request in a Scheduler: waiting, running, or gone.
 type Entry struct {
@@ -232,7 +238,7 @@
 }
 
 // headroom returns the free slots that rank must leave to urgent work: its mean
-// demand and a few slots more, less what it uses. Without it, long requests take
+// demand and what its bursts take, less what it uses. Without it, long requests take
 // each slot that urgent work leaves for a moment, and hold it when that work is
 // back.
 func (s *Scheduler) headroom(rank catalog.Rank) int {
@@ -240,7 +246,8 @@
 	if rank == catalog.Urgent || l.hold == 0 || l.running == 0 {
 		return 0
 	}
-	kept := min(urgent.demand+burstSlots, float64(s.slots)-l.reserve) - float64(urgent.running)
+	burst := min(burstFactor*math.Sqrt(urgent.demand), burstPart*float64(s.slots))
+	kept := min(urgent.demand+burst, float64(s.slots)-l.reserve) - float64(urgent.running)
 	return int(math.Round(max(kept, 0)))
 }
 
