--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -32,3 +32,11 @@
 		c.Assert(context.Cause(ctx), qt.Equals, ErrStalled)
 	})
 }
+
+// TestStopEndsTheContext guards against contexts that pile up at a parent which
+// lives as long as the process.
+func TestStopEndsTheContext(t *testing.T) {
+	ctx, timer := WithTimeout(context.Background(), time.Hour)
+	timer.Stop()
+	qt.Assert(t, ctx.Err(), qt.Equals, context.Canceled)
+}
