--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -169,7 +169,7 @@
 	}
 	w.header(resp)
 	defer resp.Body.Close()
-	if resp.ContentLength > d.maxAnswerBytes() {
+	if resp.ContentLength > d.maxAnswerBytes() && req.Method != http.MethodHead {
 		return outcome.Fail(outcome.CodeBackendFailed, errTooLarge, "the answer is too large")
 	}
 	answer := d.protocol().Answer(attempt, resp)
--- a/hosted/endless_test.go
+++ b/hosted/endless_test.go
@@ -116,3 +116,20 @@
 		})
 	}
 }
+
+// TestHeadOfALargeAnswer guards against refusing the length that an answer without
+// a body states.
+func TestHeadOfALargeAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("stock", "safe", "orders"))
+	server := f.server("orders", "cairo-a", 0)
+	n := f.start(f.settings("cairo")).knows(1)
+	server.SetAnswer(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Content-Length", "1000000000")
+		return true
+	})
+	got := n.send(n.request("HEAD", "/stock/", "id-1", ""))
+	f.Assert(got.status, qt.Equals, http.StatusOK)
+	f.Assert(got.header.Get("Content-Length"), qt.Equals, "1000000000")
+}
