Make the largest answer a setting of the daemon, and tidy what the bounds added

Fields of the hosted instance keep their columns, and a variable no longer has the name of its type.

--- a/cmd/fuchsiad/flags.go
+++ b/cmd/fuchsiad/flags.go
@@ -58,6 +58,7 @@
 		text("platform-url", "base URL of the platform's list and directory", &s.PlatformURL),
 		text("log", "lowest level logged: debug, info, warn or error", &s.Log),
 		size("max-body-bytes", "largest request body, in bytes", &s.MaxBodyBytes),
+		size("max-answer-bytes", "largest body of an answer, in bytes", &s.MaxAnswer),
 		duration("list-interval", "time between reads of the list of backend servers", &s.ListInterval),
 		duration("load-interval", "time between two load reports of a backend server", &s.LoadInterval),
 		duration("directory-ttl", "life of this instance's entry in the directory", &s.DirectoryTTL),
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -83,6 +83,8 @@
 		Link:       d.routes.link,
 		OwnerURL:   d.ownerURL,
 		Memory:     d.admission.guard,
+
+		MaxAnswerBytes: d.settings.MaxAnswer,
 	}
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiastack/fuchsiastack/claim"
+	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/entry"
 )
 
@@ -41,6 +42,7 @@
 	ClaimRetention time.Duration // how long an idempotency key can be used; the same on all instances
 
 	MaxBodyBytes  int64
+	MaxAnswer     int64         // bytes of the body of an answer; a larger one is cut
 	ListInterval  time.Duration // between reads of the list of backend servers
 	LoadInterval  time.Duration // between load reports of a backend server
 	DirectoryTTL  time.Duration // life of the entry in the directory
@@ -71,6 +73,7 @@
 		ControlListen: "127.0.0.1:8083",
 		Log:           "info",
 		MaxBodyBytes:  8 << 20,
+		MaxAnswer:     dispatch.DefaultMaxAnswerBytes,
 		ListInterval:  time.Second,
 		LoadInterval:  500 * time.Millisecond,
 		DirectoryTTL:  10 * time.Second,
@@ -127,6 +130,7 @@
 	fault(s.MaxLoading < 1, "max-loading: want 1 or more")
 	fault(s.MaxConnections < 16, "max-connections: want 16 or more")
 	fault(s.MaxInFlight < 16, "max-in-flight: want 16 or more")
+	fault(s.MaxAnswer < 1<<10, "max-answer-bytes: want 1024 or more")
 	fault(s.MaxHeldBytes < s.MaxBodyBytes, "max-held-bytes: want max-body-bytes or more")
 	fault(s.MaxHeapBytes < 64<<20, "max-heap-bytes: want 67108864 or more")
 	fault(s.QueueEntries < 1, "queue-entries: want 1 or more")
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -114,10 +114,11 @@
 	i := &Instance{
 		settings: settings, options: options, log: logger, lines: lines, metrics: metrics,
 		observer:  &telemetry.Observer{Log: logger, Metrics: metrics},
-		admission: observer, traffic: traffic,
-		store:    platform.NewStore(settings.StoreAddr),
-		table:    &catalog.Table{},
-		registry: backend.NewRegistry(),
+		admission: observer,
+		traffic:   traffic,
+		store:     platform.NewStore(settings.StoreAddr),
+		table:     &catalog.Table{},
+		registry:  backend.NewRegistry(),
 		queue: admission.NewQueue(admission.Bounds{
 			// The platform does not name callers, so that one has the whole queue.
 			Entries: queueEntries, CallerEntries: queueEntries,
@@ -128,8 +129,9 @@
 			BodyBytes: settings.MemoryBytes / bodyPart,
 			HeapBytes: int64(float64(settings.MemoryBytes) * heapPart),
 		}),
-		summaries: &routing.SummaryTable{}, work: newWorkBudget(settings.LinkRate),
-		retry: &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
+		summaries: &routing.SummaryTable{},
+		work:      newWorkBudget(settings.LinkRate),
+		retry:     &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
 	i.transport = i.newTransport(telemetry.ForServers)
 	i.peers = &http.Client{Transport: i.newTransport(telemetry.ForQuestions)}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -125,8 +125,8 @@
 // still become an error. A larger answer, or one for which there is no memory, is
 // passed on as it comes, and a cut one resets the connection.
 func (a *Answer) copyWhole(resp *http.Response) Result {
-	held, whole, err := a.hold(resp.Body)
-	defer a.release(held)
+	beginning, whole, err := a.hold(resp.Body)
+	defer a.release(beginning)
 	if err != nil {
 		return Result{Outcome: outcome.MayHaveRun, Err: err}
 	}
@@ -139,7 +139,7 @@
 		a.Writer.Header().Set("Content-Length", length)
 	}
 	a.Writer.WriteHeader(resp.StatusCode)
-	written, err := a.Writer.Write(held.bytes)
+	written, err := a.Writer.Write(beginning.bytes)
 	if errors.Is(err, http.ErrBodyNotAllowed) {
 		err = nil
 	}
@@ -155,7 +155,7 @@
 	return result
 }
 
-// held is the beginning of an answer.
+// held is the beginning of an answer that has not been passed on.
 type held struct {
 	bytes    []byte
 	reserved int64 // of Memory
