Count the patience of a caller from the arrival of its request

Cause: 250 ms were added to the patience for the close to arrive; the way to the other instance and its queue came on top, so that the bound of 0.5 s was exceeded. Change: no allowance. The arrival is later than the sending from which the caller counts. Evidence: filters TestPatienceCountsFromTheArrival fails before (6.25 s, want 6 s) and passes.

--- a/filters/match.go
+++ b/filters/match.go
@@ -24,10 +24,6 @@
 // unboundedWait is the deadline of a request whose caller and route state none.
 const unboundedWait = time.Minute
 
-// closeAllowance is how late the close of a caller that leaves may arrive
-// before it counts as lost: half of the time in which a server may work on.
-const closeAllowance = 250 * time.Millisecond
-
 // Name implements Filter.
 func (Match) Name() string { return "match" }
 
@@ -55,7 +51,8 @@
 	x.Stream = x.Work.Streamed
 	x.Deadline = x.Received.Add(earliest(wait, route.Timeout))
 	if x.Work.Patience > 0 {
-		x.FirstBy = x.Received.Add(x.Work.Patience + closeAllowance)
+		// The caller counts from when it sent the request, and so has left by then.
+		x.FirstBy = x.Received.Add(x.Work.Patience)
 	}
 	return next(x)
 }
