Log what the directory answers and what decided it

No line told which instances callers were given, so that the hypotheses of the HOME incident (homes without a common region, no configuration, wrong region, old answers) could not be told apart.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -84,6 +84,7 @@
 	guard        *overload.Guard
 	admission    *telemetry.AdmissionObserver
 	traffic      *telemetry.Traffic
+	directory    *telemetry.Directory
 	router       *routing.Router
 	ejector      *routing.Ejector
 	summaries    *routing.SummaryTable
@@ -114,11 +115,16 @@
 	if err != nil {
 		return nil, err
 	}
+	directory, err := telemetry.NewDirectory(logger, metrics)
+	if err != nil {
+		return nil, err
+	}
 	i := &Instance{
 		settings: settings, options: options, log: logger, logWriter: logWriter, metrics: metrics,
 		observer:  &telemetry.Observer{Log: logger, Metrics: metrics},
 		admission: admissionObserver,
 		traffic:   traffic,
+		directory: directory,
 		store:     platform.NewStore(settings.StoreAddr),
 		table:     &catalog.Table{},
 		registry:  backend.NewRegistry(),
