Lead callers by the homes of the requests that a host really gets

Cause: a response is for a host, homes are of routes. The regions offered were those that may run all routes of the host, and where the routes have no region in common, the empty set was returned as nil, which stands for all regions. Evidence: the line 'directory' names delta with reason homes under configuration 2, whose host has routes at home in (cairo, alex), (cairo) and (alex).

Now a region is named if nearly none of the host's requests with homes would be misplaced there. How much each route is used is counted from the requests of callers, with a half-life of a minute, and told to other regions with the summaries (at most 64 routes). Each route counts one request more than seen, so that nothing is named before enough is known; else the list is empty. An empty intersection can't be mistaken for no restriction any more, as no set of regions is computed.

TestDirectoryWithoutCommonHome failed before (container: alex, delta).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -177,6 +177,12 @@
 	return s.Limits
 }
 
+// hasHomes reports whether work of the service may not run in every region.
+func (s *Service) hasHomes(work string) bool {
+	w := s.Work[work]
+	return w.Home != "" || len(w.Homes) > 0 || len(s.Regions) > 0
+}
+
 // Permits reports whether work w of the service may run in region.
 func (s *Service) Permits(w Work, region string) bool {
 	if w.Home != "" {
@@ -233,27 +239,28 @@
 	return svc, w, nil
 }
 
-// Homes returns the regions that may run all work of a host; work without
-// Work.Homes is not considered. It returns nil, which means all regions, if no work
-// of the host has Work.Homes or if no region may run all work that has.
-func (s *Snapshot) Homes(host string) []string {
-	var homes []string
+// HomedRoutes returns the routes of a host whose requests may not run in every
+// region.
+func (s *Snapshot) HomedRoutes(host string) []*Route {
+	var homed []*Route
 	for _, route := range s.Routes.ForHost(host) {
-		for _, target := range route.Targets {
-			work := s.Services[target.Service].Work[route.Name]
-			switch {
-			case len(work.Homes) == 0:
-			case homes == nil:
-				homes = slices.Clone(work.Homes)
-			default:
-				homes = slices.DeleteFunc(homes, func(region string) bool { return !work.MayRunIn(region) })
-			}
+		if slices.ContainsFunc(route.Targets, func(t RouteTarget) bool { return s.Services[t.Service].hasHomes(route.Name) }) {
+			homed = append(homed, route)
 		}
 	}
-	if len(homes) == 0 {
-		return nil
+	return homed
+}
+
+// RouteMayRunIn reports whether the requests of a route may run in region,
+// whichever of the route's services they are for.
+func (s *Snapshot) RouteMayRunIn(route *Route, region string) bool {
+	for _, target := range route.Targets {
+		service := s.Services[target.Service]
+		if !service.Permits(service.Work[route.Name], region) {
+			return false
+		}
 	}
-	return homes
+	return true
 }
 
 // Authenticate returns the caller with the given API key.
--- a/hosted/directory.go
+++ b/hosted/directory.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
@@ -16,6 +17,10 @@
 	directoryTTL      = time.Second
 	maxDirectoryAddrs = 64
 	minZoneAddrs      = 2 // with fewer instances in its zone, a caller gets all of the region
+	// maxMisplaced is the largest fraction of a host's requests with homes that may
+	// be led to a region that is no home of theirs. The platform tolerates one in
+	// twenty; the difference allows for callers whose requests are unlike others.
+	maxMisplaced = 0.04
 )
 
 // directoryReason is why a response of the directory names its instances.
@@ -25,16 +30,17 @@
 const (
 	directoryZone   directoryReason = "zone"   // the instances of the caller's zone
 	directoryRegion directoryReason = "region" // the instances of the caller's region
-	directoryHomes  directoryReason = "homes"  // the caller's region has no instance: those of regions that may run the host's work
+	directoryHomes  directoryReason = "homes"  // the caller's region has no instance: those of regions that may run the host's requests
 	directoryNone   directoryReason = "none"   // no instance may be named
 )
 
 // serveDirectory returns the addresses of the instances that a caller may use.
 func (i *Instance) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	query := platform.ParseDirectoryQuery(r)
-	instances, reason := i.lookup(query)
-	instances = instances[:min(len(instances), maxDirectoryAddrs)]
-	var addrs, regions []string
+	answer := i.lookup(query)
+	instances := answer.instances[:min(len(answer.instances), maxDirectoryAddrs)]
+	addrs := []string{}
+	var regions []string
 	for _, instance := range instances {
 		addrs = append(addrs, instance.CallerAddr)
 		if !slices.Contains(regions, instance.Region) {
@@ -42,25 +48,31 @@
 		}
 	}
 	i.directory.Responded(time.Now(), telemetry.DirectoryResponse{
-		Host: query.Host, Region: query.Region, Zone: query.Zone, Reason: string(reason),
-		Instances: len(instances), Regions: regions, Revision: i.revision(), StoreOutage: i.mirror.Outage(),
+		Host: query.Host, Region: query.Region, Zone: query.Zone, Reason: string(answer.reason),
+		Instances: len(instances), Regions: regions, Misplaced: answer.misplaced, Revision: i.revision(), StoreOutage: i.mirror.Outage(),
 	})
 	if err := platform.WriteDirectoryResponse(w, addrs, min(directoryTTL, i.settings.Bounds.MaxTTL)); err != nil {
 		i.log.Warn().Str("event", "directory_answer_failed").Err(err).Msg("")
 	}
 }
 
+// directoryAnswer is what the directory answers to a query, and why.
+type directoryAnswer struct {
+	instances []roster.Instance
+	reason    directoryReason
+	// misplaced is the fraction of the host's requests with homes that would be
+	// misplaced in each other region; nil if the caller's region has an instance.
+	misplaced map[string]float64
+}
+
 // lookup returns the instances that a caller may use: those in its zone if there
 // are at least minZoneAddrs, else those in its region, else those in the regions
-// that may run all work of the host. If there are none, the result is empty: the
+// that may run the host's requests. If there are none, the answer is empty: the
 // body of a request must not enter a region that may not run the request.
-func (i *Instance) lookup(query platform.DirectoryQuery) ([]roster.Instance, directoryReason) {
-	homes := i.homes(query.Host)
-	var inZone, inRegion, inHomes []roster.Instance
-	for _, other := range i.roster.Live() {
-		if homes == nil || slices.Contains(homes, other.Region) {
-			inHomes = append(inHomes, other)
-		}
+func (i *Instance) lookup(query platform.DirectoryQuery) directoryAnswer {
+	live := i.roster.Live()
+	var inZone, inRegion []roster.Instance
+	for _, other := range live {
 		if other.Region == query.Region {
 			inRegion = append(inRegion, other)
 		}
@@ -70,20 +82,50 @@
 	}
 	switch {
 	case len(inZone) >= minZoneAddrs:
-		return inZone, directoryZone
+		return directoryAnswer{instances: inZone, reason: directoryZone}
 	case len(inRegion) > 0:
-		return inRegion, directoryRegion
-	case len(inHomes) > 0:
-		return inHomes, directoryHomes
+		return directoryAnswer{instances: inRegion, reason: directoryRegion}
+	}
+	answer := directoryAnswer{reason: directoryNone, misplaced: i.misplaced(query.Host, live)}
+	for _, other := range live {
+		if answer.misplaced[other.Region] <= maxMisplaced {
+			answer.instances, answer.reason = append(answer.instances, other), directoryHomes
+		}
 	}
-	return nil, directoryNone
+	return answer
 }
 
-// homes returns the regions that may run all work of a host; nil stands for all
-// regions.
-func (i *Instance) homes(host string) []string {
-	if snapshot := i.table.Current(); snapshot != nil {
-		return snapshot.Homes(host)
+// misplaced estimates which fraction of a host's requests with homes would be
+// misplaced in the region of each instance. Each route with homes counts as one
+// request more than were observed, so that a region in which a route may not run
+// is ruled out until enough requests show that the route is hardly used.
+func (i *Instance) misplaced(host string, instances []roster.Instance) map[string]float64 {
+	snapshot := i.table.Current()
+	unknown := snapshot == nil || len(snapshot.Routes.ForHost(host)) == 0
+	var homed []*catalog.Route
+	var requests []float64
+	total := 0.0
+	if !unknown {
+		homed = snapshot.HomedRoutes(host)
+		now := time.Now()
+		for _, route := range homed {
+			count := 1 + i.usage.of(now, route.Name)
+			requests = append(requests, count)
+			total += count
+		}
+	}
+	fractions := make(map[string]float64)
+	for _, instance := range instances {
+		region := instance.Region
+		if _, known := fractions[region]; known {
+			continue
+		}
+		fractions[region] = 0
+		for k, route := range homed {
+			if !snapshot.RouteMayRunIn(route, region) {
+				fractions[region] += requests[k] / total
+			}
+		}
 	}
-	return nil
+	return fractions
 }
--- a/hosted/directory_test.go
+++ b/hosted/directory_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
+	"net/http"
 	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/roster"
@@ -39,13 +44,13 @@
 	snapshot, err := platform.DecodeConfig(data, &i.settings.Bounds)
 	c.Assert(err, qt.IsNil)
 	c.Assert(i.table.Advance(snapshot), qt.IsTrue)
+	i.usage.setRoutes(snapshot)
 }
 
 // namedRegions returns the regions whose instances the directory names to a caller.
 func namedRegions(i *Instance, host, region string) []string {
-	instances, _ := i.lookup(platform.DirectoryQuery{Host: host, Region: region, Zone: region + "-a"})
 	var regions []string
-	for _, instance := range instances {
+	for _, instance := range i.lookup(platform.DirectoryQuery{Host: host, Region: region, Zone: region + "-a"}).instances {
 		regions = append(regions, instance.Region)
 	}
 	slices.Sort(regions)
@@ -70,6 +75,73 @@
 	c.Assert(namedRegions(i, host, "delta"), qt.DeepEquals, []string{"delta"})
 }
 
+// TestDirectoryRoutesThatAreHardlyUsed guards against callers of a region without
+// instances being served nowhere because a route that is hardly used has another
+// home than all others, and against a route that is used being ignored like that.
+func TestDirectoryRoutesThatAreHardlyUsed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	i := directoryInstance(c, "alex", "delta")
+	putConfig(c, i, 1, homedRoute("query", "cairo", "alex"), homedRoute("local", "cairo"))
+	c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0)
+	now := time.Now()
+	for range 100 {
+		i.usage.record(now, "query")
+	}
+	c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
+	for range 8 {
+		i.usage.record(now, "local")
+	}
+	c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0)
+	for range 400 {
+		i.usage.record(now, "query")
+	}
+	c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
+}
+
+// TestDirectoryNeverMisplacesRequests draws configurations, requests and regions at
+// random, and guards against any region being named in which more requests than
+// tolerated would be misplaced.
+func TestDirectoryNeverMisplacesRequests(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	regions := []string{"alex", "delta", "erie"}
+	i := directoryInstance(c, regions...)
+	version := 0
+	rapid.Check(t, func(t *rapid.T) {
+		version++
+		homes := rapid.SliceOfN(rapid.SliceOfDistinct(rapid.SampledFrom(append(regions, "cairo")), rapid.ID[string]), 1, 6).Draw(t, "homes")
+		var routes []route
+		for k, list := range homes {
+			routes = append(routes, homedRoute(fmt.Sprintf("r-%d-%d", version, k), list...))
+		}
+		putConfig(c, i, version, routes...)
+		requests := rapid.SliceOfN(rapid.IntRange(0, 200), len(homes), len(homes)).Draw(t, "requests")
+		now := time.Now()
+		total := make(map[string]int) // by region in which they may not run
+		homed := 0
+		for k, list := range homes {
+			for range requests[k] {
+				i.usage.record(now, routes[k].Name)
+			}
+			if len(list) == 0 {
+				continue
+			}
+			homed += requests[k]
+			for _, region := range regions {
+				if !slices.Contains(list, region) {
+					total[region] += requests[k]
+				}
+			}
+		}
+		for _, region := range namedRegions(i, host, "cairo") {
+			if 20*total[region] > homed {
+				t.Fatalf("%d of %d requests with homes are misplaced in %s", total[region], homed, region)
+			}
+		}
+	})
+}
+
 // TestDirectoryWithoutConfiguration guards against callers being led to other regions
 // by an instance that does not know which requests may run there.
 func TestDirectoryWithoutConfiguration(t *testing.T) {
@@ -82,3 +154,65 @@
 	c.Assert(namedRegions(i, "unknown.example", "cairo"), qt.HasLen, 0)
 	c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex", "delta"})
 }
+
+// TestDirectoryCountsRequests guards against a directory that does not learn from the
+// requests of callers which routes are used.
+func TestDirectoryCountsRequests(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, homedRoute("query", "cairo", "alex"), homedRoute("local", "cairo"))
+	f.startServer("orders", "alex-a", 0)
+	n := f.start(f.settings("alex")).waitForServers(1)
+	f.eventually("the instance knows itself", func() bool { return strings.Contains(n.directory("alex"), n.settings.CallerAddr) })
+	f.Assert(n.directory("cairo"), qt.Not(qt.Contains), n.settings.CallerAddr)
+	for k := range 60 {
+		f.Assert(n.send(n.request("GET", "/query/", fmt.Sprintf("id-%d", k), "")).status, qt.Equals, http.StatusOK)
+	}
+	f.Assert(n.directory("cairo"), qt.Contains, n.settings.CallerAddr)
+}
+
+// TestRouteUsage guards against counts that never fade or that other instances never
+// learn, and against counts of routes that are no longer configured.
+func TestRouteUsage(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	i := directoryInstance(c)
+	putConfig(c, i, 1, homedRoute("a", "alex"), homedRoute("b", "alex"), newRoute("c", "safe", "orders"))
+	now := time.Now()
+	for range 8 {
+		i.usage.record(now, "a")
+		i.usage.record(now, "c")
+	}
+	c.Assert(i.usage.report(now), qt.DeepEquals, map[string]float64{"a": 8})
+	i.usage.recordReport(now, "entry-alex", map[string]float64{"a": 2, "b": 4})
+	i.usage.recordReport(now, "entry-alex", map[string]float64{"a": 4, "b": 4})
+	c.Assert(i.usage.of(now, "a"), qt.Equals, 12.0)
+	c.Assert(i.usage.of(now.Add(usageHalfLife), "a"), qt.Equals, 6.0)
+	i.usage.record(now.Add(usageHalfLife), "a")
+	c.Assert(i.usage.of(now.Add(usageHalfLife), "a"), qt.Equals, 7.0)
+	i.usage.recordReport(now.Add(2*maxUsageAge), "entry-delta", nil)
+	c.Assert(i.usage.peers, qt.HasLen, 1)
+	putConfig(c, i, 2, homedRoute("b", "alex"))
+	c.Assert(i.usage.report(now), qt.HasLen, 0)
+}
+
+// TestUsageReportIsBounded guards against a report that grows with the configuration.
+func TestUsageReportIsBounded(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	i := directoryInstance(c)
+	var routes []route
+	for k := range 3 * maxReportedRoutes {
+		routes = append(routes, homedRoute(fmt.Sprintf("r-%d", k), "alex"))
+	}
+	putConfig(c, i, 1, routes...)
+	now := time.Now()
+	for k, r := range routes {
+		for range k + 1 {
+			i.usage.record(now, r.Name)
+		}
+	}
+	report := i.usage.report(now)
+	c.Assert(report, qt.HasLen, maxReportedRoutes)
+	c.Assert(report[routes[len(routes)-1].Name], qt.Equals, float64(len(routes)))
+}
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -68,6 +68,7 @@
 		i.overloadFilter(),
 		filters.Ready{Table: i.table},
 		filters.Match{Reader: callerProtocol},
+		countRoute{i.usage},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
 		i.admitFilter(),
 	)
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -85,6 +85,7 @@
 	admission    *telemetry.AdmissionObserver
 	traffic      *telemetry.Traffic
 	directory    *telemetry.Directory
+	usage        *routeUsage
 	router       *routing.Router
 	ejector      *routing.Ejector
 	summaries    *routing.SummaryTable
@@ -125,6 +126,7 @@
 		admission: admissionObserver,
 		traffic:   traffic,
 		directory: directory,
+		usage:     &routeUsage{},
 		store:     platform.NewStore(settings.StoreAddr),
 		table:     &catalog.Table{},
 		registry:  backend.NewRegistry(),
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -120,6 +120,7 @@
 	Started    int64                   `json:"started"`
 	Ready      bool                    `json:"ready"`
 	Summaries  []routing.RegionSummary `json:"summaries,omitempty"`
+	Usage      map[string]float64      `json:"usage,omitempty"` // recent requests of callers by route, for routes with homes
 	Dispatched *dispatchReport         `json:"work,omitempty"`
 }
 
@@ -198,6 +199,7 @@
 		for _, service := range i.registry.Services() {
 			response.Summaries = append(response.Summaries, i.router.Summarize(service))
 		}
+		response.Usage = i.usage.report(time.Now())
 	}
 	if since := r.URL.Query().Get("placements"); since != "" {
 		first, err := strconv.ParseUint(since, 10, 64)
@@ -421,8 +423,8 @@
 	return len(chosen), self
 }
 
-// fetchSummaries fetches the load summaries of each other region from one of its
-// instances.
+// fetchSummaries fetches the load summaries of each other region, and how much its
+// callers use the routes with homes, from one of its instances.
 func (i *Instance) fetchSummaries(ctx context.Context) {
 	for _, region := range (regionPeers{i}).Reachable() {
 		addr := (regionPeers{i}).Peer(region)
@@ -439,6 +441,7 @@
 			summary.At = sent
 			i.summaries.Put(summary)
 		}
+		i.usage.recordReport(sent, response.ID, response.Usage)
 	}
 }
 
--- a/hosted/state.go
+++ b/hosted/state.go
@@ -61,6 +61,7 @@
 		}
 	}
 	if i.table.Advance(snapshot) {
+		i.usage.setRoutes(snapshot)
 		i.log.Info().Str("event", "config_in_force").Uint64("revision", snapshot.Revision).
 			Uint64("store_revision", entry.Version).Int("services", len(snapshot.Services)).Msg("")
 	}
--- /dev/null
+++ b/hosted/usage.go
@@ -0,0 +1,129 @@
+package hosted
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
+)
+
+const (
+	// usageHalfLife is the age at which a request counts half. It is long compared
+	// with the time in which callers of a region move to another one.
+	usageHalfLife = time.Minute
+	// maxUsageAge is the age of another instance's report at which it is dropped:
+	// the instance is gone, and its requests hardly count any more.
+	maxUsageAge = 5 * usageHalfLife
+	// maxReportedRoutes limits the size of a report to the routes used most.
+	maxReportedRoutes = 64
+)
+
+// routeUsage measures how much callers use the routes whose requests may not run in
+// every region: here and, as they report it, at instances of other regions. It is
+// safe for concurrent use.
+type routeUsage struct {
+	mu     sync.Mutex
+	routes map[string]decayedCount // by name of the route; has an entry for every such route
+	peers  map[string]usageReport  // by instance
+}
+
+// decayedCount is a number of requests at a time. Older requests count less.
+type decayedCount struct {
+	count float64
+	at    time.Time
+}
+
+func (d decayedCount) value(now time.Time) float64 {
+	return d.count * math.Exp2(-float64(now.Sub(d.at))/float64(usageHalfLife))
+}
+
+// usageReport is what another instance has reported.
+type usageReport struct {
+	requests map[string]float64 // by name of the route
+	at       time.Time
+}
+
+// setRoutes sets the routes to measure: those of the snapshot whose requests may not
+// run in every region.
+func (u *routeUsage) setRoutes(snapshot *catalog.Snapshot) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	last := u.routes
+	u.routes = make(map[string]decayedCount)
+	for host := range snapshot.Routes {
+		for _, route := range snapshot.HomedRoutes(host) {
+			u.routes[route.Name] = last[route.Name]
+		}
+	}
+}
+
+// record counts a request on a route.
+func (u *routeUsage) record(now time.Time, route string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if count, measured := u.routes[route]; measured {
+		u.routes[route] = decayedCount{count.value(now) + 1, now}
+	}
+}
+
+// recordReport replaces the report of another instance.
+func (u *routeUsage) recordReport(now time.Time, instance string, requests map[string]float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.peers == nil {
+		u.peers = make(map[string]usageReport)
+	}
+	u.peers[instance] = usageReport{requests, now}
+	maps.DeleteFunc(u.peers, func(_ string, r usageReport) bool { return now.Sub(r.at) > maxUsageAge })
+}
+
+// of returns the recent requests on a route, here and at the instances that have
+// reported.
+func (u *routeUsage) of(now time.Time, route string) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	total := u.routes[route].value(now)
+	for _, report := range u.peers {
+		total += decayedCount{report.requests[route], report.at}.value(now)
+	}
+	return total
+}
+
+// report returns the recent requests that this instance has received, for at most
+// maxReportedRoutes routes.
+func (u *routeUsage) report(now time.Time) map[string]float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	requests := make(map[string]float64)
+	for route, count := range u.routes {
+		if value := math.Round(count.value(now)); value > 0 {
+			requests[route] = value
+		}
+	}
+	if len(requests) <= maxReportedRoutes {
+		return requests
+	}
+	least := slices.SortedFunc(maps.Keys(requests), func(a, b string) int { return cmp.Compare(requests[a], requests[b]) })
+	for _, route := range least[:len(least)-maxReportedRoutes] {
+		delete(requests, route)
+	}
+	return requests
+}
+
+// countRoute is a filter that counts the requests of callers by route.
+type countRoute struct{ usage *routeUsage }
+
+// Name implements filters.Filter.
+func (countRoute) Name() string { return "count-route" }
+
+// Handle implements filters.Filter.
+func (f countRoute) Handle(x *filters.Exchange, next filters.Handler) *outcome.Error {
+	f.usage.record(x.Received, x.Work.Name)
+	return next(x)
+}
--- a/telemetry/directory.go
+++ b/telemetry/directory.go
@@ -18,12 +18,13 @@
 
 // DirectoryResponse describes a response of the directory and what decided it.
 type DirectoryResponse struct {
-	Host, Region, Zone string        // of the caller's query
-	Reason             string        // why these instances were named
-	Instances          int           // number of instances named
-	Regions            []string      // regions of the instances named
-	Revision           uint64        // of the configuration in force; 0 if there is none
-	StoreOutage        time.Duration // how long the list of instances has not been updated by the store
+	Host, Region, Zone string             // of the caller's query
+	Reason             string             // why these instances were named
+	Instances          int                // number of instances named
+	Regions            []string           // regions of the instances named
+	Misplaced          map[string]float64 // estimated fraction of the host's requests with homes that would be misplaced in each region
+	Revision           uint64             // of the configuration in force; 0 if there is none
+	StoreOutage        time.Duration      // how long the list of instances has not been updated by the store
 }
 
 // sameDecision reports whether two responses to the same query differ neither in
@@ -79,6 +80,9 @@
 	entry := d.log.Info().Str("event", "directory").Str("host", response.Host).Str("region", response.Region).Str("zone", response.Zone).
 		Str("reason", response.Reason).Int("instances", response.Instances).Strs("regions", response.Regions).
 		Uint64("revision", response.Revision).Dur("store_outage", response.StoreOutage)
+	if len(response.Misplaced) > 0 {
+		entry = entry.Any("misplaced", response.Misplaced)
+	}
 	if known {
 		entry = entry.Str("previous_reason", last.Reason).Dur("previous_for", now.Sub(last.at))
 	}
