Name no other region while the homes of a host are unknown

An instance without a configuration, or with one that lacks the host, led callers whose region has no instance to every region. Such a caller now gets an empty list and asks the next instance; instances of its own region are named as before.

--- a/hosted/directory.go
+++ b/hosted/directory.go
@@ -98,7 +98,9 @@
 // misplaced estimates which fraction of a host's requests with homes would be
 // misplaced in the region of each instance. Each route with homes counts as one
 // request more than were observed, so that a region in which a route may not run
-// is ruled out until enough requests show that the route is hardly used.
+// is ruled out until enough requests show that the route is hardly used. Without a
+// configuration, or for a host that it does not contain, nothing is known of the
+// homes and all requests count as misplaced.
 func (i *Instance) misplaced(host string, instances []roster.Instance) map[string]float64 {
 	snapshot := i.table.Current()
 	unknown := snapshot == nil || len(snapshot.Routes.ForHost(host)) == 0
@@ -121,6 +123,9 @@
 			continue
 		}
 		fractions[region] = 0
+		if unknown {
+			fractions[region] = 1
+		}
 		for k, route := range homed {
 			if !snapshot.RouteMayRunIn(route, region) {
 				fractions[region] += requests[k] / total
