Count requests on routes before they are given homes

Callers would see: after a change of the configuration that gives homes to a route in use, callers of a region without instances are led to regions that may not run the route's requests (HOME), until enough of them have been misplaced.

Cause: requests were counted on routes with homes only, so such a route began at 0, which stood for 'hardly used'.

Evidence: TestDirectoryRouteThatIsGivenHomes failed before: alex is named to callers of cairo though half of the requests are on a route with homes cairo and delta (got []string{"alex"}, want length 0).

Requests are now counted on every route of the configuration; reports to other regions still hold routes with homes only.

--- a/hosted/directory_test.go
+++ b/hosted/directory_test.go
@@ -99,6 +99,25 @@
 	c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
 }
 
+// TestDirectoryRouteThatIsGivenHomes guards against callers being led to regions that
+// may not run their requests because a route was given its homes while in use, and
+// the requests before that were not counted.
+func TestDirectoryRouteThatIsGivenHomes(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	i := directoryInstance(c, "alex", "delta")
+	putConfig(c, i, 1, homedRoute("query", "cairo", "alex"), newRoute("stock", "safe", "orders"))
+	now := time.Now()
+	for range 200 {
+		i.usage.record(now, "query")
+		i.usage.record(now, "stock")
+	}
+	c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
+	putConfig(c, i, 2, homedRoute("query", "cairo", "alex"), homedRoute("stock", "cairo", "delta"))
+	c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0)
+	c.Assert(i.usage.report(now), qt.DeepEquals, map[string]float64{"query": 200, "stock": 200})
+}
+
 // TestDirectoryNeverMisplacesRequests draws configurations, requests and regions at
 // random, and guards against any region being named in which more requests than
 // tolerated would be misplaced.
--- a/hosted/usage.go
+++ b/hosted/usage.go
@@ -24,12 +24,13 @@
 	maxReportedRoutes = 64
 )
 
-// routeUsage measures how much callers use the routes whose requests may not run in
-// every region: here and, as they report it, at instances of other regions. It is
-// safe for concurrent use.
+// routeUsage measures how much callers use each route: here and, for routes whose
+// requests may not run in every region, at instances of other regions, which report
+// it. It is safe for concurrent use.
 type routeUsage struct {
 	mu     sync.Mutex
-	routes map[string]decayedCount // by name of the route; has an entry for every such route
+	routes map[string]decayedCount // by name of the route; has an entry for every route
+	homed  map[string]bool         // routes whose requests may not run in every region
 	peers  map[string]usageReport  // by instance
 }
 
@@ -49,17 +50,20 @@
 	at       time.Time
 }
 
-// setRoutes sets the routes to measure: those of the snapshot whose requests may not
-// run in every region.
+// setRoutes sets the routes to measure: those of the snapshot. Routes without homes
+// are measured too, as they may be given homes while they are in use.
 func (u *routeUsage) setRoutes(snapshot *catalog.Snapshot) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	last := u.routes
-	u.routes = make(map[string]decayedCount)
-	for host := range snapshot.Routes {
-		for _, route := range snapshot.HomedRoutes(host) {
+	u.routes, u.homed = make(map[string]decayedCount), make(map[string]bool)
+	for host, routes := range snapshot.Routes {
+		for _, route := range routes {
 			u.routes[route.Name] = last[route.Name]
 		}
+		for _, route := range snapshot.HomedRoutes(host) {
+			u.homed[route.Name] = true
+		}
 	}
 }
 
@@ -95,14 +99,14 @@
 	return total
 }
 
-// report returns the recent requests that this instance has received, for at most
-// maxReportedRoutes routes.
+// report returns the recent requests that this instance has received on routes whose
+// requests may not run in every region, for at most maxReportedRoutes routes.
 func (u *routeUsage) report(now time.Time) map[string]float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	requests := make(map[string]float64)
-	for route, count := range u.routes {
-		if value := math.Round(count.value(now)); value > 0 {
+	for route := range u.homed {
+		if value := math.Round(u.routes[route].value(now)); value > 0 {
 			requests[route] = value
 		}
 	}
