Keep an older configuration from setting the routes to count

Several goroutines apply changes of the store at once while instances are asked for them (mirror.pullFromPeers). One that has put an older configuration in force may be overtaken between Table.Advance and setRoutes. Requests on the routes that only the newer one contains were then not counted until the next change, and the directory took these routes for hardly used. Found by reading; no run showed it.

--- a/hosted/directory_test.go
+++ b/hosted/directory_test.go
@@ -215,6 +215,22 @@
 	c.Assert(i.usage.report(now), qt.HasLen, 0)
 }
 
+// TestRouteUsageOlderSnapshot guards against requests on a new route not being counted
+// because an older configuration, which another goroutine applies at the same time,
+// sets the routes to measure last.
+func TestRouteUsageOlderSnapshot(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	i := directoryInstance(c)
+	putConfig(c, i, 1, homedRoute("a", "alex"))
+	older := i.table.Current()
+	putConfig(c, i, 2, homedRoute("a", "alex"), homedRoute("b", "alex"))
+	i.usage.setRoutes(older)
+	now := time.Now()
+	i.usage.record(now, "b")
+	c.Assert(i.usage.of(now, "b"), qt.Equals, 1.0)
+}
+
 // TestUsageReportIsBounded guards against a report that grows with the configuration.
 func TestUsageReportIsBounded(t *testing.T) {
 	t.Parallel()
--- a/hosted/usage.go
+++ b/hosted/usage.go
@@ -28,10 +28,11 @@
 // requests may not run in every region, at instances of other regions, which report
 // it. It is safe for concurrent use.
 type routeUsage struct {
-	mu     sync.Mutex
-	routes map[string]decayedCount // by name of the route; has an entry for every route
-	homed  map[string]bool         // routes whose requests may not run in every region
-	peers  map[string]usageReport  // by instance
+	mu       sync.Mutex
+	revision uint64                  // of the snapshot that routes and homed are from
+	routes   map[string]decayedCount // by name of the route; has an entry for every route
+	homed    map[string]bool         // routes whose requests may not run in every region
+	peers    map[string]usageReport  // by instance
 }
 
 // decayedCount is a number of requests at a time. Older requests count less.
@@ -51,10 +52,16 @@
 }
 
 // setRoutes sets the routes to measure: those of the snapshot. Routes without homes
-// are measured too, as they may be given homes while they are in use.
+// are measured too, as they may be given homes while they are in use. A snapshot of a
+// lower revision than the last one is ignored: the goroutines that apply changes of
+// the store may call setRoutes in any order.
 func (u *routeUsage) setRoutes(snapshot *catalog.Snapshot) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if snapshot.Revision < u.revision {
+		return
+	}
+	u.revision = snapshot.Revision
 	last := u.routes
 	u.routes, u.homed = make(map[string]decayedCount), make(map[string]bool)
 	for host, routes := range snapshot.Routes {
