Assume one misplaced request for a region, not one for each route

Callers would see: with many routes with homes that nobody uses, callers of a region without instances are served nowhere long after it is plain what the host's requests are.

Now one misplaced request more than observed is assumed in a region in which any route may not run, however many they are. The estimate still is above the observed fraction, and nothing is named before requests were seen.

--- a/hosted/directory.go
+++ b/hosted/directory.go
@@ -96,9 +96,9 @@
 }
 
 // misplaced estimates which fraction of a host's requests with homes would be
-// misplaced in the region of each instance. Each route with homes counts as one
-// request more than were observed, so that a region in which a route may not run
-// is ruled out until enough requests show that the route is hardly used. Without a
+// misplaced in the region of each instance. If any route may not run in a region, one
+// misplaced request more than were observed is assumed there, so that the region is
+// ruled out until enough requests show that these routes are hardly used. Without a
 // configuration, or for a host that it does not contain, nothing is known of the
 // homes and all requests count as misplaced.
 func (i *Instance) misplaced(host string, instances []roster.Instance) map[string]float64 {
@@ -106,12 +106,12 @@
 	unknown := snapshot == nil || len(snapshot.Routes.ForHost(host)) == 0
 	var homed []*catalog.Route
 	var requests []float64
-	total := 0.0
+	total := 1.0
 	if !unknown {
 		homed = snapshot.HomedRoutes(host)
 		now := time.Now()
 		for _, route := range homed {
-			count := 1 + i.usage.of(now, route.Name)
+			count := i.usage.of(now, route.Name)
 			requests = append(requests, count)
 			total += count
 		}
@@ -122,15 +122,17 @@
 		if _, known := fractions[region]; known {
 			continue
 		}
-		fractions[region] = 0
-		if unknown {
-			fractions[region] = 1
-		}
+		restricted, misplaced := unknown, 0.0
 		for k, route := range homed {
 			if !snapshot.RouteMayRunIn(route, region) {
-				fractions[region] += requests[k] / total
+				restricted = true
+				misplaced += requests[k]
 			}
 		}
+		fractions[region] = 0
+		if restricted {
+			fractions[region] = (1 + misplaced) / total
+		}
 	}
 	return fractions
 }
--- a/hosted/directory_test.go
+++ b/hosted/directory_test.go
@@ -118,6 +118,30 @@
 	c.Assert(i.usage.report(now), qt.DeepEquals, map[string]float64{"query": 200, "stock": 200})
 }
 
+// TestDirectoryManyUnusedRoutes guards against callers of a region without instances
+// being served nowhere for as long as the configuration contains many routes with
+// other homes that nobody uses.
+func TestDirectoryManyUnusedRoutes(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	i := directoryInstance(c, "alex", "delta")
+	routes := []route{homedRoute("query", "cairo", "alex")}
+	for k := range 100 {
+		routes = append(routes, homedRoute(fmt.Sprintf("unused-%d", k), "cairo"))
+	}
+	putConfig(c, i, 1, routes...)
+	c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0)
+	now := time.Now()
+	for range 100 {
+		i.usage.record(now, "query")
+	}
+	c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
+	for k := range 4 {
+		i.usage.record(now, routes[k+1].Name)
+	}
+	c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0)
+}
+
 // TestDirectoryNeverMisplacesRequests draws configurations, requests and regions at
 // random, and guards against any region being named in which more requests than
 // tolerated would be misplaced.
