Sum the reports of other instances once for all responses of the directory

Callers would see: in a large fleet, slow answers of the directory and of requests while a region has no instances. Each answer read every report for every route, under the lock that each request takes to be counted.

All reports lose weight at one rate, so that their sum is kept and computed again only after a new report.

--- a/hosted/directory_test.go
+++ b/hosted/directory_test.go
@@ -255,6 +255,45 @@
 	c.Assert(i.usage.of(now, "b"), qt.Equals, 1.0)
 }
 
+// TestDirectoryTimeIsIndependentOfFleet guards against responses of the directory that
+// take longer the more instances report, while requests wait for the same counts.
+func TestDirectoryTimeIsIndependentOfFleet(t *testing.T) {
+	t.Parallel()
+	const maxGrowth = 4
+	c := qt.New(t)
+	small, large := directoryLookupTime(c, 2), directoryLookupTime(c, 200)
+	c.Assert(large < maxGrowth*small, qt.IsTrue, qt.Commentf("%v with 2 reports, %v with 200", small, large))
+}
+
+// directoryLookupTime returns the time for some responses of the directory, the
+// shortest of several tries, at an instance with the given number of reports.
+func directoryLookupTime(c *qt.C, reports int) time.Duration {
+	const routeCount, tries, lookups = 350, 10, 10
+	i := directoryInstance(c, "alex", "delta")
+	var routes []route
+	for k := range routeCount {
+		routes = append(routes, homedRoute(fmt.Sprintf("r-%d", k), "alex", "cairo"))
+	}
+	putConfig(c, i, 1, routes...)
+	now := time.Now()
+	for k := range reports {
+		report := make(map[string]float64)
+		for _, r := range routes[:maxReportedRoutes] {
+			report[r.Name] = 10
+		}
+		i.usage.recordReport(now, fmt.Sprintf("entry-%d", k), report)
+	}
+	shortest := time.Hour
+	for range tries {
+		start := time.Now()
+		for range lookups {
+			c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
+		}
+		shortest = min(shortest, time.Since(start))
+	}
+	return shortest
+}
+
 // TestUsageReportIsBounded guards against a report that grows with the configuration.
 func TestUsageReportIsBounded(t *testing.T) {
 	t.Parallel()
--- a/hosted/usage.go
+++ b/hosted/usage.go
@@ -33,6 +33,11 @@
 	routes   map[string]decayedCount // by name of the route; has an entry for every route
 	homed    map[string]bool         // routes whose requests may not run in every region
 	peers    map[string]usageReport  // by instance
+
+	// reported is the sum of the reports of peers at reportedAt, by name of the
+	// route; nil if a report has changed since it was computed.
+	reported   map[string]float64
+	reportedAt time.Time
 }
 
 // decayedCount is a number of requests at a time. Older requests count less.
@@ -90,7 +95,7 @@
 	if u.peers == nil {
 		u.peers = make(map[string]usageReport)
 	}
-	u.peers[instance] = usageReport{requests, now}
+	u.peers[instance], u.reported = usageReport{requests, now}, nil
 	maps.DeleteFunc(u.peers, func(_ string, r usageReport) bool { return now.Sub(r.at) > maxUsageAge })
 }
 
@@ -99,11 +104,20 @@
 func (u *routeUsage) of(now time.Time, route string) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	total := u.routes[route].value(now)
+	if u.reported == nil {
+		u.sumReports(now)
+	}
+	return u.routes[route].value(now) + decayedCount{u.reported[route], u.reportedAt}.value(now)
+}
+
+// sumReports computes reported. u.mu is held.
+func (u *routeUsage) sumReports(now time.Time) {
+	u.reported, u.reportedAt = make(map[string]float64), now
 	for _, report := range u.peers {
-		total += decayedCount{report.requests[route], report.at}.value(now)
+		for route, count := range report.requests {
+			u.reported[route] += decayedCount{count, report.at}.value(now)
+		}
 	}
-	return total
 }
 
 // report returns the recent requests that this instance has received on routes whose
