Drop impossible numbers from the reports of other instances

Callers would see: one faulty instance whose report holds a negative, infinite or huge number of requests makes the directory of the others name regions that may not run their requests, or none at all, for five minutes. Found by reading; no run showed it.

Evidence: TestDirectoryImpossibleReports failed before (a report of -1e300 requests: alex is named though half of the requests may not run there).

Such numbers are now dropped when a report arrives.

--- a/hosted/directory_test.go
+++ b/hosted/directory_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -255,6 +256,32 @@
 	c.Assert(i.usage.of(now, "b"), qt.Equals, 1.0)
 }
 
+// TestDirectoryImpossibleReports guards against callers being led to regions that may
+// not run their requests, or nowhere, because of numbers in the report of a faulty
+// instance that cannot be right.
+func TestDirectoryImpossibleReports(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	for _, test := range []struct{ query, local float64 }{
+		{-1e300, 0}, {0, -150}, {0, -1e308}, {0, 1e308}, {1e308, 0}, {math.Inf(1), math.Inf(1)}, {math.NaN(), 0}, {0, math.NaN()},
+	} {
+		i := directoryInstance(c, "alex", "delta")
+		putConfig(c, i, 1, homedRoute("query", "cairo", "alex"), homedRoute("local", "cairo"))
+		now := time.Now()
+		for range 100 {
+			i.usage.record(now, "query")
+		}
+		for _, instance := range []string{"entry-a", "entry-b"} {
+			i.usage.recordReport(now, instance, map[string]float64{"query": test.query, "local": test.local})
+		}
+		c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"}, qt.Commentf("%v", test))
+		for range 100 {
+			i.usage.record(now, "local")
+		}
+		c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0, qt.Commentf("%v", test))
+	}
+}
+
 // TestDirectoryTimeIsIndependentOfFleet guards against responses of the directory that
 // take longer the more instances report, while requests wait for the same counts.
 func TestDirectoryTimeIsIndependentOfFleet(t *testing.T) {
--- a/hosted/usage.go
+++ b/hosted/usage.go
@@ -20,6 +20,9 @@
 	// maxUsageAge is the age of another instance's report at which it is dropped:
 	// the instance is gone, and its requests hardly count any more.
 	maxUsageAge = 5 * usageHalfLife
+	// maxReportedRequests is far above what an instance can receive. A report with
+	// larger numbers is wrong.
+	maxReportedRequests = 1e9
 	// maxReportedRoutes limits the size of a report to the routes used most.
 	maxReportedRoutes = 64
 )
@@ -88,13 +91,15 @@
 	}
 }
 
-// recordReport replaces the report of another instance.
+// recordReport replaces the report of another instance. Numbers that no instance can
+// have counted are dropped.
 func (u *routeUsage) recordReport(now time.Time, instance string, requests map[string]float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.peers == nil {
 		u.peers = make(map[string]usageReport)
 	}
+	maps.DeleteFunc(requests, func(_ string, count float64) bool { return !(count > 0 && count <= maxReportedRequests) })
 	u.peers[instance], u.reported = usageReport{requests, now}, nil
 	maps.DeleteFunc(u.peers, func(_ string, r usageReport) bool { return now.Sub(r.at) > maxUsageAge })
 }
