Refuse a forwarded request for work not yet configured with a retryable 503

Callers would see: a 404, which they do not retry, for work that exists, because the request was forwarded to another region whose instance has an older configuration without this work.

Cause: what is not known there yet was taken for what does not exist.

Evidence: TestHopOfNewerConfiguration failed before (got 404, want 503).

The forwarding instance has found the work in its own configuration, so the other one is behind. It now answers as without a configuration (not_ready, not run), and the forwarding instance tries its own region, if that may run the request.

--- a/filters/hop.go
+++ b/filters/hop.go
@@ -86,7 +86,10 @@
 	x.Stream = header.Get(HopStreamHeader) == "true"
 	service, work, lookupErr := x.Snapshot.Resolve(header.Get(HopServiceHeader), header.Get(HopWorkHeader))
 	if lookupErr != nil {
-		return unknownService(lookupErr)
+		// The forwarding instance has a newer configuration, in which they exist.
+		refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeNotReady, "service or work not yet configured here").WithRetryAfter(notReadyRetryAfter)
+		refusal.Cause = lookupErr
+		return refusal
 	}
 	x.Service, x.Work = service, work
 	if maxServers, err := strconv.Atoi(header.Get(HopRunsHeader)); err == nil && maxServers > 0 {
