--- a/hosted/directory_test.go
+++ b/hosted/directory_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -99,6 +100,49 @@
 	c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
 }
 
+// TestDirectoryRouteThatIsGivenHomes guards against callers being led to regions that
+// may not run their requests because a route was given its homes while in use, and
+// the requests before that were not counted.
+func TestDirectoryRouteThatIsGivenHomes(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	i := directoryInstance(c, "alex", "delta")
+	putConfig(c, i, 1, homedRoute("query", "cairo", "alex"), newRoute("stock", "safe", "orders"))
+	now := time.Now()
+	for range 200 {
+		i.usage.record(now, "query")
+		i.usage.record(now, "stock")
+	}
+	c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
+	putConfig(c, i, 2, homedRoute("query", "cairo", "alex"), homedRoute("stock", "cairo", "delta"))
+	c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0)
+	c.Assert(i.usage.report(now), qt.DeepEquals, map[string]float64{"query": 200, "stock": 200})
+}
+
+// TestDirectoryManyUnusedRoutes guards against callers of a region without instances
+// being served nowhere for as long as the configuration contains many routes with
+// other homes that nobody uses.
+func TestDirectoryManyUnusedRoutes(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	i := directoryInstance(c, "alex", "delta")
+	routes := []route{homedRoute("query", "cairo", "alex")}
+	for k := range 100 {
+		routes = append(routes, homedRoute(fmt.Sprintf("unused-%d", k), "cairo"))
+	}
+	putConfig(c, i, 1, routes...)
+	c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0)
+	now := time.Now()
+	for range 100 {
+		i.usage.record(now, "query")
+	}
+	c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
+	for k := range 4 {
+		i.usage.record(now, routes[k+1].Name)
+	}
+	c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0)
+}
+
 // TestDirectoryNeverMisplacesRequests draws configurations, requests and regions at
 // random, and guards against any region being named in which more requests than
 // tolerated would be misplaced.
@@ -196,6 +240,87 @@
 	c.Assert(i.usage.report(now), qt.HasLen, 0)
 }
 
+// TestRouteUsageOlderSnapshot guards against requests on a new route not being counted
+// because an older configuration, which another goroutine applies at the same time,
+// sets the routes to measure last.
+func TestRouteUsageOlderSnapshot(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	i := directoryInstance(c)
+	putConfig(c, i, 1, homedRoute("a", "alex"))
+	older := i.table.Current()
+	putConfig(c, i, 2, homedRoute("a", "alex"), homedRoute("b", "alex"))
+	i.usage.setRoutes(older)
+	now := time.Now()
+	i.usage.record(now, "b")
+	c.Assert(i.usage.of(now, "b"), qt.Equals, 1.0)
+}
+
+// TestDirectoryImpossibleReports guards against callers being led to regions that may
+// not run their requests, or nowhere, because of numbers in the report of a faulty
+// instance that cannot be right.
+func TestDirectoryImpossibleReports(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	for _, test := range []struct{ query, local float64 }{
+		{-1e300, 0}, {0, -150}, {0, -1e308}, {0, 1e308}, {1e308, 0}, {math.Inf(1), math.Inf(1)}, {math.NaN(), 0}, {0, math.NaN()},
+	} {
+		i := directoryInstance(c, "alex", "delta")
+		putConfig(c, i, 1, homedRoute("query", "cairo", "alex"), homedRoute("local", "cairo"))
+		now := time.Now()
+		for range 100 {
+			i.usage.record(now, "query")
+		}
+		for _, instance := range []string{"entry-a", "entry-b"} {
+			i.usage.recordReport(now, instance, map[string]float64{"query": test.query, "local": test.local})
+		}
+		c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"}, qt.Commentf("%v", test))
+		for range 100 {
+			i.usage.record(now, "local")
+		}
+		c.Assert(namedRegions(i, host, "cairo"), qt.HasLen, 0, qt.Commentf("%v", test))
+	}
+}
+
+// TestDirectoryTimeIsIndependentOfFleet guards against responses of the directory that
+// take longer the more instances report, while requests wait for the same counts.
+func TestDirectoryTimeIsIndependentOfFleet(t *testing.T) {
+	t.Parallel()
+	const maxGrowth = 4
+	c := qt.New(t)
+	small, large := directoryLookupTime(c, 2), directoryLookupTime(c, 200)
+	c.Assert(large < maxGrowth*small, qt.IsTrue, qt.Commentf("%v with 2 reports, %v with 200", small, large))
+}
+
+// directoryLookupTime returns the time for some responses of the directory, the
+// shortest of several tries, at an instance with the given number of reports.
+func directoryLookupTime(c *qt.C, reports int) time.Duration {
+	const routeCount, tries, lookups = 350, 10, 10
+	i := directoryInstance(c, "alex", "delta")
+	var routes []route
+	for k := range routeCount {
+		routes = append(routes, homedRoute(fmt.Sprintf("r-%d", k), "alex", "cairo"))
+	}
+	putConfig(c, i, 1, routes...)
+	now := time.Now()
+	for k := range reports {
+		report := make(map[string]float64)
+		for _, r := range routes[:maxReportedRoutes] {
+			report[r.Name] = 10
+		}
+		i.usage.recordReport(now, fmt.Sprintf("entry-%d", k), report)
+	}
+	shortest := time.Hour
+	for range tries {
+		start := time.Now()
+		for range lookups {
+			c.Assert(namedRegions(i, host, "cairo"), qt.DeepEquals, []string{"alex"})
+		}
+		shortest = min(shortest, time.Since(start))
+	}
+	return shortest
+}
+
 // TestUsageReportIsBounded guards against a report that grows with the configuration.
 func TestUsageReportIsBounded(t *testing.T) {
 	t.Parallel()
--- a/hosted/usage.go
+++ b/hosted/usage.go
@@ -20,17 +20,27 @@
 	// maxUsageAge is the age of another instance's report at which it is dropped:
 	// the instance is gone, and its requests hardly count any more.
 	maxUsageAge = 5 * usageHalfLife
+	// maxReportedRequests is far above what an instance can receive. A report with
+	// larger numbers is wrong.
+	maxReportedRequests = 1e9
 	// maxReportedRoutes limits the size of a report to the routes used most.
 	maxReportedRoutes = 64
 )
 
-// routeUsage measures how much callers use the routes whose requests may not run in
-// every region: here and, as they report it, at instances of other regions. It is
-// safe for concurrent use.
+// routeUsage measures how much callers use each route: here and, for routes whose
+// requests may not run in every region, at instances of other regions, which report
+// it. It is safe for concurrent use.
 type routeUsage struct {
-	mu     sync.Mutex
-	routes map[string]decayedCount // by name of the route; has an entry for every such route
-	peers  map[string]usageReport  // by instance
+	mu       sync.Mutex
+	revision uint64                  // of the snapshot that routes and homed are from
+	routes   map[string]decayedCount // by name of the route; has an entry for every route
+	homed    map[string]bool         // routes whose requests may not run in every region
+	peers    map[string]usageReport  // by instance
+
+	// reported is the sum of the reports of peers at reportedAt, by name of the
+	// route; nil if a report has changed since it was computed.
+	reported   map[string]float64
+	reportedAt time.Time
 }
 
 // decayedCount is a number of requests at a time. Older requests count less.
@@ -49,17 +59,26 @@
 	at       time.Time
 }
 
-// setRoutes sets the routes to measure: those of the snapshot whose requests may not
-// run in every region.
+// setRoutes sets the routes to measure: those of the snapshot. Routes without homes
+// are measured too, as they may be given homes while they are in use. A snapshot of a
+// lower revision than the last one is ignored: the goroutines that apply changes of
+// the store may call setRoutes in any order.
 func (u *routeUsage) setRoutes(snapshot *catalog.Snapshot) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if snapshot.Revision < u.revision {
+		return
+	}
+	u.revision = snapshot.Revision
 	last := u.routes
-	u.routes = make(map[string]decayedCount)
-	for host := range snapshot.Routes {
-		for _, route := range snapshot.HomedRoutes(host) {
+	u.routes, u.homed = make(map[string]decayedCount), make(map[string]bool)
+	for host, routes := range snapshot.Routes {
+		for _, route := range routes {
 			u.routes[route.Name] = last[route.Name]
 		}
+		for _, route := range snapshot.HomedRoutes(host) {
+			u.homed[route.Name] = true
+		}
 	}
 }
 
@@ -72,14 +91,16 @@
 	}
 }
 
-// recordReport replaces the report of another instance.
+// recordReport replaces the report of another instance. Numbers that no instance can
+// have counted are dropped.
 func (u *routeUsage) recordReport(now time.Time, instance string, requests map[string]float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.peers == nil {
 		u.peers = make(map[string]usageReport)
 	}
-	u.peers[instance] = usageReport{requests, now}
+	maps.DeleteFunc(requests, func(_ string, count float64) bool { return !(count > 0 && count <= maxReportedRequests) })
+	u.peers[instance], u.reported = usageReport{requests, now}, nil
 	maps.DeleteFunc(u.peers, func(_ string, r usageReport) bool { return now.Sub(r.at) > maxUsageAge })
 }
 
@@ -88,21 +109,30 @@
 func (u *routeUsage) of(now time.Time, route string) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	total := u.routes[route].value(now)
+	if u.reported == nil {
+		u.sumReports(now)
+	}
+	return u.routes[route].value(now) + decayedCount{u.reported[route], u.reportedAt}.value(now)
+}
+
+// sumReports computes reported. u.mu is held.
+func (u *routeUsage) sumReports(now time.Time) {
+	u.reported, u.reportedAt = make(map[string]float64), now
 	for _, report := range u.peers {
-		total += decayedCount{report.requests[route], report.at}.value(now)
+		for route, count := range report.requests {
+			u.reported[route] += decayedCount{count, report.at}.value(now)
+		}
 	}
-	return total
 }
 
-// report returns the recent requests that this instance has received, for at most
-// maxReportedRoutes routes.
+// report returns the recent requests that this instance has received on routes whose
+// requests may not run in every region, for at most maxReportedRoutes routes.
 func (u *routeUsage) report(now time.Time) map[string]float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	requests := make(map[string]float64)
-	for route, count := range u.routes {
-		if value := math.Round(count.value(now)); value > 0 {
+	for route := range u.homed {
+		if value := math.Round(u.routes[route].value(now)); value > 0 {
 			requests[route] = value
 		}
 	}
