Believe a refusal only with evidence that it belongs to the attempt

Seen by callers: "not run, try again" (503) for a request that a server ran, and unsafe requests run at two servers.

Cause: a refusal without a request id was believed on any connection, and one with the id on a connection where the same request had been refused before. A faulty server that sends an earlier refusal once more on a connection kept open so refuses the next request while it runs it. Also, net/http pools a connection before it hands over a response without a body, so that the next request read the response to the one before.

Fix: a refusal counts if it carries the id of the attempt or is the first response on its connection; a request is not sent again on a connection on which it was refused; a connection with a discarded response, or with a refusal without an id, carries no further request: its gate turns the next attempt away before a byte is sent. New: log line response_discarded, counter fuchsia_responses_discarded_total.

Remains: a server that never puts the id on refusals is believed on new connections only; a refusal cut within a header line and continued by the head of the true response has the right id.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -40,6 +40,10 @@
 	// is never reported as not run.
 	mayHaveRun bool
 	runs       int // attempts that may have run
+	// refusedOn are the connections on which a backend server refused the request.
+	// A server that sends the refusal again could make a further attempt there look
+	// refused.
+	refusedOn []*guardedConn
 	// failedResponse is the response of a server that failed. The caller receives
 	// it if no other attempt succeeds.
 	failedResponse *http.Response
@@ -211,7 +215,7 @@
 	if result.stalled && err != nil {
 		err.Code = outcome.CodeBackendFailed
 	}
-	failed := err != nil && err.Code == outcome.CodeBackendFailed && r.ctx.Err() == nil
+	failed := err != nil && err.Code == outcome.CodeBackendFailed && r.ctx.Err() == nil && !errors.Is(err, errRetiredConn)
 	connectionLost := failed && err.Outcome == outcome.MayHaveRun && !w.gotHeader && !result.stalled
 	if connectionLost && w.lostIdleConnection() {
 		connectionLost, failed = false, false
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -71,10 +71,22 @@
 	// state is the resulting state of the digest. server is the id of the crashed
 	// server, or "".
 	SuspectState(x *filters.Exchange, digest quarantine.Digest, state quarantine.State, server string)
+	// ResponseDiscarded is called when a response of a backend server is not accepted
+	// as the response to the attempt.
+	ResponseDiscarded(x *filters.Exchange, server *backend.Server, response DiscardedResponse)
 	// EjectionChanged is called when a backend server is ejected or restored.
 	EjectionChanged(e routing.Ejection)
 }
 
+// DiscardedResponse describes a response that belongs, or may belong, to another
+// attempt.
+type DiscardedResponse struct {
+	Status            int
+	Refused           bool          // it states that the server did not run the request
+	FirstOnConnection bool          // the connection carried no earlier request
+	Elapsed           time.Duration // since the start of the attempt
+}
+
 // Dispatcher is the last handler of the filter chain. It sends requests to
 // backend servers and other regions.
 type Dispatcher struct {
@@ -174,7 +186,8 @@
 	attempt := Attempt{Exchange: x, Server: server, ID: uuid.NewString(), Remaining: time.Until(x.Deadline), FetchFrom: w.fetchFrom}
 	d.protocol().SetRequestHeader(req.Header, attempt)
 	w.loop.callerResponse.SetResume(req.Header)
-	resp, failure := d.send(req)
+	gate := newGate(ctx, w.loop.refusedOn)
+	resp, failure := d.send(req, gate)
 	if failure != nil {
 		return failure
 	}
@@ -183,13 +196,24 @@
 	if resp.ContentLength > d.maxResponseBytes() && req.Method != http.MethodHead {
 		return outcome.Fail(outcome.CodeBackendFailed, errors.Wrapf(errTooLarge, "read response of %s: Content-Length %d, limit %d", server.ID, resp.ContentLength, d.maxResponseBytes()), "the answer is too large")
 	}
+	attempt.FirstOnConnection = gate.first.Load()
 	info := d.protocol().ReadResponse(attempt, resp)
 	info.updateServer(server)
+	conn := gate.owner.Load()
+	if conn != nil && (info.Mismatched || info.Refused && !info.Identified) {
+		conn.retire(gate)
+	}
 	switch {
 	case info.Mismatched:
+		d.Observer.ResponseDiscarded(x, server, DiscardedResponse{
+			Status: resp.StatusCode, Refused: info.Refused, FirstOnConnection: attempt.FirstOnConnection, Elapsed: time.Since(w.startedAt),
+		})
 		return outcome.Fail(outcome.CodeBackendFailed, errors.Wrapf(errOtherAttempt, "check response of %s to attempt %s", server.ID, attempt.ID), "the backend server answered another request")
 	case info.Refused:
 		w.refused = true
+		if conn != nil {
+			w.loop.refusedOn = append(w.loop.refusedOn, conn)
+		}
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeBackendRefused, "the backend server refused the request").WithRetryAfter(refusedRetryAfter)
 	case info.Failed && w.loop.mayRepeat():
 		return w.loop.saveFailedResponse(resp)
@@ -225,7 +249,7 @@
 	callerResponse.SetResume(req.Header)
 	ack := newAckTimer(cancel)
 	defer ack.stop()
-	resp, failure := d.send(req.WithContext(ack.withTrace(ctx)))
+	resp, failure := d.send(req.WithContext(ack.withTrace(ctx)), newGate(ctx, nil))
 	if failure != nil {
 		return ack.classify(failure), false
 	}
@@ -284,11 +308,9 @@
 	return refusal
 }
 
-// send performs one round trip. An error has the outcome NotRun if no byte of the
-// request was sent.
-func (d *Dispatcher) send(req *http.Request) (*http.Response, *outcome.Error) {
-	deadline, _ := req.Context().Deadline()
-	gate := &gate{deadline: deadline}
+// send performs one round trip through a new gate. An error has the outcome NotRun
+// if no byte of the request was sent.
+func (d *Dispatcher) send(req *http.Request, gate *gate) (*http.Response, *outcome.Error) {
 	resp, err := d.Transport.RoundTrip(req.WithContext(gate.withTrace(req.Context())))
 	if err == nil {
 		return resp, nil
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 var (
 	errResent         = errors.New("dispatch: request must not be sent on a second connection")
 	errDeadlinePassed = errors.New("dispatch: deadline passed before the request was sent")
+	errRetiredConn    = errors.New("dispatch: connection must not carry this request")
 )
 
 // DialFunc opens a connection.
@@ -37,7 +39,19 @@
 // connection. HTTP/1.1 carries one request at a time on a connection.
 type guardedConn struct {
 	net.Conn
-	gate atomic.Pointer[gate]
+	gate     atomic.Pointer[gate]
+	attempts atomic.Int64 // that were sent on the connection
+	retired  atomic.Bool  // no further attempt may be sent
+}
+
+// retire keeps further attempts off the connection, and closes it unless one has
+// obtained it already. The transport pools a connection as soon as it has read a
+// response without a body, before the response is interpreted.
+func (c *guardedConn) retire(g *gate) {
+	c.retired.Store(true)
+	if c.gate.Load() == g {
+		_ = c.Close()
+	}
 }
 
 // Write implements net.Conn.
@@ -58,13 +72,22 @@
 // none to be sent once it is closed.
 type gate struct {
 	deadline time.Time
+	avoid    []*guardedConn              // connections on which an earlier attempt of the request was refused
 	owner    atomic.Pointer[guardedConn] // the connection that may have sent bytes
 	sent     atomic.Bool
+	first    atomic.Bool // the attempt is the first one on the owner
 }
 
 // closedGate is the owner of a gate that rejects all writes.
 var closedGate = &guardedConn{}
 
+// newGate returns the gate of an attempt that ends at the deadline of ctx and must
+// not be sent on the connections in avoid.
+func newGate(ctx context.Context, avoid []*guardedConn) *gate {
+	deadline, _ := ctx.Deadline()
+	return &gate{deadline: deadline, avoid: avoid}
+}
+
 func (g *gate) withTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: g.gotConn})
 }
@@ -92,9 +115,13 @@
 	if time.Now().After(g.deadline) {
 		return errDeadlinePassed
 	}
+	if c.retired.Load() || slices.Contains(g.avoid, c) {
+		return errRetiredConn
+	}
 	if !g.owner.CompareAndSwap(nil, c) {
 		return errResent
 	}
+	g.first.Store(c.attempts.Add(1) == 1)
 	return nil
 }
 
--- a/dispatch/guard_test.go
+++ b/dispatch/guard_test.go
@@ -12,7 +12,13 @@
 // countingConn counts the bytes that are sent.
 type countingConn struct {
 	net.Conn
-	sent int
+	sent   int
+	closed bool
+}
+
+func (c *countingConn) Close() error {
+	c.closed = true
+	return nil
 }
 
 func (c *countingConn) Write(p []byte) (int, error) {
@@ -60,6 +66,41 @@
 		c.Assert(inner.sent, qt.Equals, 0)
 		c.Assert(g.close(), qt.IsFalse)
 	})
+	c.Run("retired connection", func(c *qt.C) {
+		first := &gate{deadline: future}
+		conn, inner := attachConn(first)
+		_, err := conn.Write([]byte("request"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(first.first.Load(), qt.IsTrue)
+		next := &gate{deadline: future}
+		next.gotConn(httptrace.GotConnInfo{Conn: conn})
+		conn.retire(first)
+		c.Assert(inner.closed, qt.IsFalse) // another attempt has obtained the connection
+		sent := inner.sent
+		_, err = conn.Write([]byte("request"))
+		c.Assert(err, qt.Equals, errRetiredConn)
+		c.Assert(inner.sent, qt.Equals, sent)
+		c.Assert(next.close(), qt.IsTrue)
+		conn.retire(next)
+		c.Assert(inner.closed, qt.IsTrue)
+	})
+	c.Run("connection of an earlier attempt", func(c *qt.C) {
+		conn, inner := attachConn(&gate{deadline: future})
+		_, err := conn.Write([]byte("request"))
+		c.Assert(err, qt.IsNil)
+		sent := inner.sent
+		again := &gate{deadline: future, avoid: []*guardedConn{conn}}
+		again.gotConn(httptrace.GotConnInfo{Conn: conn})
+		_, err = conn.Write([]byte("request"))
+		c.Assert(err, qt.Equals, errRetiredConn)
+		c.Assert(inner.sent, qt.Equals, sent)
+		c.Assert(again.close(), qt.IsTrue)
+		other := &gate{deadline: future}
+		other.gotConn(httptrace.GotConnInfo{Conn: conn})
+		_, err = conn.Write([]byte("request"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(other.first.Load(), qt.IsFalse)
+	})
 	c.Run("unguarded connection", func(c *qt.C) {
 		g := &gate{deadline: future}
 		g.gotConn(httptrace.GotConnInfo{Conn: &countingConn{}})
--- a/dispatch/protocol.go
+++ b/dispatch/protocol.go
@@ -33,11 +33,16 @@
 	ID        string        // unique among all attempts
 	Remaining time.Duration // until the deadline
 	FetchFrom string        // host:port of a server that has more of the prompt in its cache, or ""
+	// FirstOnConnection is set before ReadResponse is called. It means that the
+	// connection carried no earlier request, so that its first response cannot be
+	// one that belongs to an earlier request.
+	FirstOnConnection bool
 }
 
 // ResponseInfo is the information in the header of a response.
 type ResponseInfo struct {
-	Mismatched    bool // the response belongs to another attempt
+	Mismatched    bool // the response belongs, or may belong, to another attempt
+	Identified    bool // the response carries the id of the attempt
 	Refused       bool // the server states that it did not run the request
 	Draining      bool // the server accepts no more requests
 	AddressReused bool // another process uses the server's address
@@ -77,6 +82,8 @@
 // ReadResponse implements Protocol.
 func (defaultProtocol) ReadResponse(attempt Attempt, resp *http.Response) ResponseInfo {
 	echoedID := resp.Header.Get(relay.AttemptHeader)
-	refused := resp.Header.Get(refusedHeader) != ""
-	return ResponseInfo{Mismatched: echoedID != "" && echoedID != attempt.ID, Refused: refused, Draining: refused}
+	info := ResponseInfo{Identified: echoedID == attempt.ID, Refused: resp.Header.Get(refusedHeader) != ""}
+	info.Draining = info.Refused
+	info.Mismatched = !info.Identified && (echoedID != "" || info.Refused && !attempt.FirstOnConnection)
+	return info
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,7 +42,7 @@
 
 // AttemptHeader carries the id of an attempt to a backend server. If the server
 // echoes it in the response, the gateway can reject a response that belongs to
-// another attempt.
+// another attempt. A refusal without it counts only on a new connection.
 const AttemptHeader = "Fuchsia-Attempt"
 
 // excludedHeaders are the response headers that are not copied: those that apply
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -8,6 +8,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/routing"
@@ -88,3 +90,12 @@
 			Str("outcome", result.String()).Err(err).Msg("")
 	}
 }
+
+// ResponseDiscarded implements dispatch.Observer.
+func (o *Observer) ResponseDiscarded(x *filters.Exchange, server *backend.Server, response dispatch.DiscardedResponse) {
+	o.Metrics.discarded.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", x.Service.Name), attribute.Bool("refusal", response.Refused)))
+	o.Log.Warn().Str("event", "response_discarded").Str("request_id", x.ID).Str("server", server.ID).
+		Int("status", response.Status).Bool("refusal", response.Refused).Bool("first_on_connection", response.FirstOnConnection).
+		Dur("elapsed", response.Elapsed).Msg("")
+}
--- a/telemetry/routing_test.go
+++ b/telemetry/routing_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
@@ -40,14 +41,15 @@
 	o.AttemptEnded(x, 1, decision, outcome.MayHaveRun, errors.New("connection reset"))
 	o.RetryDecided(x, 1, retry.Verdict{Reason: retry.ReasonBudget})
 	o.SuspectState(x, quarantine.Key("key").Digest("drafting-desk", "/", x.Body), quarantine.Suspect, server.ID)
+	o.ResponseDiscarded(x, server, dispatch.DiscardedResponse{Status: http.StatusServiceUnavailable, Refused: true, Elapsed: time.Millisecond})
 	o.EjectionChanged(routing.Ejection{Server: server, Cause: routing.CauseSlow, ProbeAt: time.Now()})
 
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-	c.Assert(lines, qt.HasLen, 5)
+	c.Assert(lines, qt.HasLen, 6)
 	for _, want := range []string{
 		`"event":"route"`, `"reason":"prefix_cached"`, `"server":"engine-3"`, `"candidates":9`, `"cached_tokens":64`,
 		`"spill":"local_target_met"`, `"event":"retry"`, `"reason":"budget"`, `"event":"suspect"`, `"state":"suspect"`,
-		`"event":"eject"`, `"cause":"slow"`,
+		`"event":"response_discarded"`, `"refusal":true`, `"first_on_connection":false`, `"event":"eject"`, `"cause":"slow"`,
 	} {
 		c.Assert(out.String(), qt.Contains, want)
 	}
@@ -56,7 +58,7 @@
 	metrics.ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, want := range []string{
 		"fuchsia_routing_decisions_total", "fuchsia_routing_cost_seconds", "fuchsia_retries_total",
-		"fuchsia_ejections_total", "fuchsia_suspects_total", `reason="prefix_cached"`, `state="suspect"`,
+		`fuchsia_responses_discarded_total{refusal="true",service="drafting-desk"} 1`, "fuchsia_ejections_total", "fuchsia_suspects_total", `reason="prefix_cached"`, `state="suspect"`,
 	} {
 		c.Assert(page.Body.String(), qt.Contains, want)
 	}
