Test repeated refusals at one instance for each kind of work

The hosted tests give every instance its own loopback address, so that -count=8 ran out of them ("lookup 127.0.1.495: no such host"). The servers now change their fault between the subtests; the same checks run against two instances. Idle repetitions come last, as they may reach a request of the next subtest.

Passes with -race -count=12 -cpu 2,8.

--- a/hosted/repeat_test.go
+++ b/hosted/repeat_test.go
@@ -26,25 +26,28 @@
 // more on a connection that is kept open.
 type repeatingServer struct {
 	net.Listener
-	// repeat sends a refusal again, before or while the next request runs. idle
-	// is called before that request has been read.
-	repeat func(conn net.Conn, refusal string, idle bool)
-	// refusalID and repeatID tell whether the refusal and its repetition carry the
-	// request id.
-	refusalID, repeatID bool
 
 	mu      sync.Mutex
+	fault   repetition
 	conns   []net.Conn
 	seen    map[string]bool
 	runs    map[string]int
 	repeats int
 }
 
-func (f *fleet) startRepeatingServer(s *repeatingServer) *repeatingServer {
+// repetition describes how a refusal is sent again.
+type repetition struct {
+	moment
+	// refusalID and repeatID tell whether the refusal and its repetition carry the
+	// request id.
+	refusalID, repeatID bool
+}
+
+func (f *fleet) startRepeatingServer(fault repetition) *repeatingServer {
 	f.count++
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	f.Assert(err, qt.IsNil)
-	s.Listener, s.seen, s.runs = listener, make(map[string]bool), make(map[string]int)
+	s := &repeatingServer{Listener: listener, fault: fault, seen: make(map[string]bool), runs: make(map[string]int)}
 	var done sync.WaitGroup
 	done.Go(func() {
 		for {
@@ -75,6 +78,7 @@
 func (s *repeatingServer) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	var fault repetition
 	refusal := "" // to repeat
 	for {
 		req, err := http.ReadRequest(reader)
@@ -84,16 +88,22 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		id := req.Header.Get("Request-Id")
 		if s.refuses(id) {
-			fmt.Fprint(conn, refusalText(id, s.refusalID))
-			refusal = refusalText(id, s.repeatID)
-			s.repeat(conn, refusal, true)
+			s.mu.Lock()
+			fault = s.fault
+			s.mu.Unlock()
+			fmt.Fprint(conn, refusalText(id, fault.refusalID))
+			refusal = refusalText(id, fault.repeatID)
+			if fault.idle {
+				fault.send(conn, refusal)
+				refusal = ""
+			}
 			continue
 		}
 		if refusal != "" {
 			s.mu.Lock()
 			s.repeats++
 			s.mu.Unlock()
-			s.repeat(conn, refusal, false)
+			fault.send(conn, refusal)
 			refusal = ""
 		}
 		body := "answer to " + id
@@ -134,38 +144,35 @@
 	return runs, repeats
 }
 
-// repetitions are the moments at which a refusal is sent again.
-var repetitions = map[string]func(conn net.Conn, refusal string, idle bool){
-	"at once": func(conn net.Conn, refusal string, idle bool) {
-		if idle {
-			fmt.Fprint(conn, refusal)
-		}
-	},
-	"late": func(conn net.Conn, refusal string, idle bool) {
-		if idle {
-			time.AfterFunc(2*time.Millisecond, func() { fmt.Fprint(conn, refusal) })
-		}
-	},
-	"after the next request": func(conn net.Conn, refusal string, idle bool) {
-		if !idle {
-			fmt.Fprint(conn, refusal)
-		}
-	},
-	"while the next request runs": func(conn net.Conn, refusal string, idle bool) {
-		if !idle {
-			time.Sleep(5 * time.Millisecond)
-			fmt.Fprint(conn, refusal)
-			time.Sleep(5 * time.Millisecond)
-		}
-	},
-	"in pieces": func(conn net.Conn, refusal string, idle bool) {
-		if !idle {
-			for piece := range strings.SplitAfterSeq(refusal, " ") {
-				fmt.Fprint(conn, piece)
-				time.Sleep(time.Millisecond)
-			}
+// moment is when a refusal is sent again: while the connection is idle, or when
+// the next request has been read and runs.
+type moment struct {
+	name string
+	idle bool
+	send func(conn net.Conn, refusal string)
+}
+
+func sendAtOnce(conn net.Conn, refusal string) { fmt.Fprint(conn, refusal) }
+
+// moments ends with the idle ones, whose repetitions may reach a request of the
+// next test.
+var moments = []moment{
+	{"after the next request", false, sendAtOnce},
+	{"while the next request runs", false, func(conn net.Conn, refusal string) {
+		time.Sleep(5 * time.Millisecond)
+		fmt.Fprint(conn, refusal)
+		time.Sleep(5 * time.Millisecond)
+	}},
+	{"in pieces", false, func(conn net.Conn, refusal string) {
+		for piece := range strings.SplitAfterSeq(refusal, " ") {
+			fmt.Fprint(conn, piece)
+			time.Sleep(time.Millisecond)
 		}
-	},
+	}},
+	{"at once", true, sendAtOnce},
+	{"late", true, func(conn net.Conn, refusal string) {
+		time.AfterFunc(2*time.Millisecond, func() { fmt.Fprint(conn, refusal) })
+	}},
 }
 
 // TestRepeatedRefusalIsNotBelieved guards against callers that are told that a
@@ -174,47 +181,54 @@
 func TestRepeatedRefusalIsNotBelieved(t *testing.T) {
 	t.Parallel()
 	for _, kind := range []string{"unsafe", "safe"} {
-		for moment, repeat := range repetitions {
-			for _, ids := range []struct {
-				name              string
-				refusal, repeated bool
-			}{{"with ids", true, true}, {"repeated without an id", true, false}, {"without ids", false, false}} {
-				t.Run(kind+"/"+moment+"/"+ids.name, func(t *testing.T) {
-					t.Parallel()
-					f := newFleet(t)
-					f.configure(1, newRoute("orders", kind, "orders"))
-					var servers []*repeatingServer
-					for range 2 {
-						servers = append(servers, f.startRepeatingServer(&repeatingServer{repeat: repeat, refusalID: ids.refusal, repeatID: ids.repeated}))
-					}
-					n := f.start(f.settings("cairo")).waitForServers(2)
-					failed := checkTruth(n, kind, servers)
-					_, repeats := runsAndRepeats(servers, "")
-					if ids.refusal && moment != "at once" && moment != "late" {
-						f.Check(repeats > 0, qt.IsTrue, qt.Commentf("no refusal was repeated"))
-						f.Check(failed <= repeats, qt.IsTrue, qt.Commentf("%d requests failed after %d repeated refusals", failed, repeats))
-					}
-				})
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.configure(1, newRoute("orders", kind, "orders"))
+			servers := []*repeatingServer{f.startRepeatingServer(repetition{}), f.startRepeatingServer(repetition{})}
+			settings := f.settings("cairo")
+			settings.Bounds.RetryBurst = 1000
+			n := f.start(settings).waitForServers(len(servers))
+			for _, moment := range moments {
+				for _, ids := range []struct {
+					name              string
+					refusal, repeated bool
+				}{{"with ids", true, true}, {"repeated without an id", true, false}, {"without ids", false, false}} {
+					t.Run(moment.name+"/"+ids.name, func(t *testing.T) {
+						c := qt.New(t)
+						for _, s := range servers {
+							s.mu.Lock()
+							s.fault, s.repeats = repetition{moment, ids.refusal, ids.repeated}, 0
+							s.mu.Unlock()
+						}
+						failed := checkTruth(c, n, kind, servers)
+						_, repeats := runsAndRepeats(servers, "")
+						if ids.refusal && !moment.idle {
+							c.Check(repeats > 0, qt.IsTrue, qt.Commentf("no refusal was repeated"))
+							c.Check(failed <= repeats, qt.IsTrue, qt.Commentf("%d requests failed after %d repeated refusals", failed, repeats))
+						}
+					})
+				}
 			}
-		}
+		})
 	}
 }
 
 // checkTruth sends requests in turn, and compares what the caller is told with
 // what the servers ran. It returns how many requests failed.
-func checkTruth(n *testInstance, kind string, servers []*repeatingServer) (failed int) {
-	f, served := n.f, 0
+func checkTruth(c *qt.C, n *testInstance, kind string, servers []*repeatingServer) (failed int) {
+	served := 0
 	for round := range 8 {
 		for _, name := range []string{"first", refusedRequest, "second", refusedOnceRequest, "third"} {
-			id := fmt.Sprintf("%s-%d", name, round)
+			id := fmt.Sprintf("%s-%d-%s", name, round, strings.ReplaceAll(c.Name(), "/", "."))
 			got := n.send(n.request("POST", "/orders/", id, "x"))
 			runs, _ := runsAndRepeats(servers, id)
 			comment := qt.Commentf("request %s: status %d, run %d times", id, got.status, runs)
-			f.Check(got.status == http.StatusServiceUnavailable && runs > 0, qt.IsFalse, comment)
-			f.Check(got.status == http.StatusOK && runs == 0, qt.IsFalse, comment)
-			f.Check(kind == "unsafe" && runs > 1, qt.IsFalse, comment)
+			c.Check(got.status == http.StatusServiceUnavailable && runs > 0, qt.IsFalse, comment)
+			c.Check(got.status == http.StatusOK && runs == 0, qt.IsFalse, comment)
+			c.Check(kind == "unsafe" && runs > 1, qt.IsFalse, comment)
 			if got.status == http.StatusOK {
-				f.Check(got.body, qt.Equals, "answer to "+id)
+				c.Check(got.body, qt.Equals, "answer to "+id)
 				served++
 			}
 			if got.status == http.StatusBadGateway {
@@ -222,7 +236,7 @@
 			}
 		}
 	}
-	f.Assert(served > 0, qt.IsTrue)
+	c.Assert(served > 0, qt.IsTrue)
 	return failed
 }
 
@@ -233,7 +247,7 @@
 	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, newRoute("orders", "unsafe", "orders"))
-	server := f.startRepeatingServer(&repeatingServer{repeat: repetitions["after the next request"], refusalID: true, repeatID: true})
+	server := f.startRepeatingServer(repetition{moment: moments[0], refusalID: true, repeatID: true})
 	n := f.start(f.settings("cairo")).waitForServers(1)
 	for round := range 8 {
 		id := fmt.Sprintf("%s-%d", refusedOnceRequest, round)
