Log the parts of prompts whose answers are lost to crashes

The logs did not tell which parts a request has, nor whether an instance took the end of a connection for the crash of a server, so the requests of two crashes could not be compared. The new line answer_lost names server and parts, whether new connections are refused since, and whether the answer had begun.

The check opens up to two connections to a server that lost an answer in the middle, once for all requests in flight there.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -221,6 +221,9 @@
 		r.suspect.recordCrash(server, w.startedAt)
 	}
 	served = err == nil
+	if failed && err.Outcome == outcome.MayHaveRun && !result.stalled {
+		r.recordLostAnswer(w)
+	}
 	unreachable := failed && err.Outcome == outcome.NotRun && !w.reused.Load()
 	r.recordHealth(decision, failed || result.crashed || w.serverError, unreachable, served)
 	return result
@@ -262,6 +265,7 @@
 	gotHeader     bool        // the response header has been received
 	serverError   bool        // the response status is 5xx
 	refused       bool        // the server refused the request without running it
+	firstByteAt   time.Time   // of the response body; zero before
 	bodyTruncated bool        // reading the body failed; the crash has been recorded
 	bodyBytes     int64       // read from the response body
 }
@@ -368,6 +372,9 @@
 	if n > 0 && w.bodyBytes == 0 && w.loop.firstByteMeasuresTTFT() {
 		w.attempt.FirstToken(time.Now())
 	}
+	if n > 0 && w.bodyBytes == 0 {
+		w.firstByteAt = time.Now()
+	}
 	w.bodyBytes += int64(n)
 	if err != nil && !errors.Is(err, io.EOF) && w.loop.ctx.Err() == nil && !w.bodyTruncated {
 		w.bodyTruncated = true
--- /dev/null
+++ b/dispatch/crash.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	crashCheckTimeout = 300 * time.Millisecond
+	// crashCheckPause is the time before a second check: a server that ends may close
+	// its connections before it stops to accept new ones.
+	crashCheckPause = 50 * time.Millisecond
+	// crashCheckReuse is how long the result of a check serves for the other requests
+	// that were in flight at the same server.
+	crashCheckReuse = 500 * time.Millisecond
+)
+
+// crashChecks holds the running and recent checks whether servers have crashed.
+type crashChecks struct {
+	mu       sync.Mutex
+	byServer map[string]*crashCheck // by server id
+}
+
+// crashCheck is one check of a server.
+type crashCheck struct {
+	startedAt time.Time
+	done      chan struct{} // closed when crashed is set
+	crashed   bool
+}
+
+// start returns the check of a server and whether the caller has to run it.
+func (c *crashChecks) start(now time.Time, server string) (check *crashCheck, first bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if check = c.byServer[server]; check != nil && now.Sub(check.startedAt) < crashCheckReuse {
+		return check, false
+	}
+	if c.byServer == nil {
+		c.byServer = make(map[string]*crashCheck)
+	}
+	for id, old := range c.byServer {
+		if now.Sub(old.startedAt) >= crashCheckReuse {
+			delete(c.byServer, id)
+		}
+	}
+	check = &crashCheck{startedAt: now, done: make(chan struct{})}
+	c.byServer[server] = check
+	return check, true
+}
+
+// serverCrashed reports whether a server that has lost a connection refuses new
+// ones. A server that accepts them, or does not respond at all, may be alive behind
+// a broken link.
+func (d *Dispatcher) serverCrashed(ctx context.Context, server, addr string) bool {
+	check, first := d.crashes.start(time.Now(), server)
+	if first {
+		check.crashed = d.refusesConnections(ctx, addr)
+		close(check.done)
+		return check.crashed
+	}
+	<-check.done
+	return check.crashed
+}
+
+func (d *Dispatcher) refusesConnections(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
+	defer cancel()
+	err := d.checkReachable(ctx, addr)
+	if err == nil && sleep(ctx, crashCheckPause) {
+		err = d.checkReachable(ctx, addr)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// recordLostAnswer records that the answer of a server was lost before its end. A
+// failure that the server itself has answered is no loss.
+func (r *attemptLoop) recordLostAnswer(w *attemptWatcher) {
+	if len(r.x.Parts) == 0 || w.refused || w.serverError && !w.bodyTruncated {
+		return
+	}
+	var began time.Duration
+	if !w.firstByteAt.IsZero() {
+		began = time.Since(w.firstByteAt)
+	}
+	crashed := r.serverCrashed(r.ctx, w.server.ID, w.server.Addr)
+	r.Observer.AnswerLost(r.x, w.server.ID, crashed, began)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -71,6 +71,10 @@
 	// state is the resulting state of the digest. server is the id of the crashed
 	// server, or "".
 	SuspectState(x *filters.Exchange, digest quarantine.Digest, state quarantine.State, server string)
+	// AnswerLost is called when a backend server's answer to a request with parts
+	// was lost before its end. crashed reports whether the server refuses connections
+	// since, began is the time since the first byte of the answer, 0 if none arrived.
+	AnswerLost(x *filters.Exchange, server string, crashed bool, began time.Duration)
 	// EjectionChanged is called when a backend server is ejected or restored.
 	EjectionChanged(e routing.Ejection)
 }
@@ -110,6 +114,8 @@
 	// quarantine.RegionOwnerPrefix and a region, of which any instance will do. Nil
 	// means that refusals of suspects carry no URL.
 	OwnerURL func(owner string) string
+
+	crashes crashChecks
 }
 
 // Handle implements filters.Handler.
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -204,4 +204,5 @@
 func (nopObserver) AttemptEnded(*filters.Exchange, int, routing.Decision, outcome.Outcome, error) {}
 func (nopObserver) RetryDecided(*filters.Exchange, int, retry.Verdict)                            {}
 func (nopObserver) SuspectState(*filters.Exchange, quarantine.Digest, quarantine.State, string)   {}
+func (nopObserver) AnswerLost(*filters.Exchange, string, bool, time.Duration)                     {}
 func (nopObserver) EjectionChanged(routing.Ejection)                                              {}
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
 )
 
 // Exchange is one request and its response, as passed through the chain.
@@ -44,6 +45,9 @@
 	PrefixTokens []int
 	SharedBlocks int
 	PromptTokens int
+	// Parts identifies the parts of the prompt that other requests may share, in
+	// whatever order and company; nil if unknown.
+	Parts []quarantine.PartID
 	// MaxOutputTokens is the caller's limit on the length of the response, in
 	// tokens; 0 if there is none.
 	MaxOutputTokens int
--- a/telemetry/routing.go
+++ b/telemetry/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -21,17 +22,20 @@
 	retries   metric.Int64Counter
 	ejections metric.Int64Counter
 	suspects  metric.Int64Counter
+
+	lostAnswers metric.Int64Counter
 }
 
 func newRoutingMetrics(meter metric.Meter) (routingMetrics, error) {
 	var m routingMetrics
-	var errs [5]error
+	var errs [6]error
 	m.decisions, errs[0] = meter.Int64Counter("fuchsia.routing.decisions", metric.WithDescription("Routing decisions by service, reason and spill."))
 	m.cost, errs[1] = meter.Float64Histogram("fuchsia.routing.cost", metric.WithUnit("s"),
 		metric.WithDescription("Expected time to first token of the chosen backend server or region."), metric.WithExplicitBucketBoundaries(latencyBoundsSeconds...))
 	m.retries, errs[2] = meter.Int64Counter("fuchsia.retries", metric.WithDescription("Failed attempts by verdict on a retry."))
 	m.ejections, errs[3] = meter.Int64Counter("fuchsia.ejections", metric.WithDescription("Backend servers ejected by cause, or let back in."))
 	m.suspects, errs[4] = meter.Int64Counter("fuchsia.suspects", metric.WithDescription("Requests whose digest is suspect, cleared or quarantined."))
+	m.lostAnswers, errs[5] = meter.Int64Counter("fuchsia.lost_answers", metric.WithDescription("Answers of backend servers that were lost before their end, by whether the server had crashed."))
 	for _, err := range errs {
 		if err != nil {
 			return m, errors.Wrap(err, "create routing instrument")
@@ -65,6 +69,21 @@
 		Str("digest", digest.String()).Str("state", state.String()).Str("server", server).Msg("")
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// AnswerLost implements dispatch.Observer.
+func (o *Observer) AnswerLost(x *filters.Exchange, server string, crashed bool, began time.Duration) {
+	o.Metrics.routing.lostAnswers.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("service", x.Service.Name), attribute.Bool("crashed", crashed)))
+	parts := make([]string, 0, maxLoggedParts)
+	for _, part := range x.Parts[:min(len(x.Parts), maxLoggedParts)] {
+		parts = append(parts, part.String())
+	}
+	o.Log.Info().Str("event", "answer_lost").Str("request_id", x.ID).Str("service", x.Service.Name).Str("server", server).
+		Bool("crashed", crashed).Dur("began", began).Strs("parts", parts).Msg("")
+}
+
 // EjectionChanged implements dispatch.Observer.
 func (o *Observer) EjectionChanged(e routing.Ejection) {
 	cause := string(e.Cause)
