Reproduce prompt parts that crash back ends in a failing test

Servers crash as they begin to answer requests that share a part; no two are alike, sound ones share the other parts.

--- a/standin/hosting/server.go
+++ b/standin/hosting/server.go
@@ -27,6 +27,8 @@
 	ID                string
 	EventsPerResponse int // 0 for a plain response instead of an event stream
 
+	listener *restartListener
+
 	mu       sync.Mutex
 	override Override
 	arrivals []Arrival
@@ -36,10 +38,33 @@
 // eventsPerResponse events, or with a plain response if that is 0.
 func NewServer(id string, eventsPerResponse int) *Server {
 	s := &Server{ID: id, EventsPerResponse: eventsPerResponse}
-	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
+	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(s.serve))
+	s.listener = newRestartListener(s.Listener)
+	s.Listener = s.listener
+	s.Start()
 	return s
 }
 
+// Crash closes all connections, and refuses new ones for downtime.
+func (s *Server) Crash(downtime time.Duration) { s.listener.crash(downtime) }
+
+// CrashOnPart returns an Override that crashes the server for downtime as it begins
+// its response to a request whose prompt has a part with the given id. It calls
+// onCrash before.
+func (s *Server) CrashOnPart(part string, downtime time.Duration, onCrash func()) Override {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		if !strings.Contains(r.Header.Get("Prefix-Hash"), part+":") {
+			return false
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		onCrash()
+		s.Crash(downtime)
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // Addr returns the server's address as host:port.
 func (s *Server) Addr() string { return strings.TrimPrefix(s.URL, "http://") }
 
