Refuse requests with a part that crashes back ends

Cause: requests were judged each alone, or by whole bodies. Nothing in the request path knew parts, so that nothing was learned from a crash that applied to the next request. The lines of lost answers show one part in the requests of 34 crashed servers and in no answer that had begun.

quarantine.Parts counts crashes by part: servers that lost an answer and refuse connections since. Three incidents and no served request quarantine a part; requests with it are refused as not run before admission and before each attempt. Parts of sound requests are cleared by any whole answer.

The property test found that a bound of 32 crashes a part, dropping the oldest, never came to a verdict at 50 crashes a second; now the crashes go that add least to the incidents.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -74,6 +74,9 @@
 // route selects the target of the next attempt. It blocks while the request is
 // a suspect that must wait for its trial or for an idle server.
 func (r *attemptLoop) route(number int) (routing.Decision, *outcome.Error) {
+	if refusal := r.RefusePart(r.x); refusal != nil {
+		return routing.Decision{}, refusal
+	}
 	if refusal := r.suspect.admit(); refusal != nil {
 		return routing.Decision{}, refusal
 	}
@@ -221,6 +224,9 @@
 		r.suspect.recordCrash(server, w.startedAt)
 	}
 	served = err == nil
+	if served {
+		r.recordServedParts(w)
+	}
 	if failed && err.Outcome == outcome.MayHaveRun && !result.stalled {
 		r.recordLostAnswer(w)
 	}
@@ -263,6 +269,7 @@
 	fetchFrom     string      // address of a server that has more of the prompt in its cache, or ""
 	reused        atomic.Bool // the attempt used a connection that was open before
 	gotHeader     bool        // the response header has been received
+	success       bool        // the response status is 2xx
 	serverError   bool        // the response status is 5xx
 	refused       bool        // the server refused the request without running it
 	firstByteAt   time.Time   // of the response body; zero before
@@ -343,6 +350,7 @@
 // the stall timer and wraps the body in a watchedBody.
 func (w *attemptWatcher) onHeader(resp *http.Response) {
 	w.gotHeader = true
+	w.success = resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	w.serverError = resp.StatusCode >= http.StatusInternalServerError
 	w.stopStallTimer()
 	resp.Body = &watchedBody{ReadCloser: resp.Body, watcher: w}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
 const (
@@ -14,6 +18,11 @@
 	// crashCheckPause is the time before a second check: a server that ends may close
 	// its connections before it stops to accept new ones.
 	crashCheckPause = 50 * time.Millisecond
+	// startedAfter is the time since its first byte from which an answer counts as well
+	// under way. A server that crashes under a request does so before.
+	startedAfter = time.Second
+	// partRetryAfter is the Retry-After time of requests refused because of a part.
+	partRetryAfter = time.Second
 	// crashCheckReuse is how long the result of a check serves for the other requests
 	// that were in flight at the same server.
 	crashCheckReuse = 500 * time.Millisecond
@@ -88,4 +97,29 @@
 	}
 	crashed := r.serverCrashed(r.ctx, w.server.ID, w.server.Addr)
 	r.Observer.AnswerLost(r.x, w.server.ID, crashed, began)
+	if crashed && r.Parts != nil && began < startedAfter {
+		r.Parts.RecordCrash(time.Now(), w.server.Key, r.x.Parts)
+	}
+}
+
+// recordServedParts records that the request was served. An answer without a body
+// does not show that the server survived it.
+func (r *attemptLoop) recordServedParts(w *attemptWatcher) {
+	if r.Parts != nil && w.success && w.bodyBytes > 0 {
+		r.Parts.RecordServed(time.Now(), r.x.Parts)
+	}
+}
+
+// RefusePart returns the refusal of a request with a part in its prompt that crashes
+// backend servers, or nil.
+func (d *Dispatcher) RefusePart(x *filters.Exchange) *outcome.Error {
+	if d.Parts == nil {
+		return nil
+	}
+	part, refused := d.Parts.Refused(time.Now(), x.Parts)
+	if !refused {
+		return nil
+	}
+	d.Observer.PartRefused(x, part)
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeQuarantined, "a part of the prompt has crashed backend servers").WithRetryAfter(partRetryAfter)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	// was lost before its end. crashed reports whether the server refuses connections
 	// since, began is the time since the first byte of the answer, 0 if none arrived.
 	AnswerLost(x *filters.Exchange, server string, crashed bool, began time.Duration)
+	// PartRefused is called when a request is refused because of a part of its prompt.
+	PartRefused(x *filters.Exchange, part quarantine.PartID)
 	// EjectionChanged is called when a backend server is ejected or restored.
 	EjectionChanged(e routing.Ejection)
 }
@@ -101,6 +103,7 @@
 	Ejector    *routing.Ejector    // nil for none
 	Quarantine *quarantine.Table   // nil for none
 	DigestKey  quarantine.Key      // key of the digests in Quarantine
+	Parts      *quarantine.Parts   // nil for none
 	Link       *routing.LinkBudget // nil for no limit on the links between regions
 	Memory     relay.Memory        // for buffered responses; nil for no limit
 	// MaxResponseBytes limits the response body. A larger body is treated as
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -104,7 +105,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.up[addr] {
-		return errReset
+		return errors.Wrap(syscall.ECONNREFUSED, "connect")
 	}
 	return nil
 }
@@ -205,4 +206,5 @@
 func (nopObserver) RetryDecided(*filters.Exchange, int, retry.Verdict)                            {}
 func (nopObserver) SuspectState(*filters.Exchange, quarantine.Digest, quarantine.State, string)   {}
 func (nopObserver) AnswerLost(*filters.Exchange, string, bool, time.Duration)                     {}
+func (nopObserver) PartRefused(*filters.Exchange, quarantine.PartID)                              {}
 func (nopObserver) EjectionChanged(routing.Ejection)                                              {}
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -47,11 +47,11 @@
 	dispatcher := &dispatch.Dispatcher{
 		Instance: i.settings.Instance, Region: i.settings.Region, Router: i.router, Peers: regionPeers{i},
 		Transport: i.transport, PeerScheme: "http", Observer: i.observer, Protocol: platform.ServerProtocol{}, Passthrough: true,
-		Retry: i.retry, Ejector: i.ejector, Memory: i.guard,
+		Retry: i.retry, Ejector: i.ejector, Memory: i.guard, Parts: i.parts,
 	}
 	callerProtocol := platform.CallerProtocol{}
-	callers := &gateway.Handler{Chain: i.callerChain(callerProtocol, dispatcher.Handle), Observer: i.observer, Codec: callerProtocol, AbortOnError: true}
-	forwarded := &gateway.Handler{Chain: i.peerChain(callerProtocol, dispatcher.Handle), Observer: i.observer, Acknowledge: true, AbortOnError: true}
+	callers := &gateway.Handler{Chain: i.callerChain(callerProtocol, dispatcher), Observer: i.observer, Codec: callerProtocol, AbortOnError: true}
+	forwarded := &gateway.Handler{Chain: i.peerChain(callerProtocol, dispatcher), Observer: i.observer, Acknowledge: true, AbortOnError: true}
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadyPattern, i.serveReady)
 	directory := http.NewServeMux()
@@ -62,26 +62,28 @@
 }
 
 // callerChain returns the filter chain for requests of callers.
-func (i *Instance) callerChain(callerProtocol platform.CallerProtocol, last filters.Handler) filters.Handler {
+func (i *Instance) callerChain(callerProtocol platform.CallerProtocol, dispatcher *dispatch.Dispatcher) filters.Handler {
 	return filters.Chain(
-		last,
+		dispatcher.Handle,
 		i.overloadFilter(),
 		filters.Ready{Table: i.table},
 		filters.Match{Reader: callerProtocol},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
+		filters.RefuseParts{Refuse: dispatcher.RefusePart},
 		i.admitFilter(),
 	)
 }
 
 // peerChain returns the filter chain for requests that other instances forward.
-func (i *Instance) peerChain(callerProtocol platform.CallerProtocol, last filters.Handler) filters.Handler {
+func (i *Instance) peerChain(callerProtocol platform.CallerProtocol, dispatcher *dispatch.Dispatcher) filters.Handler {
 	return filters.Chain(
-		last,
+		dispatcher.Handle,
 		i.overloadFilter(),
 		filters.Ready{Table: i.table},
 		filters.AcceptHop{Instance: i.settings.Instance, Region: i.settings.Region},
 		filters.Describe{Reader: callerProtocol},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
+		filters.RefuseParts{Refuse: dispatcher.RefusePart},
 		i.admitFilter(),
 	)
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -25,6 +25,7 @@
 	"github.com/fuchsiastack/fuchsiastack/mirror"
 	"github.com/fuchsiastack/fuchsiastack/overload"
 	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/retry"
 	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/routing"
@@ -89,6 +90,7 @@
 	summaries    *routing.SummaryTable
 	reportBudget *byteBudget
 	retry        *retry.Policy
+	parts        *quarantine.Parts
 	peers        *http.Client
 	transport    *http.Transport
 
@@ -137,6 +139,7 @@
 		reportBudget: newByteBudget(settings.LinkRate),
 		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
+	i.parts = &quarantine.Parts{Observer: i.observer}
 	i.transport = i.newTransport(telemetry.PurposeServers)
 	i.peers = &http.Client{Transport: i.newTransport(telemetry.PurposeQueries)}
 	i.roster = i.newRoster()
--- a/hosted/parts_test.go
+++ b/hosted/parts_test.go
@@ -191,3 +191,36 @@
 	f.store.SetDown(true)
 	f.checkCrashesEnd(instances, servers, crashes)
 }
+
+// TestResetsOfLivingServersCondemnNoPart checks that lost answers of servers that still
+// accept connections are no crashes: the requests are served once the resets end.
+func TestResetsOfLivingServersCondemnNoPart(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("query", "stream", "drafts"))
+	var servers []*hosting.Server
+	for range 4 {
+		servers = append(servers, f.startServer("drafts", "cairo-a", 1))
+	}
+	n := f.start(f.settings("cairo")).waitForServers(len(servers))
+	setOverride := func(override hosting.Override) {
+		for _, server := range servers {
+			server.SetOverride(override)
+		}
+	}
+	send := func(k int) int {
+		req := n.request("POST", "/query/", fmt.Sprintf("id-%d", k), "x")
+		req.Header.Set("Prefix-Hash", fmt.Sprintf("aa:100,bb:100,%x:10", k))
+		return n.send(req).status
+	}
+	setOverride(hosting.TruncateAfter(0))
+	for k := range 8 {
+		f.Check(send(k), qt.Not(qt.Equals), http.StatusOK)
+		time.Sleep(600 * time.Millisecond)
+	}
+	setOverride(nil)
+	f.eventually("served", func() bool { return send(100) == http.StatusOK })
+	for _, server := range servers {
+		f.Check(len(server.Arrivals()) > 0, qt.IsTrue)
+	}
+}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -25,6 +25,7 @@
 	"github.com/fuchsiastack/fuchsiastack/internal/progress"
 	"github.com/fuchsiastack/fuchsiastack/membership"
 	"github.com/fuchsiastack/fuchsiastack/mirror"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 	"github.com/fuchsiastack/fuchsiastack/store"
@@ -121,6 +122,7 @@
 	Ready      bool                    `json:"ready"`
 	Summaries  []routing.RegionSummary `json:"summaries,omitempty"`
 	Dispatched *dispatchReport         `json:"work,omitempty"`
+	Parts      *quarantine.PartReport  `json:"parts,omitempty"`
 }
 
 // dispatchReport describes what an instance has sent to the backend servers of
@@ -199,6 +201,14 @@
 			response.Summaries = append(response.Summaries, i.router.Summarize(service))
 		}
 	}
+	if since := r.URL.Query().Get("parts"); since != "" {
+		version, err := strconv.ParseUint(since, 10, 64)
+		if err != nil {
+			http.Error(w, "parts: want a number", http.StatusBadRequest)
+			return
+		}
+		response.Parts = i.parts.Report(time.Now(), version)
+	}
 	if since := r.URL.Query().Get("placements"); since != "" {
 		first, err := strconv.ParseUint(since, 10, 64)
 		if err != nil {
@@ -214,7 +224,7 @@
 		}
 	}
 	size := i.writeJSON(w, response)
-	if response.Dispatched != nil {
+	if response.Dispatched != nil || response.Parts != nil {
 		i.reportBudget.spend(size)
 	}
 }
--- a/hosted/reports.go
+++ b/hosted/reports.go
@@ -47,6 +47,13 @@
 
 	mu      sync.Mutex
 	reports map[string]*peerReport // by instance id
+	parts   map[string]partVersion // by instance id
+}
+
+// partVersion is the version of the last report on parts of prompts.
+type partVersion struct {
+	started int64 // start time of the process that sent it, in Unix milliseconds
+	version uint64
 }
 
 // pollNeighbors polls the other instances of the region, so that the instances do
@@ -110,6 +117,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.reports, func(id string, _ *peerReport) bool { return live[id] == "" })
+	maps.DeleteFunc(p.parts, func(id string, _ partVersion) bool { return live[id] == "" })
 }
 
 // pollSome queries peersPerPoll instances in parallel, in the order of their ids
@@ -125,12 +133,18 @@
 }
 
 func (p *reportPoller) poll(ctx context.Context, id, addr string) {
-	query := url.Values{"placements": {strconv.FormatUint(p.firstPlacement(id), 10)}}
+	query := url.Values{
+		"placements": {strconv.FormatUint(p.firstPlacement(id), 10)},
+		"parts":      {strconv.FormatUint(p.partVersion(id), 10)},
+	}
 	if p.prefill {
 		query.Set("prefill", "1")
 	}
 	var response stateResponse
 	err := p.instance.queryPeer(ctx, peerQuery{addr, statePath, query, p.stallTimeout}, &response)
+	if err == nil {
+		p.mergeParts(id, &response)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	last := p.reports[id]
@@ -158,6 +172,36 @@
 	return 0
 }
 
+// partVersion returns the version of the last report of an instance on parts of
+// prompts.
+func (p *reportPoller) partVersion(id string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.parts[id].version
+}
+
+// mergeParts merges what an instance has seen of parts of prompts. A new process
+// numbers its reports anew, so that the next query asks for all.
+func (p *reportPoller) mergeParts(id string, response *stateResponse) {
+	if response.Parts != nil {
+		p.instance.parts.Merge(time.Now(), response.Parts)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.parts == nil {
+		p.parts = make(map[string]partVersion)
+	}
+	last, known := p.parts[id]
+	next := partVersion{started: response.Started, version: last.version}
+	if response.Parts != nil {
+		next.version = response.Parts.Version
+	}
+	if known && last.started != response.Started {
+		next.version = 0
+	}
+	p.parts[id] = next
+}
+
 // applyPrefill sets the prompt tokens that the neighbors have sent to each server
 // and that are not yet computed.
 func (p *reportPoller) applyPrefill() {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -1,9 +1,517 @@
 package quarantine
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
 
 // PartID identifies a part of a prompt by a digest.
 type PartID uint64
 
 // String returns the id in hexadecimal.
 func (id PartID) String() string { return fmt.Sprintf("%016x", uint64(id)) }
+
+const (
+	// suspectCrashes is the number of crashes from which a part is called suspect. A
+	// single one says little about the many parts in flight.
+	suspectCrashes = 2
+	// verdictIncidents is the number of incidents after which a part is quarantined.
+	verdictIncidents = 3
+	// incidentGap is the least time between two incidents. Crashes at about the same
+	// time may have one external cause, such as the loss of a region.
+	incidentGap = 500 * time.Millisecond
+	// samePartCrash is the time within which instances see one crash of a server. It
+	// is shorter than a server takes to return and to crash again.
+	samePartCrash = 2 * time.Second
+	// evidenceTTL is how long a crash is remembered.
+	evidenceTTL = time.Hour
+	// verdictTTL is how long a part is refused after the last crash. After that a
+	// single new crash quarantines it again.
+	verdictTTL = 10 * time.Minute
+	// servedTTL is how long a part counts as sound after it was served.
+	servedTTL = 10 * time.Minute
+
+	maxServedParts    = 8192
+	maxSuspectParts   = 1024
+	maxCrashesPerPart = 32
+	maxReportedParts  = 64
+)
+
+// Parts decides which parts of prompts crash backend servers. A part that was in
+// unanswered requests at each of several crashes, and in no served request, is
+// quarantined. Instances exchange what they have seen by Report and Merge, whose
+// order and repetition do not matter. Parts is safe for concurrent use.
+type Parts struct {
+	// Observer receives decisions; nil for none.
+	Observer PartObserver
+
+	// refused holds the parts in quarantine.
+	refused atomic.Pointer[map[PartID]refusal]
+
+	mu       sync.Mutex
+	served   map[PartID]time.Time // last time
+	suspects map[PartID]*suspectPart
+	crashes  []*partCrash
+	version  uint64 // number of changes that are reported
+}
+
+// PartState is the state of a part that was in flight in a crash.
+type PartState uint8
+
+// The states of a part. A part in few crashes is unknown.
+const (
+	PartUnknown PartState = iota
+	PartSuspect
+	PartCleared
+	PartQuarantined
+)
+
+var partStateNames = [...]string{"unknown", "suspect", "cleared", "quarantined"}
+
+// String returns the name of the state.
+func (s PartState) String() string { return partStateNames[s] }
+
+// PartDecision is a change of the state of a part.
+type PartDecision struct {
+	Part    PartID
+	State   PartState
+	Server  uint64        // backend.Server.Key of the last crash
+	Crashes int           // that count against the part, or did until it was cleared
+	Age     time.Duration // of the first of them
+}
+
+// PartObserver records decisions on parts.
+type PartObserver interface {
+	PartDecided(d PartDecision)
+}
+
+// partCrash is the crash of one server.
+type partCrash struct {
+	server uint64 // backend.Server.Key
+	at     time.Time
+}
+
+// suspectPart is a part that was in unanswered requests at a crash.
+type suspectPart struct {
+	crashes  []*partCrash // in order of time
+	servedAt time.Time    // zero if never; the crashes before do not count
+	updated  time.Time
+	version  uint64 // Parts.version of the last change
+	state    PartState
+}
+
+func (s *suspectPart) cleared(now time.Time) bool {
+	return !s.servedAt.IsZero() && now.Sub(s.servedAt) < servedTTL
+}
+
+// Refused returns the first of the parts that is quarantined.
+func (p *Parts) Refused(now time.Time, parts []PartID) (PartID, bool) {
+	refused := p.refused.Load()
+	if refused == nil {
+		return 0, false
+	}
+	for _, part := range parts {
+		if cause, found := (*refused)[part]; found && now.Before(cause.until) && containsAll(parts, cause.with) {
+			return part, true
+		}
+	}
+	return 0, false
+}
+
+func containsAll(parts, subset []PartID) bool {
+	for _, part := range subset {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// RecordCrash records that a request with the parts was in flight on a server when
+// the server crashed, and that its answer had not got under way.
+func (p *Parts) RecordCrash(now time.Time, server uint64, parts []PartID) {
+	p.mu.Lock()
+	crash := p.crash(now, server)
+	for _, part := range parts {
+		// A sound part matters only to instances that suspect it.
+		if p.suspects[part] == nil && p.isSound(now, part) {
+			continue
+		}
+		p.suspect(now, part, crash)
+	}
+	decisions := p.decide(now)
+	p.mu.Unlock()
+	p.report(decisions)
+}
+
+// RecordServed records that a request with the parts was served.
+func (p *Parts) RecordServed(now time.Time, parts []PartID) {
+	if len(parts) == 0 {
+		return
+	}
+	p.mu.Lock()
+	var decisions []PartDecision
+	changed := false
+	for _, part := range parts {
+		changed = p.clear(part, now) || changed
+	}
+	p.limitServed()
+	if changed {
+		decisions = p.decide(now)
+	}
+	p.mu.Unlock()
+	p.report(decisions)
+}
+
+func (p *Parts) isSound(now time.Time, part PartID) bool {
+	servedAt, served := p.served[part]
+	return served && now.Sub(servedAt) < servedTTL
+}
+
+func (p *Parts) report(decisions []PartDecision) {
+	if p.Observer == nil {
+		return
+	}
+	for _, d := range decisions {
+		p.Observer.PartDecided(d)
+	}
+}
+
+// crash returns the record of a server's crash.
+func (p *Parts) crash(at time.Time, server uint64) *partCrash {
+	for _, c := range p.crashes {
+		if c.server == server && at.Sub(c.at).Abs() < samePartCrash {
+			return c
+		}
+	}
+	c := &partCrash{server, at}
+	p.crashes = append(p.crashes, c)
+	return c
+}
+
+// suspect adds a crash to the evidence against a part, unless the part has been
+// served.
+func (p *Parts) suspect(now time.Time, part PartID, crash *partCrash) {
+	s := p.suspects[part]
+	if s == nil {
+		s = &suspectPart{}
+		if servedAt, served := p.served[part]; served {
+			s.servedAt = servedAt
+		}
+		if p.suspects == nil {
+			p.suspects = make(map[PartID]*suspectPart)
+		}
+		p.suspects[part] = s
+		p.changed(s)
+		p.limitSuspects(part)
+	}
+	s.updated = now
+	if s.cleared(now) || slices.Contains(s.crashes, crash) {
+		return
+	}
+	crashes := append(slices.Clone(s.crashes), crash)
+	slices.SortFunc(crashes, func(a, b *partCrash) int { return a.at.Compare(b.at) })
+	if len(crashes) > maxCrashesPerPart {
+		crashes = removeClosest(crashes)
+	}
+	if !slices.Equal(crashes, s.crashes) {
+		s.crashes = crashes
+		p.changed(s)
+	}
+}
+
+// changed records that what this instance reports of a suspect has changed.
+func (p *Parts) changed(s *suspectPart) {
+	p.version++
+	s.version = p.version
+}
+
+// removeClosest removes the crash that followed its predecessor the soonest, as it
+// adds the least to the number of incidents.
+func removeClosest(crashes []*partCrash) []*partCrash {
+	closest := 1
+	for i := range crashes[1:] {
+		if crashes[i+1].at.Sub(crashes[i].at) < crashes[closest].at.Sub(crashes[closest-1].at) {
+			closest = i + 1
+		}
+	}
+	return slices.Delete(crashes, closest, closest+1)
+}
+
+// clear records that a part was served at a time, and reports whether it was a
+// suspect.
+func (p *Parts) clear(part PartID, at time.Time) bool {
+	if p.served == nil {
+		p.served = make(map[PartID]time.Time)
+	}
+	if at.After(p.served[part]) {
+		p.served[part] = at
+	}
+	s := p.suspects[part]
+	if s == nil {
+		return false
+	}
+	wasServed := !s.servedAt.IsZero()
+	if at.After(s.servedAt) {
+		s.servedAt = at
+	}
+	if wasServed && len(s.crashes) == 0 {
+		return false
+	}
+	p.changed(s)
+	return true
+}
+
+// limitServed removes the parts that have not been served for the longest time if
+// there are too many.
+func (p *Parts) limitServed() {
+	if len(p.served) <= maxServedParts {
+		return
+	}
+	const keep = maxServedParts * 7 / 8
+	parts := slices.SortedFunc(maps.Keys(p.served), func(a, b PartID) int { return p.served[b].Compare(p.served[a]) })
+	for _, part := range parts[keep:] {
+		delete(p.served, part)
+	}
+}
+
+// limitSuspects removes a suspect other than keep if there are too many: one that is
+// cleared if there is one, else one with the fewest crashes, of these the oldest.
+func (p *Parts) limitSuspects(keep PartID) {
+	if len(p.suspects) <= maxSuspectParts {
+		return
+	}
+	var victim PartID
+	var least *suspectPart
+	for part, s := range p.suspects {
+		if part == keep {
+			continue
+		}
+		if least == nil || cmp.Or(cmp.Compare(len(s.crashes), len(least.crashes)), s.updated.Compare(least.updated)) < 0 {
+			victim, least = part, s
+		}
+	}
+	delete(p.suspects, victim)
+}
+
+// expire removes suspects without evidence for or against them, and crashes that are
+// old or no evidence against a part.
+func (p *Parts) expire(now time.Time) {
+	used := make(map[*partCrash]bool)
+	for part, s := range p.suspects {
+		s.crashes = slices.DeleteFunc(s.crashes, func(c *partCrash) bool { return now.Sub(c.at) >= evidenceTTL })
+		if len(s.crashes) == 0 && now.Sub(s.updated) >= evidenceTTL {
+			delete(p.suspects, part)
+		}
+		for _, crash := range s.crashes {
+			used[crash] = true
+		}
+	}
+	p.crashes = slices.DeleteFunc(p.crashes, func(c *partCrash) bool { return !used[c] })
+}
+
+// decide updates the states of all suspects, and returns the changes.
+func (p *Parts) decide(now time.Time) []PartDecision {
+	p.expire(now)
+	causes := p.causes(now)
+	refused := make(map[PartID]refusal)
+	var decisions []PartDecision
+	for part, s := range p.suspects {
+		state := s.state
+		cause, found := causes[part]
+		switch {
+		case found:
+			state, refused[part] = PartQuarantined, cause
+		case s.cleared(now):
+			if state != PartUnknown {
+				state = PartCleared
+			}
+		case len(s.crashes) >= suspectCrashes:
+			state = PartSuspect
+		}
+		if s.state != state && len(s.crashes) > 0 {
+			decisions = append(decisions, PartDecision{
+				Part: part, State: state, Server: s.crashes[len(s.crashes)-1].server,
+				Crashes: len(s.crashes), Age: now.Sub(s.crashes[0].at),
+			})
+		}
+		s.state = state
+		if s.cleared(now) {
+			s.crashes = nil
+		}
+	}
+	p.refused.Store(&refused)
+	return decisions
+}
+
+// refusal is the quarantine of a part.
+type refusal struct {
+	until time.Time
+	// with are the parts that were in flight in exactly the same crashes. As any of
+	// them may be the cause, only requests that have all of them are refused.
+	with []PartID
+}
+
+// causes returns the parts that are the cause of enough crashes. A crash with a part
+// that has more crashes does not count against the others.
+func (p *Parts) causes(now time.Time) map[PartID]refusal {
+	var candidates []PartID
+	for part, s := range p.suspects {
+		if !s.cleared(now) && len(s.crashes) >= verdictIncidents {
+			candidates = append(candidates, part)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b PartID) int {
+		return cmp.Compare(len(p.suspects[b].crashes), len(p.suspects[a].crashes))
+	})
+	causes := make(map[PartID]refusal)
+	explained := make(map[*partCrash]bool)
+	for len(candidates) > 0 {
+		count := len(p.suspects[candidates[0]].crashes)
+		var found []*partCrash
+		for len(candidates) > 0 && len(p.suspects[candidates[0]].crashes) == count {
+			part := candidates[0]
+			candidates = candidates[1:]
+			crashes := p.suspects[part].crashes
+			until := crashes[count-1].at.Add(verdictTTL)
+			if incidents(crashes, explained) >= verdictIncidents && now.Before(until) {
+				causes[part] = refusal{until: until}
+				found = append(found, crashes...)
+			}
+		}
+		for _, crash := range found {
+			explained[crash] = true
+		}
+	}
+	p.joinCauses(causes)
+	return causes
+}
+
+// joinCauses joins the parts that have exactly the same crashes.
+func (p *Parts) joinCauses(causes map[PartID]refusal) {
+	for part, cause := range causes {
+		for other := range causes {
+			if other != part && slices.Equal(p.suspects[part].crashes, p.suspects[other].crashes) {
+				cause.with = append(cause.with, other)
+			}
+		}
+		causes[part] = cause
+	}
+}
+
+// incidents returns the number of incidents among crashes, which are in order of
+// time, without those that are explained.
+func incidents(crashes []*partCrash, explained map[*partCrash]bool) int {
+	count := 0
+	var last time.Time
+	for _, crash := range crashes {
+		if !explained[crash] && (count == 0 || crash.at.Sub(last) >= incidentGap) {
+			count++
+			last = crash.at
+		}
+	}
+	return count
+}
+
+// PartReport is what an instance has seen of parts that were in flight in crashes.
+// Times are ages, as the clocks of instances differ.
+type PartReport struct {
+	Version uint64            `json:"version"`
+	Crashes []PartReportCrash `json:"crashes,omitempty"`
+	Parts   []PartReportPart  `json:"parts,omitempty"`
+}
+
+// PartReportCrash is the crash of one server.
+type PartReportCrash struct {
+	Server uint64 `json:"server"`
+	AgeMS  int64  `json:"age-ms"`
+}
+
+// PartReportPart is the evidence for and against one part.
+type PartReportPart struct {
+	Part        PartID `json:"part"`
+	Crashes     []int  `json:"crashes,omitempty"` // indices of PartReport.Crashes
+	Served      bool   `json:"served,omitempty"`
+	ServedAgeMS int64  `json:"served-age-ms,omitempty"`
+}
+
+// Report returns what has changed since the version of an earlier report, 0 for all.
+// It returns nil if nothing has. If much has changed, a later call returns the rest.
+func (p *Parts) Report(now time.Time, since uint64) *PartReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version == since {
+		return nil
+	}
+	if since > p.version {
+		since = 0 // of an earlier process of this instance
+	}
+	report := &PartReport{Version: p.version}
+	index := make(map[*partCrash]int)
+	for _, part := range p.changedSince(since) {
+		if len(report.Parts) == maxReportedParts {
+			break
+		}
+		s := p.suspects[part]
+		entry := PartReportPart{Part: part}
+		for _, crash := range s.crashes {
+			if _, found := index[crash]; !found {
+				index[crash] = len(report.Crashes)
+				report.Crashes = append(report.Crashes, PartReportCrash{crash.server, now.Sub(crash.at).Milliseconds()})
+			}
+			entry.Crashes = append(entry.Crashes, index[crash])
+		}
+		if s.cleared(now) {
+			entry.Served, entry.ServedAgeMS = true, now.Sub(s.servedAt).Milliseconds()
+		}
+		report.Parts = append(report.Parts, entry)
+		if len(report.Parts) == maxReportedParts {
+			report.Version = s.version
+		}
+	}
+	return report
+}
+
+// changedSince returns the suspects that have changed since a version, in the order
+// of their last changes.
+func (p *Parts) changedSince(version uint64) []PartID {
+	var parts []PartID
+	for part, s := range p.suspects {
+		if s.version > version {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortFunc(parts, func(a, b PartID) int { return cmp.Compare(p.suspects[a].version, p.suspects[b].version) })
+	return parts
+}
+
+// Merge adds what another instance has seen.
+func (p *Parts) Merge(now time.Time, report *PartReport) {
+	age := func(ms int64) time.Time {
+		return now.Add(-min(max(time.Duration(ms)*time.Millisecond, 0), evidenceTTL))
+	}
+	p.mu.Lock()
+	crashes := make([]*partCrash, len(report.Crashes))
+	for i, c := range report.Crashes {
+		crashes[i] = p.crash(age(c.AgeMS), c.Server)
+	}
+	for _, entry := range report.Parts {
+		for _, i := range entry.Crashes {
+			if i >= 0 && i < len(crashes) {
+				p.suspect(now, entry.Part, crashes[i])
+			}
+		}
+		if entry.Served {
+			p.clear(entry.Part, age(entry.ServedAgeMS))
+		}
+	}
+	p.limitServed()
+	decisions := p.decide(now)
+	p.mu.Unlock()
+	p.report(decisions)
+}
--- a/telemetry/routing.go
+++ b/telemetry/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,12 +24,14 @@
 	ejections metric.Int64Counter
 	suspects  metric.Int64Counter
 
-	lostAnswers metric.Int64Counter
+	lostAnswers  metric.Int64Counter
+	parts        metric.Int64Counter
+	partRefusals metric.Int64Counter
 }
 
 func newRoutingMetrics(meter metric.Meter) (routingMetrics, error) {
 	var m routingMetrics
-	var errs [6]error
+	var errs [8]error
 	m.decisions, errs[0] = meter.Int64Counter("fuchsia.routing.decisions", metric.WithDescription("Routing decisions by service, reason and spill."))
 	m.cost, errs[1] = meter.Float64Histogram("fuchsia.routing.cost", metric.WithUnit("s"),
 		metric.WithDescription("Expected time to first token of the chosen backend server or region."), metric.WithExplicitBucketBoundaries(latencyBoundsSeconds...))
@@ -36,6 +39,8 @@
 	m.ejections, errs[3] = meter.Int64Counter("fuchsia.ejections", metric.WithDescription("Backend servers ejected by cause, or let back in."))
 	m.suspects, errs[4] = meter.Int64Counter("fuchsia.suspects", metric.WithDescription("Requests whose digest is suspect, cleared or quarantined."))
 	m.lostAnswers, errs[5] = meter.Int64Counter("fuchsia.lost_answers", metric.WithDescription("Answers of backend servers that were lost before their end, by whether the server had crashed."))
+	m.parts, errs[6] = meter.Int64Counter("fuchsia.parts", metric.WithDescription("Parts of prompts that became suspect, cleared or quarantined."))
+	m.partRefusals, errs[7] = meter.Int64Counter("fuchsia.part_refusals", metric.WithDescription("Requests refused because of a part of their prompts, at admission or before an attempt."))
 	for _, err := range errs {
 		if err != nil {
 			return m, errors.Wrap(err, "create routing instrument")
@@ -84,6 +89,19 @@
 		Bool("crashed", crashed).Dur("began", began).Strs("parts", parts).Msg("")
 }
 
+// PartRefused implements dispatch.Observer.
+func (o *Observer) PartRefused(x *filters.Exchange, part quarantine.PartID) {
+	o.Metrics.routing.partRefusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", x.Service.Name)))
+	o.Log.Info().Str("event", "part_refused").Str("request_id", x.ID).Str("service", x.Service.Name).Str("part", part.String()).Msg("")
+}
+
+// PartDecided implements quarantine.PartObserver.
+func (o *Observer) PartDecided(d quarantine.PartDecision) {
+	o.Metrics.routing.parts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("state", d.State.String())))
+	o.Log.Warn().Str("event", "part").Str("part", d.Part.String()).Str("state", d.State.String()).
+		Str("server", fmt.Sprintf("%016x", d.Server)).Int("crashes", d.Crashes).Dur("age", d.Age).Msg("")
+}
+
 // EjectionChanged implements dispatch.Observer.
 func (o *Observer) EjectionChanged(e routing.Ejection) {
 	cause := string(e.Cause)
