--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -39,6 +39,7 @@
 // startControllers runs every controller until ctx ends.
 func (i *Instance) startControllers(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { i.mirror.Run(ctx); return nil })
+	group.Go(func() error { i.fetchParts(ctx); return nil })
 	group.Go(func() error { i.registerWhenReady(ctx); return nil })
 	group.Go(func() error { loop.Every(ctx, slotsInterval, i.updateSlots); return nil })
 	group.Go(func() error { loop.Every(ctx, expireInterval, i.expire); return nil })
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -95,6 +95,7 @@
 	transport    *http.Transport
 
 	draining    atomic.Bool
+	partsKnown  atomic.Bool // what other instances know of parts has been requested
 	peerCounter atomic.Uint64
 }
 
@@ -178,10 +179,10 @@
 	return err
 }
 
-// ready reports whether the instance accepts requests: it has a configuration
-// and is not draining.
+// ready reports whether the instance accepts requests: it has a configuration, has
+// asked for the parts of prompts that crash servers, and is not draining.
 func (i *Instance) ready() bool {
-	return !i.draining.Load() && i.table.Current() != nil
+	return !i.draining.Load() && i.table.Current() != nil && i.partsKnown.Load()
 }
 
 // httpServers are the servers that drain shuts down: those for callers first,
--- a/hosted/parts_test.go
+++ b/hosted/parts_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
 )
 
@@ -224,3 +225,26 @@
 		f.Check(len(server.Arrivals()) > 0, qt.IsTrue)
 	}
 }
+
+// TestNewInstanceKnowsCrashingParts guards against an instance that is ready before it
+// knows of the parts that crash servers, and crashes some more of them.
+func TestNewInstanceKnowsCrashingParts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("query", "stream", "drafts"))
+	f.startServer("drafts", "cairo-a", 1)
+	first := f.start(f.settings("cairo")).waitForServers(1)
+	// More parts than one report has.
+	for k := range 200 {
+		first.parts.RecordCrash(time.Now().Add(-time.Minute), 99, []quarantine.PartID{quarantine.PartID(1000 + k)})
+	}
+	const part = quarantine.PartID(7)
+	for k := range 3 {
+		first.parts.RecordCrash(time.Now().Add(time.Duration(k-3)*time.Second), uint64(k), []quarantine.PartID{part})
+	}
+	settings := f.settings("alex")
+	settings.Seeds = []string{settings.PeerAddr, first.settings.PeerAddr}
+	second := f.start(settings)
+	_, refused := second.parts.Refused(time.Now(), []quarantine.PartID{part})
+	f.Assert(refused, qt.IsTrue)
+}
