--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -78,6 +78,9 @@
 // route selects the target of the next attempt. It blocks while the request is
 // a suspect that must wait for its trial or for an idle server.
 func (r *attemptLoop) route(number int) (routing.Decision, *outcome.Error) {
+	if refusal := r.RefusePart(r.x); refusal != nil {
+		return routing.Decision{}, refusal
+	}
 	if refusal := r.suspect.admit(); refusal != nil {
 		return routing.Decision{}, refusal
 	}
@@ -225,6 +228,12 @@
 		r.suspect.recordCrash(server, w.startedAt)
 	}
 	served = err == nil
+	if served {
+		r.recordServedParts(w)
+	}
+	if failed && err.Outcome == outcome.MayHaveRun && !result.stalled {
+		r.recordLostAnswer(w)
+	}
 	unreachable := failed && err.Outcome == outcome.NotRun && !w.reused.Load()
 	r.recordHealth(decision, failed || result.crashed || w.serverError, unreachable, served)
 	return result
@@ -264,8 +273,10 @@
 	fetchFrom     string      // address of a server that has more of the prompt in its cache, or ""
 	reused        atomic.Bool // the attempt used a connection that was open before
 	gotHeader     bool        // the response header has been received
+	success       bool        // the response status is 2xx
 	serverError   bool        // the response status is 5xx
 	refused       bool        // the server refused the request without running it
+	firstByteAt   time.Time   // of the response body; zero before
 	bodyTruncated bool        // reading the body failed; the crash has been recorded
 	bodyBytes     int64       // read from the response body
 }
@@ -343,6 +354,7 @@
 // the stall timer and wraps the body in a watchedBody.
 func (w *attemptWatcher) onHeader(resp *http.Response) {
 	w.gotHeader = true
+	w.success = resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	w.serverError = resp.StatusCode >= http.StatusInternalServerError
 	w.stopStallTimer()
 	resp.Body = &watchedBody{ReadCloser: resp.Body, watcher: w}
@@ -372,6 +384,9 @@
 	if n > 0 && w.bodyBytes == 0 && w.loop.firstByteMeasuresTTFT() {
 		w.attempt.FirstToken(time.Now())
 	}
+	if n > 0 && w.bodyBytes == 0 {
+		w.firstByteAt = time.Now()
+	}
 	w.bodyBytes += int64(n)
 	if err != nil && !errors.Is(err, io.EOF) && w.loop.ctx.Err() == nil && !w.bodyTruncated {
 		w.bodyTruncated = true
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -74,6 +74,12 @@
 	// ResponseDiscarded is called when a response of a backend server is not accepted
 	// as the response to the attempt.
 	ResponseDiscarded(x *filters.Exchange, server *backend.Server, response DiscardedResponse)
+	// AnswerLost is called when a backend server's answer to a request with parts
+	// was lost before its end. crashed reports whether the server refuses connections
+	// since, began is the time since the first byte of the answer, 0 if none arrived.
+	AnswerLost(x *filters.Exchange, server string, crashed bool, began time.Duration)
+	// PartRefused is called when a request is refused because of a part of its prompt.
+	PartRefused(x *filters.Exchange, part quarantine.PartID)
 	// EjectionChanged is called when a backend server is ejected or restored.
 	EjectionChanged(e routing.Ejection)
 }
@@ -109,6 +115,7 @@
 	Ejector    *routing.Ejector    // nil for none
 	Quarantine *quarantine.Table   // nil for none
 	DigestKey  quarantine.Key      // key of the digests in Quarantine
+	Parts      *quarantine.Parts   // nil for none
 	Link       *routing.LinkBudget // nil for no limit on the links between regions
 	Memory     relay.Memory        // for buffered responses; nil for no limit
 	// MaxResponseBytes limits the response body. A larger body is treated as
@@ -122,6 +129,8 @@
 	// quarantine.RegionOwnerPrefix and a region, of which any instance will do. Nil
 	// means that refusals of suspects carry no URL.
 	OwnerURL func(owner string) string
+
+	crashes crashChecks
 }
 
 // Handle implements filters.Handler.
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -25,6 +25,7 @@
 	"github.com/fuchsiastack/fuchsiastack/mirror"
 	"github.com/fuchsiastack/fuchsiastack/overload"
 	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/retry"
 	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/routing"
@@ -91,10 +92,12 @@
 	summaries    *routing.SummaryTable
 	reportBudget *byteBudget
 	retry        *retry.Policy
+	parts        *quarantine.Parts
 	peers        *http.Client
 	transport    *http.Transport
 
 	draining    atomic.Bool
+	partsKnown  atomic.Bool // what other instances know of parts has been requested
 	peerCounter atomic.Uint64
 }
 
@@ -145,6 +148,7 @@
 		reportBudget: newByteBudget(settings.LinkRate),
 		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
+	i.parts = &quarantine.Parts{Observer: i.observer}
 	i.transport = i.newTransport(telemetry.PurposeServers)
 	i.peers = &http.Client{Transport: i.newTransport(telemetry.PurposeQueries)}
 	i.roster = i.newRoster()
@@ -183,10 +187,10 @@
 	return err
 }
 
-// ready reports whether the instance accepts requests: it has a configuration
-// and is not draining.
+// ready reports whether the instance accepts requests: it has a configuration, has
+// asked for the parts of prompts that crash servers, and is not draining.
 func (i *Instance) ready() bool {
-	return !i.draining.Load() && i.table.Current() != nil
+	return !i.draining.Load() && i.table.Current() != nil && i.partsKnown.Load()
 }
 
 // httpServers are the servers that drain shuts down: those for callers first,
