Reject text in a stream that is no event

A server that fails within its stream may write the text of an error, or a whole response with its header, into the body. The decoder took each block up to an empty line for an event, and an event without an id was delivered at once: callers found the header of the error response in the middle of their stream, or the stream ended as complete after it.

The decoder now returns ErrMalformed for a line that is no field: field names are in lower case, as those of the event stream format are. In a monotonic stream whose events have ids, an event without one is rejected as well; comments and the end marker need none. The stream counts as truncated at the last event before, and is resumed where the work allows it.

Text that is glued to the value of a data line and brings no header lines after it cannot be told from the value.

Before, for TestForeignTextWithinStream/response:

got: "id: 1\ndata: a\n\n: comment\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n" want: "id: 1\ndata: a\n\n: comment\n\n"

and for its other cases with text, outcome "served" instead of "may-have-run". All subtests of TestForeignTextIsNotAnEvent ended with EOF, the text delivered.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -78,3 +78,25 @@
 	c.Assert(result.Outcome, qt.Equals, outcome.MayHaveRun)
 	c.Assert(result.Err, qt.ErrorIs, errTruncated)
 }
+
+// TestForeignTextWithinStream guards against the text of an error that a server
+// writes into its stream and that reaches the caller as an event.
+func TestForeignTextWithinStream(t *testing.T) {
+	for name, text := range map[string]string{
+		"response": "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nfailed\n",
+		"text":     "the server failed\n\n",
+		"a word":   "failed\n\n",
+		"no id":    "data: failed\n\n",
+		"bad id":   "id: x\ndata: failed\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := httptest.NewRecorder()
+			callerResponse := newPassthroughResponse(w)
+			result := callerResponse.Copy(response(eventStreamType, "id: 1\ndata: a\n\n: comment\n\n"+text, true))
+			c.Assert(result.Outcome, qt.Equals, outcome.MayHaveRun)
+			c.Assert(callerResponse.Resumable(), qt.IsTrue)
+			c.Assert(w.Body.String(), qt.Equals, "id: 1\ndata: a\n\n: comment\n\n")
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -23,6 +23,10 @@
 // one that starts the stream again.
 var errNotResumed = errors.New("backend server did not resume the stream")
 
+// errUnnumbered is the cause of an event without an id in a stream whose events
+// have ids.
+var errUnnumbered = errors.New("event has no id, unlike those before it")
+
 // copyStream forwards events in the order of their offsets. The outcome of a
 // stream is in its trailer. The caller's stream stays open after a truncation, so
 // that another response can resume it.
@@ -49,6 +53,9 @@
 			}
 			resumedAfter = stream.NoOffset
 		}
+		if r.isForeign(event) {
+			return r.endWithoutMarker(resp, decoder, errUnnumbered)
+		}
 		ended, err := r.sequencer.Add(event, r.write)
 		if err == nil && !decoder.Buffered() {
 			_ = http.NewResponseController(r.Writer).Flush()
@@ -66,6 +73,12 @@
 	}
 }
 
+// isForeign reports whether event does not belong to a monotonic stream: the events
+// before it have ids, and it has none. Comments and the end marker need none.
+func (r *CallerResponse) isForeign(event stream.Event) bool {
+	return r.Monotonic && event.Offset == stream.NoOffset && event.Fields && !event.Done && r.sequencer.HasOffsets()
+}
+
 // startStream prepares the caller's stream. The header is sent with the first
 // event, so that a stream that is truncated before it can still be replaced by an
 // error.
--- a/stream/decoder.go
+++ b/stream/decoder.go
@@ -24,6 +24,13 @@
 // ErrTooLarge is returned for an event of more than MaxEventBytes.
 var ErrTooLarge = errors.New("stream: event is too large")
 
+// ErrMalformed is returned for a line that is no field of an event, such as the
+// text of an error or the header of another response.
+var ErrMalformed = errors.New("stream: line is not a field of an event")
+
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 // doneData is the data of the event that ends a chat completion.
 var doneData = []byte("[DONE]")
 
@@ -41,6 +48,9 @@
 	// Failed reports whether the event is of type "error", which ends a failed
 	// stream.
 	Failed bool
+	// Fields reports whether the event has a field. Without one it consists of
+	// comments, which clients ignore.
+	Fields bool
 }
 
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
@@ -49,6 +59,7 @@
 type Decoder struct {
 	reader *bufio.Reader
 	raw    []byte
+	begun  bool // a line has been read
 }
 
 // NewDecoder returns a Decoder that reads from r. The caller must call Close.
@@ -76,7 +87,8 @@
 
 // Next returns the next event, or io.EOF at the end of the stream. A last event
 // without its terminating empty line is incomplete and is not returned, except
-// for the end marker, whose empty line Next adds.
+// for the end marker, whose empty line Next adds. After ErrMalformed the stream must
+// not be read further.
 func (d *Decoder) Next() (Event, error) {
 	if cap(d.raw) > maxReusedBytes {
 		d.raw = nil
@@ -96,7 +108,13 @@
 			event.Raw = d.raw
 			return event, nil
 		}
-		event.parseField(line)
+		if !d.begun {
+			d.begun = true
+			line = bytes.TrimPrefix(line, byteOrderMark)
+		}
+		if !event.parseField(line) {
+			return Event{}, ErrMalformed
+		}
 	}
 }
 
@@ -126,9 +144,14 @@
 	}
 }
 
-// parseField sets the fields of e from one line of the event.
-func (e *Event) parseField(line []byte) {
+// parseField sets the fields of e from one line of the event. It returns false if
+// the line is neither a field nor a comment.
+func (e *Event) parseField(line []byte) bool {
 	name, value, _ := bytes.Cut(line, []byte(":"))
+	if !isFieldName(name) {
+		return false
+	}
+	e.Fields = e.Fields || len(name) > 0
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "id":
@@ -142,4 +165,17 @@
 	case "event":
 		e.Failed = string(value) == "error"
 	}
+	return true
+}
+
+// isFieldName reports whether name may be the name of a field. The names of the
+// event stream format and of its extensions are in lower case, unlike those of
+// HTTP headers. The name of a comment is empty.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
 }
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -126,3 +126,34 @@
 		}
 	})
 }
+
+// TestForeignTextIsNotAnEvent guards against the text or the header of an error
+// response that is taken for an event and reaches the caller within its stream.
+func TestForeignTextIsNotAnEvent(t *testing.T) {
+	for name, text := range map[string]string{
+		"text":              "the server failed\n\n",
+		"text with a colon": "panic in handler: out of memory\n\n",
+		"response":          "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nfailed\n",
+		"glued response":    "id: 1\ndata: beginHTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\nfailed\n",
+		"header":            "Content-Type: text/plain\r\n\r\n",
+		"json":              `{"error": {"message": "failed"}}` + "\n\n",
+		"html":              "<html>\n\n",
+		"binary":            "\x1f\x8b\x08\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, ended, err := read(event(0)+text+event(1), stream.NewSequencer(0))
+			qt.Assert(t, err, qt.Equals, stream.ErrMalformed)
+			qt.Assert(t, ended, qt.IsFalse)
+			qt.Assert(t, got, qt.Equals, event(0))
+		})
+	}
+}
+
+// TestFieldsAreAccepted checks that the fields of the format, unknown fields in lower
+// case, comments and a byte order mark are passed on unchanged.
+func TestFieldsAreAccepted(t *testing.T) {
+	text := "\xef\xbb\xbf: hello\n\nweight-versions: 3\nid: 0\nevent: chunk\ndata: a\ndata\nretry: 10\nx_y\n\n:\r\n\r\n"
+	got, _, err := read(text, stream.NewSequencer(0))
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	qt.Assert(t, got, qt.Equals, text)
+}
