Refuse a stream that is resumed at the wrong event

A server that ignores Last-Event-ID starts its run again. For monotonic streams, the events up to the last one delivered were dropped and the rest was joined: callers got pieces of two runs as one complete stream. The check of the first event id after a resume, so far for consecutive ids only, now holds for all streams. A monotonic stream also is not continued at a later event than the next if its ids have increased by one all along; with ids that skip numbers a missing event cannot be told.

TestResumeAtWrongEvent before: "served" instead of "may-have-run" for "from the start", "last event again", "start, other ids" and "later".

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -100,3 +101,45 @@
 		})
 	}
 }
+
+// numbered returns events with the given ids.
+func numbered(ids ...int) string {
+	var text strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&text, "id: %d\ndata: %d\n\n", id, id)
+	}
+	return text.String()
+}
+
+// TestResumeAtWrongEvent guards against a stream that is continued by a server that
+// started it again, possibly with other events, or that left events out.
+func TestResumeAtWrongEvent(t *testing.T) {
+	for name, test := range map[string]struct {
+		before, after string
+		joined        bool
+	}{
+		"next":                   {numbered(1, 2), numbered(3, 4), true},
+		"from the start":         {numbered(1, 2), numbered(1, 2, 3, 4), false},
+		"last event again":       {numbered(1, 2), numbered(2, 3, 4), false},
+		"start, other ids":       {numbered(2, 5, 7), numbered(1, 4, 8), false},
+		"later":                  {numbered(1, 2), numbered(4, 5), false},
+		"later, after one event": {numbered(3), numbered(6, 9), true},
+		"later, ids with gaps":   {numbered(1, 2, 4), numbered(6, 7), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := httptest.NewRecorder()
+			callerResponse := newPassthroughResponse(w)
+			callerResponse.Copy(response(eventStreamType, test.before+"id: ", false))
+			result := callerResponse.Copy(response(eventStreamType, test.after, true))
+			if test.joined {
+				c.Assert(result.Outcome, qt.Equals, outcome.Served)
+				c.Assert(w.Body.String(), qt.Equals, test.before+test.after)
+				return
+			}
+			c.Assert(result.Outcome, qt.Equals, outcome.MayHaveRun)
+			c.Assert(result.Err, qt.ErrorIs, errNotResumed)
+			c.Assert(w.Body.String(), qt.Equals, test.before)
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -20,7 +20,7 @@
 var errTruncated = errors.New("stream ended before its end marker")
 
 // errNotResumed is the cause of a response that does not resume a stream, such as
-// one that starts the stream again.
+// one that starts the stream again or at a later event.
 var errNotResumed = errors.New("backend server did not resume the stream")
 
 // errUnnumbered is the cause of an event without an id in a stream whose events
@@ -46,8 +46,8 @@
 		if err != nil {
 			return r.endWithoutMarker(resp, decoder, err)
 		}
-		if !r.Monotonic && event.Offset != stream.NoOffset && resumedAfter != stream.NoOffset {
-			if event.Offset <= resumedAfter {
+		if event.Offset != stream.NoOffset && resumedAfter != stream.NoOffset {
+			if event.Offset <= resumedAfter || r.sequencer.SkipsEvents(event) {
 				r.notResumable = true
 				return r.endWithoutMarker(resp, decoder, errNotResumed)
 			}
--- a/stream/sequencer.go
+++ b/stream/sequencer.go
@@ -22,6 +22,9 @@
 	endMarker    []byte // buffered while an event is missing
 	hasOffsets   bool   // an event with an offset has been received
 	monotonic    bool   // offsets increase, but not always by one
+	delivered    bool   // an event with an offset has been delivered
+	stepped      bool   // monotonic: an offset increased by one
+	skipped      bool   // monotonic: an offset increased by more than one
 }
 
 // NewMonotonic returns a Sequencer for a stream whose offsets are above last and
@@ -42,6 +45,13 @@
 // stream with offsets can be resumed.
 func (s *Sequencer) HasOffsets() bool { return s.hasOffsets }
 
+// SkipsEvents reports whether e, the first event after a monotonic stream has been
+// resumed, follows a gap: its offset is not the next one, although all offsets so far
+// increased by one.
+func (s *Sequencer) SkipsEvents(e Event) bool {
+	return s.monotonic && s.stepped && !s.skipped && e.Offset > s.next
+}
+
 // DropPending drops the buffered events. It is called before the stream is
 // resumed after LastOffset.
 func (s *Sequencer) DropPending() {
@@ -65,6 +75,7 @@
 	case e.Offset > s.next && !s.monotonic:
 		return false, s.addPending(e)
 	}
+	s.countStep(e)
 	s.next = e.Offset + 1
 	if err := deliver(e.Raw); err != nil {
 		return false, err
@@ -72,6 +83,18 @@
 	return s.deliverPending(deliver)
 }
 
+// countStep records how the offset of e, which is to be delivered, has increased.
+func (s *Sequencer) countStep(e Event) {
+	switch {
+	case !s.delivered:
+		s.delivered = true
+	case e.Offset == s.next:
+		s.stepped = true
+	default:
+		s.skipped = true
+	}
+}
+
 // addPending buffers an event until the events before it have been delivered.
 func (s *Sequencer) addPending(e Event) error {
 	if _, ok := s.pending[e.Offset]; ok {
