Continue a stream only with events that can be decoded

A stream was continued with any 200 response whose content type began with "text/event-stream", one with a Content-Encoding too: its encoded bytes were read as events. A type in other letters was taken for no stream. The media type is now parsed, and a response with an encoding is not decoded: as the first response it is relayed whole, as a later one it does not continue the stream.

The test also covers the answers that already were refused: failures and refusals of every kind do not reach a stream that has begun.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"io"
+	"mime"
 	"net/http"
 	"strings"
 
@@ -123,8 +124,12 @@
 	}
 }
 
+// isEventStream reports whether the body of resp is an event stream that can be
+// decoded.
 func isEventStream(resp *http.Response) bool {
-	return bytes.HasPrefix([]byte(resp.Header.Get("Content-Type")), []byte(eventStreamType))
+	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	encoding := resp.Header.Get("Content-Encoding")
+	return err == nil && media == eventStreamType && (encoding == "" || strings.EqualFold(encoding, "identity"))
 }
 
 // copyBuffered buffers the response until it is complete, so that a truncated
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -143,3 +143,58 @@
 		})
 	}
 }
+
+// TestResumeWithAnotherKindOfResponse guards against a response that is no stream of
+// events, or not one that can be decoded, whose body continues a stream.
+func TestResumeWithAnotherKindOfResponse(t *testing.T) {
+	status := func(status int, contentType, text string) *http.Response {
+		resp := response(contentType, text, true)
+		resp.StatusCode = status
+		return resp
+	}
+	encoded := func(encoding string) *http.Response {
+		resp := response(eventStreamType, numbered(3), true)
+		resp.Header.Set("Content-Encoding", encoding)
+		return resp
+	}
+	for name, test := range map[string]struct {
+		resp   *http.Response
+		joined bool
+	}{
+		"events":             {response(eventStreamType, numbered(3), true), true},
+		"charset":            {response("Text/Event-Stream; charset=utf-8", numbered(3), true), true},
+		"identity":           {encoded("identity"), true},
+		"gzip":               {encoded("gzip"), false},
+		"two encodings":      {encoded("gzip, identity"), false},
+		"text":               {response("text/plain", numbered(3), true), false},
+		"no type":            {response("", numbered(3), true), false},
+		"similar type":       {response("text/event-streams", numbered(3), true), false},
+		"500 text":           {status(500, "text/plain", "failed"), false},
+		"500 events":         {status(500, eventStreamType, numbered(3)), false},
+		"503 no final line":  {status(503, "text/plain", "full"), false},
+		"421":                {status(421, "", ""), false},
+		"429":                {status(429, "application/json", `{"error":{}}`), false},
+		"400":                {status(400, "text/plain", "bad\n\n"), false},
+		"404 JSON":           {status(404, "application/json", `{"error":{}}`), false},
+		"204":                {status(204, eventStreamType, ""), false},
+		"206":                {status(206, eventStreamType, numbered(3)), false},
+		"304":                {status(304, eventStreamType, ""), false},
+		"text in the stream": {response(eventStreamType, "the server failed\n\n", true), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := httptest.NewRecorder()
+			callerResponse := newPassthroughResponse(w)
+			callerResponse.Copy(response(eventStreamType, numbered(1, 2), false))
+			result := callerResponse.Copy(test.resp)
+			want := numbered(1, 2)
+			if test.joined {
+				want = numbered(1, 2, 3)
+			}
+			c.Assert(result.Outcome == outcome.Served, qt.Equals, test.joined)
+			c.Assert(result.Started, qt.IsTrue)
+			c.Assert(w.Body.String(), qt.Equals, want)
+			c.Assert(callerResponse.Resumable(), qt.Equals, !test.joined)
+		})
+	}
+}
