Treat an unframed stream without any event as truncated

A stream may come with neither a length nor chunks and end with its connection. If the connection was closed before anything of the body had arrived, the stream counted as complete: callers got an empty stream with success, or, when the server was to resume a stream, the end of a stream whose last events were missing. Such an end shows nothing, and is now treated as a truncation. With chunks or a length an empty body still is a complete stream.

The other cases of the test held before: an end within an event, a line ending or an id is a truncation whatever the framing.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -198,3 +198,50 @@
 		})
 	}
 }
+
+// TestEndOfConnection guards against a stream that counts as complete although its
+// connection ended within an event or before anything of it had arrived.
+func TestEndOfConnection(t *testing.T) {
+	const unframed, chunked, length, reset = "unframed", "chunked", "length", "reset"
+	for name, test := range map[string]struct {
+		before, whole, partial string
+		end                    string
+		complete               bool
+	}{
+		"after an event":                 {"", numbered(1, 2), "", unframed, true},
+		"after an event, reset":          {"", numbered(1, 2), "", reset, false},
+		"within an event":                {"", numbered(1), "id: 2\nda", unframed, false},
+		"within an event, chunks":        {"", numbered(1), "id: 2\nda", chunked, false},
+		"within an event, length":        {"", numbered(1), "id: 2\nda", length, false},
+		"within an id":                   {"", numbered(1), "id: 2", unframed, false},
+		"before the empty line":          {"", numbered(1), "id: 2\ndata: b\n", unframed, false},
+		"within the empty line":          {"", "", "id: 1\r\ndata: a\r\n\r", unframed, false},
+		"within a line ending":           {"", "", "id: 1\r\ndata: a\r", unframed, false},
+		"after CR LF":                    {"", "id: 1\r\ndata: a\r\n\r\n", "", unframed, true},
+		"nothing":                        {"", "", "", unframed, false},
+		"nothing, reset":                 {"", "", "", reset, false},
+		"nothing, chunks":                {"", "", "", chunked, true},
+		"nothing, length":                {"", "", "", length, true},
+		"nothing after the last event":   {numbered(1), "", "", unframed, false},
+		"no chunks after the last event": {numbered(1), "", "", chunked, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := httptest.NewRecorder()
+			callerResponse := newPassthroughResponse(w)
+			if test.before != "" {
+				callerResponse.Copy(response(eventStreamType, test.before+"id", false))
+			}
+			resp := response(eventStreamType, test.whole+test.partial, test.end != reset)
+			if test.end != length {
+				resp.ContentLength = -1
+			}
+			if test.end == chunked {
+				resp.TransferEncoding = []string{"chunked"}
+			}
+			result := callerResponse.Copy(resp)
+			c.Assert(result.Outcome == outcome.Served, qt.Equals, test.complete)
+			c.Assert(w.Body.String(), qt.Equals, test.before+test.whole)
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -124,7 +124,8 @@
 // endWithoutMarker handles a response that ended with err and without an end
 // marker. After a regular end (io.EOF), the trailer of another instance states the
 // outcome, and a monotonic stream without that trailer is complete if it does not
-// end within an event. Any other response is truncated.
+// end within an event, nor before its first one with the connection. Any other
+// response is truncated.
 func (r *CallerResponse) endWithoutMarker(resp *http.Response, decoder *stream.Decoder, err error) Result {
 	if errors.Is(err, io.EOF) {
 		values, hasTrailer := resp.Trailer[outcome.Header]
@@ -133,7 +134,7 @@
 				return r.endStream(o, errTruncated) // outcome stated by an instance of another region
 			}
 		}
-		if r.Monotonic && !hasTrailer && !decoder.Partial() {
+		if r.Monotonic && !hasTrailer && !decoder.Partial() && (isFramed(resp) || decoder.Begun()) {
 			return r.endStream(outcome.Served, nil)
 		}
 		err = errTruncated
@@ -141,6 +142,13 @@
 	return Result{Outcome: outcome.MayHaveRun, Started: r.started, Bytes: r.bytesSent, Err: err}
 }
 
+// isFramed reports whether the end of the body shows other than by the end of the
+// connection.
+func isFramed(resp *http.Response) bool {
+	head := resp.Request != nil && resp.Request.Method == http.MethodHead
+	return head || resp.ProtoMajor >= 2 || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // endStream ends the caller's stream.
 func (r *CallerResponse) endStream(o outcome.Outcome, err error) Result {
 	r.ended = true
--- a/stream/decoder.go
+++ b/stream/decoder.go
@@ -85,6 +85,9 @@
 // Next has returned io.EOF.
 func (d *Decoder) Partial() bool { return len(d.raw) > 0 }
 
+// Begun reports whether the stream contains anything.
+func (d *Decoder) Begun() bool { return d.begun || len(d.raw) > 0 }
+
 // Next returns the next event, or io.EOF at the end of the stream. A last event
 // without its terminating empty line is incomplete and is not returned, except
 // for the end marker, whose empty line Next adds. After ErrMalformed the stream must
