Do not continue a large response with another one

A response of more than 4 MB that is no stream is relayed as it arrives. If a stream of the same request had ended before its first event, the caller's response still counted as a stream that another server may resume. When the large response was truncated, the request was sent again, and the caller found the body of the next answer after the part of the large one. A buffered response now marks the caller's response as started and ended.

TestLargeResponseIsNotContinued before: Resumable was true after the truncated large response.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -83,9 +83,9 @@
 
 	sequencer    *stream.Sequencer
 	headerSource *http.Response // response whose header the caller receives; nil once it has been sent
-	started      bool           // the header of the caller's stream has been sent
+	started      bool           // the header of the caller's response has been sent
 	streaming    bool           // the response is an event stream
-	ended        bool           // the end of the stream or an error event has been sent
+	ended        bool           // nothing may be added to the response
 	notResumable bool           // no other response can continue the stream
 	bytesSent    int64          // bytes of the stream sent to the caller
 }
@@ -94,7 +94,7 @@
 // has been started.
 func (r *CallerResponse) Copy(resp *http.Response) Result {
 	if r.started {
-		if resp.StatusCode != http.StatusOK || !isEventStream(resp) {
+		if r.ended || resp.StatusCode != http.StatusOK || !isEventStream(resp) {
 			return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: r.bytesSent, Err: errNotResumed}
 		}
 		return r.copyStream(resp)
@@ -150,6 +150,7 @@
 	if length := resp.Header.Get("Content-Length"); length != "" && r.Passthrough {
 		r.Writer.Header().Set("Content-Length", length)
 	}
+	r.started, r.ended = true, true
 	r.Writer.WriteHeader(resp.StatusCode)
 	written, err := r.Writer.Write(prefix.bytes)
 	if errors.Is(err, http.ErrBodyNotAllowed) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -245,3 +245,24 @@
 		})
 	}
 }
+
+// TestLargeResponseIsNotContinued guards against a second response that is appended
+// to a truncated one, which was relayed after a stream that ended before its first
+// event.
+func TestLargeResponseIsNotContinued(t *testing.T) {
+	c := qt.New(t)
+	w := httptest.NewRecorder()
+	callerResponse := newPassthroughResponse(w)
+	callerResponse.Copy(response(eventStreamType, "id: 1\n", false))
+	c.Assert(callerResponse.Resumable(), qt.IsTrue)
+	large := strings.Repeat("x", maxBufferedBytes+1)
+	result := callerResponse.Copy(response("text/plain", large, false))
+	c.Assert(result.Started, qt.IsTrue)
+	c.Assert(result.NeedsReset, qt.IsTrue)
+	c.Assert(callerResponse.Resumable(), qt.IsFalse)
+	for _, contentType := range []string{"text/plain", eventStreamType} {
+		result = callerResponse.Copy(response(contentType, numbered(1), true))
+		c.Assert(result.Outcome, qt.Equals, outcome.MayHaveRun)
+		c.Assert(w.Body.Len(), qt.Equals, len(large))
+	}
+}
