Do not resume a stream with events that have no id

A stream was resumed after the highest id delivered, also if events without an id had been delivered before or after it. The next server sends those again: callers got them twice. Such a stream is no longer resumed and ends as failed. Comments do not count.

TestUnnumberedEventIsNotRepeated before: resumable for "event without id before", "event without id after" and "event waits for others".

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -266,3 +266,30 @@
 		c.Assert(w.Body.Len(), qt.Equals, len(large))
 	}
 }
+
+// TestUnnumberedEventIsNotRepeated guards against a stream that is resumed after its
+// last id although events without ids have been delivered, which the next server
+// sends again.
+func TestUnnumberedEventIsNotRepeated(t *testing.T) {
+	for name, test := range map[string]struct {
+		before    string
+		resumable bool
+	}{
+		"ids":                      {numbered(0, 1), true},
+		"comments":                 {": a\n\n" + numbered(0) + ": b\n\n", true},
+		"event without id before":  {"data: a\n\n" + numbered(0), false},
+		"event without id, no ids": {"data: a\n\n", false},
+		"event without id after":   {numbered(0) + "data: a\n\n", false},
+		"event waits for others":   {"data: a\n\n" + numbered(3), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			callerResponse := &CallerResponse{Writer: httptest.NewRecorder(), OnFirstByte: func() {}}
+			result := callerResponse.Copy(response(eventStreamType, test.before, false))
+			c.Assert(result.Outcome, qt.Equals, outcome.MayHaveRun)
+			c.Assert(callerResponse.Resumable(), qt.Equals, test.resumable)
+			callerResponse.Fail(outcome.Fail(outcome.CodeBackendFailed, nil, "cut"))
+			c.Assert(callerResponse.Resumable(), qt.IsFalse)
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -164,7 +164,7 @@
 
 // Resumable reports whether another response can continue the caller's stream.
 func (r *CallerResponse) Resumable() bool {
-	return r.streaming && !r.ended && !r.notResumable && (r.sequencer.HasOffsets() || r.bytesSent == 0)
+	return r.streaming && !r.ended && !r.notResumable && (r.sequencer.Resumable() || r.bytesSent == 0)
 }
 
 // SetResume sets the request header that makes a server resume a truncated stream
--- a/stream/sequencer.go
+++ b/stream/sequencer.go
@@ -21,6 +21,7 @@
 	pendingBytes int
 	endMarker    []byte // buffered while an event is missing
 	hasOffsets   bool   // an event with an offset has been received
+	unnumbered   bool   // an event without an offset has been delivered
 	monotonic    bool   // offsets increase, but not always by one
 	delivered    bool   // an event with an offset has been delivered
 	stepped      bool   // monotonic: an offset increased by one
@@ -41,10 +42,13 @@
 // NoOffset for a stream that starts at 0.
 func (s *Sequencer) LastOffset() int64 { return s.next - 1 }
 
-// HasOffsets reports whether an event with an offset has been received. Only a
-// stream with offsets can be resumed.
+// HasOffsets reports whether an event with an offset has been received.
 func (s *Sequencer) HasOffsets() bool { return s.hasOffsets }
 
+// Resumable reports whether the stream can be resumed after LastOffset: all events so
+// far have offsets. Comments need none.
+func (s *Sequencer) Resumable() bool { return s.hasOffsets && !s.unnumbered }
+
 // SkipsEvents reports whether e, the first event after a monotonic stream has been
 // resumed, follows a gap: its offset is not the next one, although all offsets so far
 // increased by one.
@@ -66,6 +70,7 @@
 		s.endMarker = append([]byte(nil), e.Raw...)
 		return false, nil
 	case e.Offset == NoOffset:
+		s.unnumbered = s.unnumbered || e.Fields
 		return e.Done, deliver(e.Raw)
 	}
 	s.hasOffsets = true
