Reset the connection of an HTTP/1.0 caller whose response is cut

A response that fails after its start ends with a panic that closes the connection. A caller that speaks HTTP/1.1 misses the last chunk, also with Connection: close. A caller that speaks HTTP/1.0 gets neither chunks nor a length: the regular end of the connection made a truncated stream look complete. The handler now takes over such a connection and resets it.

TestAbortedResponseLooksIncomplete before: complete for both HTTP/1.0 requests, with TLS and without, after the first event of a stream that had failed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -70,6 +71,30 @@
 	}
 	end(err)
 	if err != nil && x.Started && (h.AbortOnError || x.ResetRequired) {
+		resetUnframed(w, r)
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// resetUnframed resets the connection if only its end shows the end of the response.
+// A regular end, as after a panic, would make the response look complete.
+func resetUnframed(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		return // the response has chunks or a length
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	for {
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		conn = wrapper.NetConn()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/telemetry/traffic.go
+++ b/telemetry/traffic.go
@@ -203,6 +203,9 @@
 	return n, err
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the write side of the connection if the connection supports
 // that, and does nothing otherwise. The HTTP server of net/http calls it before
 // it closes some connections.
