Treat an end marker without its empty line as truncated

A stream that ends within an event has been cut, also within its last one. Streams of the gateway's own format keep the tolerance, which their end marker makes safe.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -213,6 +213,7 @@
 		"within an event":                {"", numbered(1), "id: 2\nda", unframed, false},
 		"within an event, chunks":        {"", numbered(1), "id: 2\nda", chunked, false},
 		"within an event, length":        {"", numbered(1), "id: 2\nda", length, false},
+		"within the end marker":          {"", numbered(1), "data: [DONE]", unframed, false},
 		"within an id":                   {"", numbered(1), "id: 2", unframed, false},
 		"before the empty line":          {"", numbered(1), "id: 2\ndata: b\n", unframed, false},
 		"within the empty line":          {"", "", "id: 1\r\ndata: a\r\n\r", unframed, false},
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -53,6 +53,9 @@
 			}
 			resumedAfter = stream.NoOffset
 		}
+		if r.Monotonic && event.Unterminated {
+			return r.endWithoutMarker(resp, decoder, errTruncated)
+		}
 		if r.isForeign(event) {
 			return r.endWithoutMarker(resp, decoder, errUnnumbered)
 		}
--- a/stream/decoder.go
+++ b/stream/decoder.go
@@ -51,6 +51,9 @@
 	// Fields reports whether the event has a field. Without one it consists of
 	// comments, which clients ignore.
 	Fields bool
+	// Unterminated reports whether the stream ended before the empty line of the
+	// event, which Next has added. Only the end marker is returned then.
+	Unterminated bool
 }
 
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
@@ -103,6 +106,7 @@
 		if err != nil {
 			if errors.Is(err, io.EOF) && event.Done {
 				event.Raw = append(bytes.TrimRight(d.raw, "\r\n"), "\n\n"...)
+				event.Unterminated = true
 				return event, nil
 			}
 			return Event{}, err
