Send an event before the next one is complete

Events stay in the connection's buffer while more data has been read. That data may be the beginning of an event only: the event before it waited until the rest had arrived, or, if the server broke off there, until another server resumed the stream. Callers saw a pause that the server had not made. An event is now held back only while the next one is buffered completely, and the end of a response flushes too.

TestEventIsNotHeldBack before: "flushed 0 bytes" for "beginning of the next" and "foreign text" within 5 s.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -294,3 +296,43 @@
 		})
 	}
 }
+
+// flushRecorder is a ResponseWriter that counts the bytes that have been flushed.
+type flushRecorder struct {
+	*httptest.ResponseRecorder
+	flushed atomic.Int64
+}
+
+func (w *flushRecorder) Flush() { w.flushed.Store(int64(w.Body.Len())) }
+
+// TestEventIsNotHeldBack guards against an event that waits in the connection's buffer
+// until the rest of the next one arrives, or until another server resumes the stream.
+func TestEventIsNotHeldBack(t *testing.T) {
+	for name, cut := range map[string]string{
+		"beginning of the next": "id: 3\nda",
+		"foreign text":          "the server failed\n\n",
+		"event of another run":  numbered(2),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			reader, writer := io.Pipe()
+			defer writer.Close()
+			w := &flushRecorder{ResponseRecorder: httptest.NewRecorder()}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				resp := response(eventStreamType, "", true)
+				resp.Body = reader
+				newPassthroughResponse(w).Copy(resp)
+			}()
+			_, err := io.WriteString(writer, numbered(1, 2)+cut)
+			c.Assert(err, qt.IsNil)
+			want := int64(len(numbered(1, 2)))
+			for deadline := time.Now().Add(5 * time.Second); w.flushed.Load() < want; time.Sleep(time.Millisecond) {
+				c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("flushed %d bytes, want %d", w.flushed.Load(), want))
+			}
+			writer.CloseWithError(io.ErrUnexpectedEOF)
+			<-done
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -60,8 +60,8 @@
 			return r.endWithoutMarker(resp, decoder, errUnnumbered)
 		}
 		ended, err := r.sequencer.Add(event, r.write)
-		if err == nil && !decoder.Buffered() {
-			_ = http.NewResponseController(r.Writer).Flush()
+		if err == nil && !decoder.EventBuffered() {
+			r.flush()
 		}
 		switch {
 		case ended && err == nil:
@@ -124,6 +124,9 @@
 	return err
 }
 
+// flush sends the buffered events.
+func (r *CallerResponse) flush() { _ = http.NewResponseController(r.Writer).Flush() }
+
 // endWithoutMarker handles a response that ended with err and without an end
 // marker. After a regular end (io.EOF), the trailer of another instance states the
 // outcome, and a monotonic stream without that trailer is complete if it does not
@@ -142,6 +145,9 @@
 		}
 		err = errTruncated
 	}
+	if r.started {
+		r.flush()
+	}
 	return Result{Outcome: outcome.MayHaveRun, Started: r.started, Bytes: r.bytesSent, Err: err}
 }
 
--- a/stream/decoder.go
+++ b/stream/decoder.go
@@ -80,9 +80,12 @@
 	d.reader, d.raw = nil, nil
 }
 
-// Buffered reports whether the read buffer holds data that Next has not yet
-// returned.
-func (d *Decoder) Buffered() bool { return d.reader.Buffered() > 0 }
+// EventBuffered reports whether Next can return the next event without reading from
+// the stream.
+func (d *Decoder) EventBuffered() bool {
+	buffered, _ := d.reader.Peek(d.reader.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
 
 // Partial reports whether the stream ended within an event. It is valid after
 // Next has returned io.EOF.
