Reject text that looks like an unknown field

"failed: no memory" has the form of a field. Before any event with an id, such a text passed as an event, and the stream counted as complete after it. Clients dispatch no event without a field that they know, and servers send none: the decoder now returns ErrMalformed for it. Unknown fields beside known ones stay as they are.

TestCallerReceivesPrefixOfStream found it. The test cuts a stream at any byte, several times, and answers the requests that resume it at random; the caller must get the beginning of the stream in whole events, and a regular end only with the last one.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
@@ -336,3 +338,94 @@
 		})
 	}
 }
+
+// TestCallerReceivesPrefixOfStream cuts a stream at any byte, several times, and
+// answers each request that resumes it at random. It guards against bytes that are no
+// part of the stream, and against a regular end before the last event.
+func TestCallerReceivesPrefixOfStream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stride := rapid.IntRange(1, 3).Draw(t, "stride")
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "line end")
+		count := rapid.IntRange(1, 8).Draw(t, "events")
+		var events []string
+		for i := range count {
+			events = append(events, strings.ReplaceAll(fmt.Sprintf("id: %d\ndata: event %d\n\n", (i+1)*stride, i), "\n", lineEnd))
+		}
+		whole := strings.Join(events, "")
+		w := httptest.NewRecorder()
+		callerResponse := newPassthroughResponse(w)
+		complete := false
+		for attempt := 0; attempt < 5 && !complete && (attempt == 0 || callerResponse.Resumable()); attempt++ {
+			resp, mayEnd := drawResponse(t, callerResponse, events, stride)
+			result := callerResponse.Copy(resp)
+			complete = result.Outcome == outcome.Served
+			if complete && !mayEnd {
+				t.Fatalf("complete after %q", w.Body)
+			}
+			got := w.Body.String()
+			if !strings.HasPrefix(whole, got) || len(got) > 0 && !strings.HasSuffix(got, lineEnd+lineEnd) {
+				t.Fatalf("got %q, which is not the beginning of %q", got, whole)
+			}
+		}
+		callerResponse.Fail(outcome.Fail(outcome.CodeBackendFailed, nil, "truncated"))
+		if got := w.Body.String(); complete && got != whole || !strings.HasPrefix(whole, got) {
+			t.Fatalf("got %q, complete %t, want %q", got, complete, whole)
+		}
+	})
+}
+
+// drawResponse draws the response to the next request of a caller, and reports
+// whether the stream may be complete after it.
+func drawResponse(t *rapid.T, r *CallerResponse, events []string, stride int) (_ *http.Response, mayEnd bool) {
+	header := http.Header{}
+	r.SetResume(header)
+	first := 0
+	if last := header.Get("Last-Event-ID"); last != "" {
+		id, err := strconv.Atoi(last)
+		if err != nil {
+			t.Fatalf("resume after %q", last)
+		}
+		first = id / stride
+	}
+	rest := strings.Join(events[first:], "")
+	if r.started && rapid.Bool().Draw(t, "other answer") {
+		return drawOtherResponse(t), false
+	}
+	switch cut := rapid.IntRange(0, len(rest)).Draw(t, "cut"); {
+	case cut == len(rest) && len(rest) > 0, rapid.Bool().Draw(t, "whole"):
+		resp := response(eventStreamType, rest, true)
+		resp.TransferEncoding = []string{"chunked"}
+		return resp, true
+	case rapid.Bool().Draw(t, "foreign text"):
+		foreign := rapid.SampledFrom([]string{"the server failed\n\n", "failed: no memory\n\n", "HTTP/1.1 500 Failed\r\nX: y\r\n\r\n"}).Draw(t, "text")
+		cut = strings.LastIndex("\n\n"+rest[:cut], "\n\n") // elsewhere it may be a part of a line
+		return response(eventStreamType, rest[:cut]+foreign, true), false
+	default:
+		closed := rapid.Bool().Draw(t, "closed")
+		// A regular end of the connection after whole events cannot be told from the
+		// end of the stream.
+		if text := rest[:cut]; strings.HasSuffix(text, "\n\n") || strings.HasSuffix(text, "\r\n\r\n") {
+			closed = false
+		}
+		resp := response(eventStreamType, rest[:cut], !closed)
+		resp.ContentLength = -1
+		if !closed {
+			resp.Body = truncatedBody{strings.NewReader(rest[:cut])}
+		} else {
+			resp.Body = io.NopCloser(strings.NewReader(rest[:cut]))
+		}
+		return resp, false
+	}
+}
+
+// drawOtherResponse draws a response that is no rest of the stream.
+func drawOtherResponse(t *rapid.T) *http.Response {
+	text := rapid.SampledFrom([]string{"", "failed", "failed\n\n", "data: x\n\n", numbered(0, 1), "{}\n\n"}).Draw(t, "body")
+	resp := response(rapid.SampledFrom([]string{"", "text/plain", eventStreamType}).Draw(t, "type"), text, true)
+	resp.StatusCode = rapid.SampledFrom([]int{204, 304, 400, 404, 421, 429, 500, 502, 503}).Draw(t, "status")
+	if rapid.Bool().Draw(t, "success") {
+		resp.StatusCode = http.StatusOK
+		resp.ContentLength = -1
+	}
+	return resp
+}
--- a/stream/decoder.go
+++ b/stream/decoder.go
@@ -24,9 +24,9 @@
 // ErrTooLarge is returned for an event of more than MaxEventBytes.
 var ErrTooLarge = errors.New("stream: event is too large")
 
-// ErrMalformed is returned for a line that is no field of an event, such as the
-// text of an error or the header of another response.
-var ErrMalformed = errors.New("stream: line is not a field of an event")
+// ErrMalformed is returned for text that is no event, such as that of an error or the
+// header of another response: a line of it is no field, or none of its fields is known.
+var ErrMalformed = errors.New("stream: text is not an event")
 
 // byteOrderMark may precede the first line of a stream.
 var byteOrderMark = []byte("\xef\xbb\xbf")
@@ -54,6 +54,8 @@
 	// Unterminated reports whether the stream ended before the empty line of the
 	// event, which Next has added. Only the end marker is returned then.
 	Unterminated bool
+	// known is whether one of the fields is of the event stream format.
+	known bool
 }
 
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
@@ -115,6 +117,9 @@
 			return Event{}, err
 		}
 		if len(line) == 0 {
+			if event.Fields && !event.known {
+				return Event{}, ErrMalformed
+			}
 			event.Raw = d.raw
 			return event, nil
 		}
@@ -164,15 +169,20 @@
 	e.Fields = e.Fields || len(name) > 0
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
+	case "retry":
+		e.known = true
 	case "id":
+		e.known = true
 		offset, err := strconv.ParseInt(string(value), 10, 64)
 		if err != nil || offset < 0 {
 			offset = NoOffset
 		}
 		e.Offset = offset
 	case "data":
+		e.known = true
 		e.Done = bytes.Equal(value, doneData)
 	case "event":
+		e.known = true
 		e.Failed = string(value) == "error"
 	}
 	return true
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -136,6 +136,8 @@
 		"response":          "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nfailed\n",
 		"glued response":    "id: 1\ndata: beginHTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\nfailed\n",
 		"header":            "Content-Type: text/plain\r\n\r\n",
+		"word":              "failed\n\n",
+		"word and text":     "failed: no memory\n\n",
 		"json":              `{"error": {"message": "failed"}}` + "\n\n",
 		"html":              "<html>\n\n",
 		"binary":            "\x1f\x8b\x08\n\n",
