Log how far a truncated stream has come

The line "attempt_failed" gave the cause of a truncated stream, but neither the server nor the event after which it ended, so that a resumed stream could not be followed through its attempts. Its error now names the server or region, the last event and the bytes that the caller has received, and whether the stream can be resumed; for a response that does not resume it, also its status and content type. One line for each failed attempt, as before.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -119,7 +119,7 @@
 		err.Outcome = outcome.MayHaveRun
 	}
 	if r.failedResponse != nil && !r.x.Started {
-		return r.relay(r.x, r.failedResponse, r.callerResponse)
+		return r.relay(r.x, r.failedResponse, r.callerResponse, "failed server")
 	}
 	r.callerResponse.Fail(err)
 	return err
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -194,7 +194,7 @@
 	case info.Failed && w.loop.mayRepeat():
 		return w.loop.saveFailedResponse(resp)
 	}
-	return d.relay(x, resp, w.loop.callerResponse)
+	return d.relay(x, resp, w.loop.callerResponse, server.ID)
 }
 
 // forward sends the request to an instance of another region. runs is the number
@@ -233,7 +233,7 @@
 	if o := outcome.Parse(resp.Header.Get(outcome.Header)); o != outcome.Unknown && o != outcome.Served {
 		return peerError(resp, o), true
 	}
-	return d.relay(x, resp, callerResponse), true
+	return d.relay(x, resp, callerResponse, "region "+region), true
 }
 
 func (d *Dispatcher) setHopHeaders(header http.Header, x *filters.Exchange) {
@@ -308,7 +308,8 @@
 	return nil, failure
 }
 
-func (d *Dispatcher) relay(x *filters.Exchange, resp *http.Response, callerResponse *relay.CallerResponse) *outcome.Error {
+// relay sends resp to the caller. source is the sender of resp, for errors.
+func (d *Dispatcher) relay(x *filters.Exchange, resp *http.Response, callerResponse *relay.CallerResponse, source string) *outcome.Error {
 	if !callerResponse.Passthrough {
 		x.Writer.Header().Set(filters.RevisionHeader, strconv.FormatUint(x.Snapshot.Revision, 10))
 	}
@@ -319,5 +320,5 @@
 	if result.Outcome == outcome.Served {
 		return nil
 	}
-	return outcome.Fail(outcome.CodeBackendFailed, result.Err, "the answer was cut before its end")
+	return outcome.Fail(outcome.CodeBackendFailed, errors.Wrapf(result.Err, "response of %s", source), "the answer was cut before its end")
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -95,7 +95,11 @@
 func (r *CallerResponse) Copy(resp *http.Response) Result {
 	if r.started {
 		if r.ended || resp.StatusCode != http.StatusOK || !isEventStream(resp) {
-			return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: r.bytesSent, Err: errNotResumed}
+			err := errors.Wrapf(errNotResumed, "status %d, content type %.100q", resp.StatusCode, resp.Header.Get("Content-Type"))
+			if r.streaming {
+				err = r.streamError(err)
+			}
+			return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: r.bytesSent, Err: err}
 		}
 		return r.copyStream(resp)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 	"pgregory.net/rapid"
 
 	"github.com/fuchsiastack/fuchsiastack/outcome"
@@ -429,3 +430,20 @@
 	}
 	return resp
 }
+
+// TestStreamErrorNamesProgress checks that the error of a truncated stream, which is
+// logged, tells how far the stream came and why it ended.
+func TestStreamErrorNamesProgress(t *testing.T) {
+	c := qt.New(t)
+	callerResponse := newPassthroughResponse(httptest.NewRecorder())
+	result := callerResponse.Copy(response(eventStreamType, numbered(1, 2)+"id: 3\n", true))
+	var streamErr *StreamError
+	c.Assert(errors.As(result.Err, &streamErr), qt.IsTrue)
+	c.Assert(streamErr.LastEvent, qt.Equals, int64(2))
+	c.Assert(streamErr.Bytes, qt.Equals, int64(len(numbered(1, 2))))
+	c.Assert(result.Err, qt.ErrorIs, errTruncated)
+	c.Assert(result.Err, qt.ErrorMatches, "relay stream: truncated after event 2, 30 bytes, resumable true: stream ended before its end marker")
+	result = callerResponse.Copy(response("text/plain", "failed", true))
+	c.Assert(result.Err, qt.ErrorIs, errNotResumed)
+	c.Assert(result.Err, qt.ErrorMatches, `relay stream: truncated after event 2, .*: status 200, content type "text/plain": .*`)
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,6 +24,23 @@
 // one that starts the stream again or at a later event.
 var errNotResumed = errors.New("backend server did not resume the stream")
 
+// StreamError describes a response that ended before the end of the stream, or that
+// did not resume it.
+type StreamError struct {
+	LastEvent int64 // highest id that has been delivered, or stream.NoOffset
+	Bytes     int64 // sent to the caller by all responses so far
+	Resumable bool  // another response can continue the stream
+	Cause     error
+}
+
+// Error implements error.
+func (e *StreamError) Error() string {
+	return fmt.Sprintf("relay stream: truncated after event %d, %d bytes, resumable %t: %v", e.LastEvent, e.Bytes, e.Resumable, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *StreamError) Unwrap() error { return e.Cause }
+
 // errUnnumbered is the cause of an event without an id in a stream whose events
 // have ids.
 var errUnnumbered = errors.New("event has no id, unlike those before it")
@@ -148,7 +166,12 @@
 	if r.started {
 		r.flush()
 	}
-	return Result{Outcome: outcome.MayHaveRun, Started: r.started, Bytes: r.bytesSent, Err: err}
+	return Result{Outcome: outcome.MayHaveRun, Started: r.started, Bytes: r.bytesSent, Err: r.streamError(err)}
+}
+
+// streamError returns err with the progress of the stream.
+func (r *CallerResponse) streamError(err error) error {
+	return &StreamError{LastEvent: r.sequencer.LastOffset(), Bytes: r.bytesSent, Resumable: r.Resumable(), Cause: err}
 }
 
 // isFramed reports whether the end of the body shows other than by the end of the
