Test that the response to a HEAD request for a stream is complete

It has no body, and with neither a length nor chunks it must not count as an unframed stream without events.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -252,6 +252,16 @@
 	}
 }
 
+// TestHeadOfStream checks that a response to a HEAD request, which has no body and may
+// have no length, is complete.
+func TestHeadOfStream(t *testing.T) {
+	c := qt.New(t)
+	resp := response(eventStreamType, "", true)
+	resp.ContentLength, resp.Request = -1, httptest.NewRequest(http.MethodHead, "/", nil)
+	result := newPassthroughResponse(httptest.NewRecorder()).Copy(resp)
+	c.Assert(result.Outcome, qt.Equals, outcome.Served)
+}
+
 // TestLargeResponseIsNotContinued guards against a second response that is appended
 // to a truncated one, which was relayed after a stream that ended before its first
 // event.
