Test a stream that another region is to resume

A stream has begun here and broke off within an event; an instance of another region refuses to resume it, fails, aborts its response, starts the stream again, or sends an error's text within it. Nothing but events of the stream reaches the caller, in both formats, and it ends as complete only with the other instance's outcome.

--- a/dispatch/broken_test.go
+++ b/dispatch/broken_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -132,3 +133,59 @@
 		}
 	}
 }
+
+// onePeer is a Peers with one instance.
+type onePeer struct{ addr string }
+
+func (p onePeer) Peer(string) string { return p.addr }
+
+// TestBrokenStreamIsNotContinuedByRefusalOfRegion guards against the text of another
+// instance's refusal or failure within a stream that has begun here, and against its
+// regular end. Streams of both formats are resumed in the other region.
+func TestBrokenStreamIsNotContinuedByRefusalOfRegion(t *testing.T) {
+	const events, trailer, served = "Content-Type: text/event-stream", http.TrailerPrefix + outcome.Header, "served"
+	const refusal = `{"error":{"code":"overloaded","message":"full"}}`
+	for name, test := range map[string]struct {
+		peer     http.HandlerFunc
+		last     int // last event that the caller receives
+		complete bool
+	}{
+		"rest":                {sendText(200, offsetEvents(2, 3), false, events, trailer+": "+served), 3, true},
+		"nothing, served":     {sendText(200, "", false, events, trailer+": "+served), 1, true},
+		"rest, may have run":  {sendText(200, offsetEvents(2, 3), false, events, trailer+": may-have-run"), 3, false},
+		"rest, aborted":       {sendText(200, offsetEvents(2, 3)+"id", true, events), 3, false},
+		"head only":           {sendText(200, "", true, events), 1, false},
+		"refusal":             {sendText(503, refusal, false, outcome.Header+": not-run"), 1, false},
+		"refusal, no text":    {sendText(503, "", false, outcome.Header+": not-run"), 1, false},
+		"failure":             {sendText(502, refusal+"\n\n", false, outcome.Header+": may-have-run"), 1, false},
+		"failure, no outcome": {sendText(500, "failed\n\n", false), 1, false},
+		"failure of a server": {sendText(500, "failed\n\n", false, outcome.Header+": "+served), 1, false},
+		"from the start":      {sendText(200, offsetEvents(0, 3), false, events, trailer+": "+served), 1, false},
+		"text within":         {sendText(200, offsetEvents(2, 2)+refusal+"\n\n", false, events, trailer+": "+served), 2, false},
+	} {
+		for _, passthrough := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, passthrough %t", name, passthrough), func(t *testing.T) {
+				c := qt.New(t)
+				peer := httptest.NewServer(test.peer)
+				defer peer.Close()
+				d := newScriptedDispatcher(t, nil, nil)
+				d.Peers, d.Passthrough = onePeer{peer.Listener.Addr().String()}, passthrough
+				recorder := httptest.NewRecorder()
+				x := newExchange(recorder, httptest.NewRequest(http.MethodPost, "/v1/chat/completions", http.NoBody), nil)
+				callerResponse := &relay.CallerResponse{Writer: recorder, Passthrough: passthrough, Monotonic: passthrough, OnFirstByte: func() {}}
+				broken := &http.Response{
+					StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}},
+					Body: io.NopCloser(strings.NewReader(offsetEvents(0, 1) + "id: 2\ndata: ev")),
+				}
+				c.Assert(d.relay(x, broken, callerResponse, "engine-0"), qt.IsNotNil)
+				c.Assert(x.Started, qt.IsTrue)
+				ctx, cancel := context.WithDeadline(t.Context(), x.Deadline)
+				defer cancel()
+				err, _ := d.forward(ctx, x, "alex", 1, callerResponse)
+				c.Assert(x.Started, qt.IsTrue)
+				c.Assert(err == nil, qt.Equals, test.complete, qt.Commentf("%v", err))
+				c.Assert(recorder.Body.String(), qt.Equals, offsetEvents(0, test.last))
+			})
+		}
+	}
+}
