--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"io"
+	"mime"
 	"net/http"
 	"strings"
 
@@ -82,9 +83,9 @@
 
 	sequencer    *stream.Sequencer
 	headerSource *http.Response // response whose header the caller receives; nil once it has been sent
-	started      bool           // the header of the caller's stream has been sent
+	started      bool           // the header of the caller's response has been sent
 	streaming    bool           // the response is an event stream
-	ended        bool           // the end of the stream or an error event has been sent
+	ended        bool           // nothing may be added to the response
 	notResumable bool           // no other response can continue the stream
 	bytesSent    int64          // bytes of the stream sent to the caller
 }
@@ -93,8 +94,12 @@
 // has been started.
 func (r *CallerResponse) Copy(resp *http.Response) Result {
 	if r.started {
-		if resp.StatusCode != http.StatusOK || !isEventStream(resp) {
-			return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: r.bytesSent, Err: errNotResumed}
+		if r.ended || resp.StatusCode != http.StatusOK || !isEventStream(resp) {
+			err := errors.Wrapf(errNotResumed, "status %d, content type %.100q", resp.StatusCode, resp.Header.Get("Content-Type"))
+			if r.streaming {
+				err = r.streamError(err)
+			}
+			return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: r.bytesSent, Err: err}
 		}
 		return r.copyStream(resp)
 	}
@@ -123,8 +128,12 @@
 	}
 }
 
+// isEventStream reports whether the body of resp is an event stream that can be
+// decoded.
 func isEventStream(resp *http.Response) bool {
-	return bytes.HasPrefix([]byte(resp.Header.Get("Content-Type")), []byte(eventStreamType))
+	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	encoding := resp.Header.Get("Content-Encoding")
+	return err == nil && media == eventStreamType && (encoding == "" || strings.EqualFold(encoding, "identity"))
 }
 
 // copyBuffered buffers the response until it is complete, so that a truncated
@@ -145,6 +154,7 @@
 	if length := resp.Header.Get("Content-Length"); length != "" && r.Passthrough {
 		r.Writer.Header().Set("Content-Length", length)
 	}
+	r.started, r.ended = true, true
 	r.Writer.WriteHeader(resp.StatusCode)
 	written, err := r.Writer.Write(prefix.bytes)
 	if errors.Is(err, http.ErrBodyNotAllowed) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,9 +21,30 @@
 var errTruncated = errors.New("stream ended before its end marker")
 
 // errNotResumed is the cause of a response that does not resume a stream, such as
-// one that starts the stream again.
+// one that starts the stream again or at a later event.
 var errNotResumed = errors.New("backend server did not resume the stream")
 
+// StreamError describes a response that ended before the end of the stream, or that
+// did not resume it.
+type StreamError struct {
+	LastEvent int64 // highest id that has been delivered, or stream.NoOffset
+	Bytes     int64 // sent to the caller by all responses so far
+	Resumable bool  // another response can continue the stream
+	Cause     error
+}
+
+// Error implements error.
+func (e *StreamError) Error() string {
+	return fmt.Sprintf("relay stream: truncated after event %d, %d bytes, resumable %t: %v", e.LastEvent, e.Bytes, e.Resumable, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *StreamError) Unwrap() error { return e.Cause }
+
+// errUnnumbered is the cause of an event without an id in a stream whose events
+// have ids.
+var errUnnumbered = errors.New("event has no id, unlike those before it")
+
 // copyStream forwards events in the order of their offsets. The outcome of a
 // stream is in its trailer. The caller's stream stays open after a truncation, so
 // that another response can resume it.
@@ -42,16 +64,22 @@
 		if err != nil {
 			return r.endWithoutMarker(resp, decoder, err)
 		}
-		if !r.Monotonic && event.Offset != stream.NoOffset && resumedAfter != stream.NoOffset {
-			if event.Offset <= resumedAfter {
+		if event.Offset != stream.NoOffset && resumedAfter != stream.NoOffset {
+			if event.Offset <= resumedAfter || r.sequencer.SkipsEvents(event) {
 				r.notResumable = true
 				return r.endWithoutMarker(resp, decoder, errNotResumed)
 			}
 			resumedAfter = stream.NoOffset
 		}
+		if r.Monotonic && event.Unterminated {
+			return r.endWithoutMarker(resp, decoder, errTruncated)
+		}
+		if r.isForeign(event) {
+			return r.endWithoutMarker(resp, decoder, errUnnumbered)
+		}
 		ended, err := r.sequencer.Add(event, r.write)
-		if err == nil && !decoder.Buffered() {
-			_ = http.NewResponseController(r.Writer).Flush()
+		if err == nil && !decoder.EventBuffered() {
+			r.flush()
 		}
 		switch {
 		case ended && err == nil:
@@ -66,6 +94,12 @@
 	}
 }
 
+// isForeign reports whether event does not belong to a monotonic stream: the events
+// before it have ids, and it has none. Comments and the end marker need none.
+func (r *CallerResponse) isForeign(event stream.Event) bool {
+	return r.Monotonic && event.Offset == stream.NoOffset && event.Fields && !event.Done && r.sequencer.HasOffsets()
+}
+
 // startStream prepares the caller's stream. The header is sent with the first
 // event, so that a stream that is truncated before it can still be replaced by an
 // error.
@@ -108,10 +142,14 @@
 	return err
 }
 
+// flush sends the buffered events.
+func (r *CallerResponse) flush() { _ = http.NewResponseController(r.Writer).Flush() }
+
 // endWithoutMarker handles a response that ended with err and without an end
 // marker. After a regular end (io.EOF), the trailer of another instance states the
 // outcome, and a monotonic stream without that trailer is complete if it does not
-// end within an event. Any other response is truncated.
+// end within an event, nor before its first one with the connection. Any other
+// response is truncated.
 func (r *CallerResponse) endWithoutMarker(resp *http.Response, decoder *stream.Decoder, err error) Result {
 	if errors.Is(err, io.EOF) {
 		values, hasTrailer := resp.Trailer[outcome.Header]
@@ -120,12 +158,27 @@
 				return r.endStream(o, errTruncated) // outcome stated by an instance of another region
 			}
 		}
-		if r.Monotonic && !hasTrailer && !decoder.Partial() {
+		if r.Monotonic && !hasTrailer && !decoder.Partial() && (isFramed(resp) || decoder.Begun()) {
 			return r.endStream(outcome.Served, nil)
 		}
 		err = errTruncated
 	}
-	return Result{Outcome: outcome.MayHaveRun, Started: r.started, Bytes: r.bytesSent, Err: err}
+	if r.started {
+		r.flush()
+	}
+	return Result{Outcome: outcome.MayHaveRun, Started: r.started, Bytes: r.bytesSent, Err: r.streamError(err)}
+}
+
+// streamError returns err with the progress of the stream.
+func (r *CallerResponse) streamError(err error) error {
+	return &StreamError{LastEvent: r.sequencer.LastOffset(), Bytes: r.bytesSent, Resumable: r.Resumable(), Cause: err}
+}
+
+// isFramed reports whether the end of the body shows other than by the end of the
+// connection.
+func isFramed(resp *http.Response) bool {
+	head := resp.Request != nil && resp.Request.Method == http.MethodHead
+	return head || resp.ProtoMajor >= 2 || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
 // endStream ends the caller's stream.
@@ -143,7 +196,7 @@
 
 // Resumable reports whether another response can continue the caller's stream.
 func (r *CallerResponse) Resumable() bool {
-	return r.streaming && !r.ended && !r.notResumable && (r.sequencer.HasOffsets() || r.bytesSent == 0)
+	return r.streaming && !r.ended && !r.notResumable && (r.sequencer.Resumable() || r.bytesSent == 0)
 }
 
 // SetResume sets the request header that makes a server resume a truncated stream
--- a/stream/decoder.go
+++ b/stream/decoder.go
@@ -24,6 +24,13 @@
 // ErrTooLarge is returned for an event of more than MaxEventBytes.
 var ErrTooLarge = errors.New("stream: event is too large")
 
+// ErrMalformed is returned for text that is no event, such as that of an error or the
+// header of another response: a line of it is no field, or none of its fields is known.
+var ErrMalformed = errors.New("stream: text is not an event")
+
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 // doneData is the data of the event that ends a chat completion.
 var doneData = []byte("[DONE]")
 
@@ -41,6 +48,14 @@
 	// Failed reports whether the event is of type "error", which ends a failed
 	// stream.
 	Failed bool
+	// Fields reports whether the event has a field. Without one it consists of
+	// comments, which clients ignore.
+	Fields bool
+	// Unterminated reports whether the stream ended before the empty line of the
+	// event, which Next has added. Only the end marker is returned then.
+	Unterminated bool
+	// known is whether one of the fields is of the event stream format.
+	known bool
 }
 
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
@@ -49,6 +64,7 @@
 type Decoder struct {
 	reader *bufio.Reader
 	raw    []byte
+	begun  bool // a line has been read
 }
 
 // NewDecoder returns a Decoder that reads from r. The caller must call Close.
@@ -66,17 +82,24 @@
 	d.reader, d.raw = nil, nil
 }
 
-// Buffered reports whether the read buffer holds data that Next has not yet
-// returned.
-func (d *Decoder) Buffered() bool { return d.reader.Buffered() > 0 }
+// EventBuffered reports whether Next can return the next event without reading from
+// the stream.
+func (d *Decoder) EventBuffered() bool {
+	buffered, _ := d.reader.Peek(d.reader.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
 
 // Partial reports whether the stream ended within an event. It is valid after
 // Next has returned io.EOF.
 func (d *Decoder) Partial() bool { return len(d.raw) > 0 }
 
+// Begun reports whether the stream contains anything.
+func (d *Decoder) Begun() bool { return d.begun || len(d.raw) > 0 }
+
 // Next returns the next event, or io.EOF at the end of the stream. A last event
 // without its terminating empty line is incomplete and is not returned, except
-// for the end marker, whose empty line Next adds.
+// for the end marker, whose empty line Next adds. After ErrMalformed the stream must
+// not be read further.
 func (d *Decoder) Next() (Event, error) {
 	if cap(d.raw) > maxReusedBytes {
 		d.raw = nil
@@ -88,15 +111,25 @@
 		if err != nil {
 			if errors.Is(err, io.EOF) && event.Done {
 				event.Raw = append(bytes.TrimRight(d.raw, "\r\n"), "\n\n"...)
+				event.Unterminated = true
 				return event, nil
 			}
 			return Event{}, err
 		}
 		if len(line) == 0 {
+			if event.Fields && !event.known {
+				return Event{}, ErrMalformed
+			}
 			event.Raw = d.raw
 			return event, nil
 		}
-		event.parseField(line)
+		if !d.begun {
+			d.begun = true
+			line = bytes.TrimPrefix(line, byteOrderMark)
+		}
+		if !event.parseField(line) {
+			return Event{}, ErrMalformed
+		}
 	}
 }
 
@@ -126,20 +159,43 @@
 	}
 }
 
-// parseField sets the fields of e from one line of the event.
-func (e *Event) parseField(line []byte) {
+// parseField sets the fields of e from one line of the event. It returns false if
+// the line is neither a field nor a comment.
+func (e *Event) parseField(line []byte) bool {
 	name, value, _ := bytes.Cut(line, []byte(":"))
+	if !isFieldName(name) {
+		return false
+	}
+	e.Fields = e.Fields || len(name) > 0
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
+	case "retry":
+		e.known = true
 	case "id":
+		e.known = true
 		offset, err := strconv.ParseInt(string(value), 10, 64)
 		if err != nil || offset < 0 {
 			offset = NoOffset
 		}
 		e.Offset = offset
 	case "data":
+		e.known = true
 		e.Done = bytes.Equal(value, doneData)
 	case "event":
+		e.known = true
 		e.Failed = string(value) == "error"
 	}
+	return true
+}
+
+// isFieldName reports whether name may be the name of a field. The names of the
+// event stream format and of its extensions are in lower case, unlike those of
+// HTTP headers. The name of a comment is empty.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
 }
--- a/stream/sequencer.go
+++ b/stream/sequencer.go
@@ -21,7 +21,11 @@
 	pendingBytes int
 	endMarker    []byte // buffered while an event is missing
 	hasOffsets   bool   // an event with an offset has been received
+	unnumbered   bool   // an event without an offset has been delivered
 	monotonic    bool   // offsets increase, but not always by one
+	delivered    bool   // an event with an offset has been delivered
+	stepped      bool   // monotonic: an offset increased by one
+	skipped      bool   // monotonic: an offset increased by more than one
 }
 
 // NewMonotonic returns a Sequencer for a stream whose offsets are above last and
@@ -38,10 +42,20 @@
 // NoOffset for a stream that starts at 0.
 func (s *Sequencer) LastOffset() int64 { return s.next - 1 }
 
-// HasOffsets reports whether an event with an offset has been received. Only a
-// stream with offsets can be resumed.
+// HasOffsets reports whether an event with an offset has been received.
 func (s *Sequencer) HasOffsets() bool { return s.hasOffsets }
 
+// Resumable reports whether the stream can be resumed after LastOffset: all events so
+// far have offsets. Comments need none.
+func (s *Sequencer) Resumable() bool { return s.hasOffsets && !s.unnumbered }
+
+// SkipsEvents reports whether e, the first event after a monotonic stream has been
+// resumed, follows a gap: its offset is not the next one, although all offsets so far
+// increased by one.
+func (s *Sequencer) SkipsEvents(e Event) bool {
+	return s.monotonic && s.stepped && !s.skipped && e.Offset > s.next
+}
+
 // DropPending drops the buffered events. It is called before the stream is
 // resumed after LastOffset.
 func (s *Sequencer) DropPending() {
@@ -56,6 +70,7 @@
 		s.endMarker = append([]byte(nil), e.Raw...)
 		return false, nil
 	case e.Offset == NoOffset:
+		s.unnumbered = s.unnumbered || e.Fields
 		return e.Done, deliver(e.Raw)
 	}
 	s.hasOffsets = true
@@ -65,6 +80,7 @@
 	case e.Offset > s.next && !s.monotonic:
 		return false, s.addPending(e)
 	}
+	s.countStep(e)
 	s.next = e.Offset + 1
 	if err := deliver(e.Raw); err != nil {
 		return false, err
@@ -72,6 +88,18 @@
 	return s.deliverPending(deliver)
 }
 
+// countStep records how the offset of e, which is to be delivered, has increased.
+func (s *Sequencer) countStep(e Event) {
+	switch {
+	case !s.delivered:
+		s.delivered = true
+	case e.Offset == s.next:
+		s.stepped = true
+	default:
+		s.skipped = true
+	}
+}
+
 // addPending buffers an event until the events before it have been delivered.
 func (s *Sequencer) addPending(e Event) error {
 	if _, ok := s.pending[e.Offset]; ok {
