--- a/hosted/oddentries_test.go
+++ b/hosted/oddentries_test.go
@@ -65,3 +65,16 @@
 	}
 	n.f.Assert(len(n.registry.Servers("orders")), qt.Equals, 2)
 }
+
+// TestOddIDTakesNoRequests guards against requests that fail because the id of an
+// entry is no valid value of the header that names the server.
+func TestOddIDTakesNoRequests(t *testing.T) {
+	t.Parallel()
+	n, servers := startWithGoodServers(t)
+	for k, id := range []string{"odd\r\nHold: 1", "odd\x00", "odd ", ""} {
+		n.f.store.Put(platform.ServerPrefix+id, oddServer(servers[0]))
+		n.awaitEntry()
+		n.assertServed(fmt.Sprintf("id%d", k))
+	}
+	n.f.Assert(len(n.registry.Servers("orders")), qt.Equals, 2)
+}
