--- a/hosted/oddentries_test.go
+++ b/hosted/oddentries_test.go
@@ -78,3 +78,16 @@
 	}
 	n.f.Assert(len(n.registry.Servers("orders")), qt.Equals, 2)
 }
+
+// TestOddSlotsLeaveCapacity guards against a service that refuses all requests
+// because an entry holds a negative number of slots, or one that overflows sums.
+func TestOddSlotsLeaveCapacity(t *testing.T) {
+	t.Parallel()
+	n, servers := startWithGoodServers(t)
+	for k, slots := range []string{"-1000000", "9223372036854775807", "-9223372036854775808", "1e400", "8.5", "null"} {
+		n.f.store.Put(fmt.Sprintf("%sodd-%d", platform.ServerPrefix, k), oddServer(servers[0], `"slots":8`, `"slots":`+slots))
+		n.awaitEntry()
+		n.updateSlots(t.Context())
+		n.assertServed("slots" + slots)
+	}
+}
