--- a/standin/hosting/server.go
+++ b/standin/hosting/server.go
@@ -45,7 +45,7 @@
 
 // Entry returns the server's entry in the store, as JSON.
 func (s *Server) Entry(service, zone, state string) string {
-	return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"slots":8,"state":%q,"warmup-left-ms":0,"seq":1}`, service, s.Addr(), zone, state)
+	return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"warmup-left-ms":0,"seq":1}`, service, s.Addr(), zone, state)
 }
 
 // SetOverride sets an override for all later requests; nil removes it.
