Log each revision of an odd entry once, and count it

Each change of any entry wrote a line server_unreadable or instance_unreadable for every odd entry there is, so that one odd entry among thousands that change fills the log, of which what exceeds 1 MiB is dropped with the lines that matter. The instance line had neither revision nor, for a missing id, a cause.

Rejected revisions are remembered by key until the key is gone. The counter fuchsia.rejected_entries counts them by kind; the line is the same for server, instance and config.

--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -148,7 +148,12 @@
 // startBehind starts an instance that other instances reach at peerAddr, and waits
 // until it is ready.
 func (f *fleet) startBehind(settings *platform.Settings, peerAddr string) *testInstance {
-	instance, err := New(settings, Options{LogLevel: "info"}, io.Discard)
+	return f.startLogging(settings, peerAddr, io.Discard)
+}
+
+// startLogging is like startBehind, and writes the log lines of the instance to out.
+func (f *fleet) startLogging(settings *platform.Settings, peerAddr string, out io.Writer) *testInstance {
+	instance, err := New(settings, Options{LogLevel: "info"}, out)
 	f.Assert(err, qt.IsNil)
 	instance.roster.Self.PeerAddr = peerAddr
 	ctx, cancel := context.WithCancel(context.Background())
--- a/hosted/observers.go
+++ b/hosted/observers.go
@@ -6,6 +6,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/fuchsiastack/fuchsiastack/roster"
+	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
 // storeLog logs when the store becomes unreachable and when it is reachable again.
@@ -23,25 +24,25 @@
 
 // rosterLog logs instances that appear or disappear, failed registrations and
 // unreadable entries of instances.
-type rosterLog struct{ log *log.Logger }
+type rosterLog struct{ *telemetry.Observer }
 
 // InstanceSeen implements roster.Observer.
 func (l rosterLog) InstanceSeen(instance roster.Instance, listed bool) {
-	l.log.Info().Str("event", "instance_seen").Str("peer", instance.ID).Str("region", instance.Region).
+	l.Log.Info().Str("event", "instance_seen").Str("peer", instance.ID).Str("region", instance.Region).
 		Int64("started", instance.Started).Bool("listed", listed).Msg("")
 }
 
 // InstanceProbeFailed implements roster.Observer.
 func (l rosterLog) InstanceProbeFailed(instance roster.Instance, cause error) {
-	l.log.Info().Str("event", "instance_gone").Str("peer", instance.ID).Str("region", instance.Region).Err(cause).Msg("")
+	l.Log.Info().Str("event", "instance_gone").Str("peer", instance.ID).Str("region", instance.Region).Err(cause).Msg("")
 }
 
 // RegistrationFailed implements roster.Observer.
 func (l rosterLog) RegistrationFailed(err error) {
-	l.log.Warn().Str("event", "registration_failed").Err(err).Msg("")
+	l.Log.Warn().Str("event", "registration_failed").Err(err).Msg("")
 }
 
 // EntryUnreadable implements roster.Observer.
-func (l rosterLog) EntryUnreadable(key string, err error) {
-	l.log.Warn().Str("event", "instance_unreadable").Str("key", key).Err(err).Msg("")
+func (l rosterLog) EntryUnreadable(key string, revision uint64, err error) {
+	l.EntryRejected(telemetry.InstanceEntry, key, revision, err)
 }
--- a/hosted/oddentries_test.go
+++ b/hosted/oddentries_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -91,3 +94,71 @@
 		n.assertServed("slots" + slots)
 	}
 }
+
+// lines counts the log lines with all of the given parts.
+func (b *logBuffer) lines(parts ...string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for line := range strings.Lines(b.text.String()) {
+		missing := func(part string) bool { return !strings.Contains(line, part) }
+		if !slices.ContainsFunc(parts, missing) {
+			count++
+		}
+	}
+	return count
+}
+
+// logBuffer collects the log lines of an instance.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// rejectedEntries returns the value of the counter of rejected entries of a kind.
+func (n *testInstance) rejectedEntries(kind string) string {
+	recorder := httptest.NewRecorder()
+	n.metrics.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	for line := range strings.Lines(recorder.Body.String()) {
+		if strings.HasPrefix(line, `fuchsia_rejected_entries_total{kind="`+kind+`"}`) {
+			return strings.Fields(line)[1]
+		}
+	}
+	return ""
+}
+
+// TestOddEntryIsLoggedOnce guards against a log line for an odd entry at each
+// change of any other entry. Each revision of an odd entry gets one line and counts
+// once.
+func TestOddEntryIsLoggedOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("orders", "unsafe", "orders"))
+	server, out := f.startServer("orders", "cairo-a", 0), &logBuffer{}
+	settings := f.settings("cairo")
+	n := f.startLogging(settings, settings.PeerAddr, out).waitForServers(1)
+	n.f.store.Put(platform.ServerPrefix+"odd", strings.Repeat("[", 200_000))
+	n.f.store.Put(instanceKeyPrefix+"odd", strings.Repeat("[", 200_000))
+	for k := range 3 {
+		n.awaitEntry()
+		other := fmt.Sprintf("other-%d", k)
+		f.store.Put(instanceKeyPrefix+other, fmt.Sprintf(`{"id":%q,"started":1,"region":"alex","zone":"alex-a","caller_addr":"127.0.0.1:1","peer_addr":"127.0.0.1:1"}`, other))
+		f.eventually("instance", func() bool { return len(n.roster.InRegion("alex")) == k+1 })
+	}
+	n.logWriter.Flush()
+	n.f.Assert(out.lines("server_unreadable", "servers/odd", "store_revision"), qt.Equals, 1)
+	n.f.Assert(out.lines("instance_unreadable", "instances/odd", "store_revision"), qt.Equals, 1)
+	n.f.store.Put(platform.ServerPrefix+"odd", oddServer(server, `"slots":8`, `"slots":-1`))
+	n.awaitEntry()
+	n.awaitEntry()
+	n.logWriter.Flush()
+	n.f.Assert(out.lines("server_unreadable", "servers/odd", "field slots"), qt.Equals, 1)
+	n.f.Assert(n.rejectedEntries("server"), qt.Equals, "2")
+	n.f.Assert(n.rejectedEntries("instance"), qt.Equals, "1")
+}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -450,6 +450,6 @@
 			ID: s.Instance, Started: time.Now().UnixMilli(), Region: s.Region, Zone: s.Zone,
 			CallerAddr: s.CallerAddr, PeerAddr: s.PeerAddr,
 		},
-		Leases: i.store, Prefix: instanceKeyPrefix, Probe: i.checkAlive, Observer: rosterLog{i.log},
+		Leases: i.store, Prefix: instanceKeyPrefix, Probe: i.checkAlive, Observer: rosterLog{i.observer},
 	}
 }
--- a/hosted/state.go
+++ b/hosted/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
 // maxMissingTime is how long a backend server is used after its entry was removed.
@@ -52,7 +53,7 @@
 	}
 	snapshot, err := platform.DecodeConfig(entry.Value, &i.settings.Bounds)
 	if err != nil {
-		i.log.Error().Str("event", "config_unreadable").Uint64("store_revision", entry.Version).Err(err).Msg("")
+		i.observer.EntryRejected(telemetry.ConfigEntry, entry.Key, entry.Version, err)
 		return
 	}
 	for _, service := range snapshot.Services {
@@ -75,6 +76,7 @@
 	mu        sync.Mutex
 	local     map[string]*serverEntry // of this region
 	remote    map[string]*serverEntry // of other regions, for fetches from their caches
+	rejected  map[string]uint64       // revisions of the entries that cannot be used
 	evacuated map[string]bool         // availability zones
 }
 
@@ -86,7 +88,8 @@
 
 func newServers(i *Instance) *servers {
 	return &servers{
-		instance: i, local: make(map[string]*serverEntry), remote: make(map[string]*serverEntry), evacuated: make(map[string]bool),
+		instance: i, local: make(map[string]*serverEntry), remote: make(map[string]*serverEntry),
+		rejected: make(map[string]uint64), evacuated: make(map[string]bool),
 		missingGrace: min(maxMissingTime, i.settings.Bounds.DrainDelay/2),
 	}
 }
@@ -106,6 +109,9 @@
 		if entry := s.remote[e.Key]; entry != nil && entry.version == e.Version {
 			continue
 		}
+		if version, rejected := s.rejected[e.Key]; rejected && version == e.Version {
+			continue
+		}
 		s.addEntry(e.Key, e.Value, e.Version)
 	}
 	for key, entry := range s.local {
@@ -115,6 +121,7 @@
 		}
 	}
 	maps.DeleteFunc(s.remote, func(key string, _ *serverEntry) bool { return !listed[key] })
+	maps.DeleteFunc(s.rejected, func(key string, _ uint64) bool { return !listed[key] })
 	s.updateEvacuations(now)
 	s.publish(now)
 	s.publishRemote()
@@ -123,11 +130,13 @@
 func (s *servers) addEntry(key string, value []byte, version uint64) {
 	server, err := platform.DecodeServer(key, value, s.instance.settings.Regions)
 	if err != nil {
-		s.instance.log.Warn().Str("event", "server_unreadable").Str("key", key).Uint64("store_revision", version).Err(err).Msg("")
+		s.instance.observer.EntryRejected(telemetry.ServerEntry, key, version, err)
+		s.rejected[key] = version
 		delete(s.local, key)
 		delete(s.remote, key)
 		return
 	}
+	delete(s.rejected, key)
 	entry := &serverEntry{Server: *server, version: version}
 	if server.Region != s.instance.settings.Region {
 		delete(s.local, key)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -58,9 +58,9 @@
 	// RegistrationFailed is called when the registration of this instance could not be
 	// written or renewed.
 	RegistrationFailed(err error)
-	// EntryUnreadable is called for an entry that cannot be decoded; err is nil if
-	// only its id is missing.
-	EntryUnreadable(key string, err error)
+	// EntryUnreadable is called once for each revision of an entry that cannot be
+	// used.
+	EntryUnreadable(key string, revision uint64, err error)
 }
 
 // Roster tracks the live instances and registers this instance in the store.
@@ -77,6 +77,7 @@
 
 	mu           sync.Mutex
 	members      map[string]*member
+	unreadable   map[string]uint64 // revisions of the entries that cannot be used, by key
 	lease        store.LeaseID
 	renewedAt    time.Time // when lease was last granted or renewed
 	keyMissing   bool      // the key of Self was missing at the last Update although there is a lease
@@ -101,10 +102,14 @@
 		r.members = make(map[string]*member)
 	}
 	listed := make(map[string]bool)
+	unreadable := make(map[string]uint64)
 	for _, e := range entries {
 		var instance Instance
 		if err := json.Unmarshal(e.Value, &instance); err != nil || instance.ID == "" {
-			r.Observer.EntryUnreadable(e.Key, err)
+			unreadable[e.Key] = e.Version
+			if r.unreadable[e.Key] != e.Version {
+				r.Observer.EntryUnreadable(e.Key, e.Version, err)
+			}
 			continue
 		}
 		listed[instance.ID] = true
@@ -121,6 +126,7 @@
 			m.listed = false
 		}
 	}
+	r.unreadable = unreadable
 	r.keyMissing = r.lease != "" && !listed[r.Self.ID]
 }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -94,10 +94,10 @@
 
 type noopObserver struct{}
 
-func (noopObserver) InstanceSeen(Instance, bool)         {}
-func (noopObserver) InstanceProbeFailed(Instance, error) {}
-func (noopObserver) RegistrationFailed(error)            {}
-func (noopObserver) EntryUnreadable(string, error)       {}
+func (noopObserver) InstanceSeen(Instance, bool)           {}
+func (noopObserver) InstanceProbeFailed(Instance, error)   {}
+func (noopObserver) RegistrationFailed(error)              {}
+func (noopObserver) EntryUnreadable(string, uint64, error) {}
 
 // fixture is the roster of an instance, with a second instance whose probes fail
 // while otherDown is set.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -33,6 +33,7 @@
 	latency   metric.Float64Histogram
 	firstByte metric.Float64Histogram
 	inFlight  metric.Int64UpDownCounter
+	rejected  metric.Int64Counter
 	routing   routingMetrics
 }
 
@@ -50,7 +51,7 @@
 		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		provider: provider,
 	}
-	var errs [6]error
+	var errs [7]error
 	m.requests, errs[0] = meter.Int64Counter("fuchsia.requests", metric.WithDescription("Requests by service, rank and outcome."))
 	m.attempts, errs[1] = meter.Int64Counter("fuchsia.attempts", metric.WithDescription("Attempts at backend servers and regions by outcome."))
 	m.forwarded, errs[2] = meter.Int64Counter("fuchsia.sent_elsewhere", metric.WithDescription("Requests sent to another region."))
@@ -59,6 +60,8 @@
 	m.firstByte, errs[4] = meter.Float64Histogram("fuchsia.first_byte", metric.WithUnit("s"),
 		metric.WithDescription("Time to the first byte of the answer."), metric.WithExplicitBucketBoundaries(latencyBoundsSeconds...))
 	m.inFlight, errs[5] = meter.Int64UpDownCounter("fuchsia.in_flight", metric.WithDescription("Requests in flight."))
+	m.rejected, errs[6] = meter.Int64Counter("fuchsia.rejected_entries",
+		metric.WithDescription("Entries and configurations that cannot be used, by kind."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Wrap(err, "create request instrument")
