--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -137,6 +137,9 @@
 		reportBudget: newByteBudget(settings.LinkRate),
 		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
+	i.store.ItemsSkipped = func(prefix string, revision uint64, err error) {
+		i.observer.EntryRejected(telemetry.StoreItem, prefix, revision, err)
+	}
 	i.transport = i.newTransport(telemetry.PurposeServers)
 	i.peers = &http.Client{Transport: i.newTransport(telemetry.PurposeQueries)}
 	i.roster = i.newRoster()
