Reject entries of instances that name another one or a bad address

An entry of another writer below the keys of the instances could replace the address of an instance, as the id in its value counted, not its key; two such entries took turns at each change, with a line each time. One with an address that cannot be dialed was given to callers by the directory and used for forwarding, one without region opened a region without a name.

The id must be that of the key and a valid header value, region and zone must be there, and both addresses must be dialable. Errors name key, field and value. The instances of the fixture got the fields that each registered instance has.

An instance whose own entry becomes unreadable is probed and stays in use if it answers, as if its key had been removed.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -9,11 +9,13 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/fuchsiastack/fuchsiastack/internal/check"
 	"github.com/fuchsiastack/fuchsiastack/store"
 )
 
@@ -43,6 +45,36 @@
 	PeerAddr   string `json:"peer_addr"`   // host:port for other instances
 }
 
+// decodeInstance decodes the entry of the instance with the given id.
+func decodeInstance(id string, value []byte) (Instance, error) {
+	var instance Instance
+	if err := check.DecodeJSON(value, &instance); err != nil {
+		return instance, err
+	}
+	return instance, instance.check(id)
+}
+
+// check returns a *check.FieldError for the first field that cannot be used.
+func (i *Instance) check(id string) error {
+	if err := check.HeaderValue(id); err != nil || i.ID != id {
+		return check.Field("id", i.ID, errIDMismatch)
+	}
+	if i.Region == "" {
+		return check.Field("region", i.Region, check.ErrMissing)
+	}
+	if i.Zone == "" {
+		return check.Field("zone", i.Zone, check.ErrMissing)
+	}
+	if err := check.Addr(i.CallerAddr); err != nil {
+		return check.Field("caller_addr", i.CallerAddr, err)
+	}
+	return check.Field("peer_addr", i.PeerAddr, check.Addr(i.PeerAddr))
+}
+
+// errIDMismatch is the cause if an entry is not stored under the key of its
+// instance.
+var errIDMismatch = errors.New("is not the valid id that the key contains")
+
 // Probe probes an instance. It returns nil if the instance is running and ready
 // for requests.
 type Probe func(ctx context.Context, instance Instance) error
@@ -104,11 +136,11 @@
 	listed := make(map[string]bool)
 	unreadable := make(map[string]uint64)
 	for _, e := range entries {
-		var instance Instance
-		if err := json.Unmarshal(e.Value, &instance); err != nil || instance.ID == "" {
+		instance, err := decodeInstance(strings.TrimPrefix(e.Key, r.Prefix), e.Value)
+		if err != nil {
 			unreadable[e.Key] = e.Version
 			if r.unreadable[e.Key] != e.Version {
-				r.Observer.EntryUnreadable(e.Key, e.Version, err)
+				r.Observer.EntryUnreadable(e.Key, e.Version, errors.Wrapf(err, "decode %q", e.Key))
 			}
 			continue
 		}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -94,11 +96,25 @@
 
 type noopObserver struct{}
 
+// rejectionObserver records the errors of unreadable entries by key.
+type rejectionObserver struct {
+	noopObserver
+	errs map[string][]error
+}
+
+func (o rejectionObserver) EntryUnreadable(key string, _ uint64, err error) {
+	o.errs[key] = append(o.errs[key], err)
+}
+
 func (noopObserver) InstanceSeen(Instance, bool)           {}
 func (noopObserver) InstanceProbeFailed(Instance, error)   {}
 func (noopObserver) RegistrationFailed(error)              {}
 func (noopObserver) EntryUnreadable(string, uint64, error) {}
 
+func testInstance(id string) Instance {
+	return Instance{ID: id, Started: 1, Region: "cairo", Zone: "cairo-a", CallerAddr: "10.0.0.1:80", PeerAddr: "10.0.0.1:81"}
+}
+
 // fixture is the roster of an instance, with a second instance whose probes fail
 // while otherDown is set.
 type fixture struct {
@@ -112,7 +128,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{C: qt.New(t), leases: newLeases()}
 		f.roster = &Roster{
-			Self: Instance{ID: "self", Region: "cairo"}, Leases: f.leases, Observer: noopObserver{},
+			Self: testInstance("self"), Leases: f.leases, Observer: noopObserver{},
 			StoreOutage: func() time.Duration { return 0 },
 			Probe: func(context.Context, Instance) error {
 				if f.otherDown.Load() {
@@ -121,7 +137,7 @@
 				return nil
 			},
 		}
-		value, err := json.Marshal(Instance{ID: "other", Region: "cairo"})
+		value, err := json.Marshal(testInstance("other"))
 		f.Assert(err, qt.IsNil)
 		f.Assert(f.Acquire(context.Background(), "other", value, "0"), qt.IsNil)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -194,3 +210,53 @@
 	r.register(context.Background())
 	c.Assert(l.entries(), qt.HasLen, 0)
 }
+
+// TestOddEntryHidesNoInstance guards against an instance that is replaced by the
+// entry of another writer, or that callers and instances are sent to at an address
+// that cannot be dialed. Each revision is reported once, with its key and field.
+func TestOddEntryHidesNoInstance(t *testing.T) {
+	c := qt.New(t)
+	observer := rejectionObserver{errs: make(map[string][]error)}
+	r := &Roster{Self: testInstance("self"), Prefix: "instances/", Observer: observer, StoreOutage: func() time.Duration { return 0 }}
+	entry := func(key, value string) store.Entry {
+		return store.Entry{Key: "instances/" + key, Value: []byte(value), Version: 7}
+	}
+	encode := func(change func(*Instance)) string {
+		instance := testInstance("other")
+		change(&instance)
+		value, err := json.Marshal(instance)
+		c.Assert(err, qt.IsNil)
+		return string(value)
+	}
+	entries := []store.Entry{entry("other", encode(func(*Instance) {}))}
+	odd := map[string]string{
+		"copy": encode(func(*Instance) {}), "copy of self": encode(func(i *Instance) { i.ID = "self" }), "empty": "",
+		"null": "null", "deep": strings.Repeat("[", 500_000), "started": `{"id":"started","started":1e400}`,
+		"region": encode(func(i *Instance) { i.ID, i.Region = "region", "" }), "zone": encode(func(i *Instance) { i.ID, i.Zone = "zone", "" }),
+		"caller_addr": encode(func(i *Instance) { i.ID, i.CallerAddr = "caller_addr", "10.0.0.1:99999" }),
+		"peer_addr":   encode(func(i *Instance) { i.ID, i.PeerAddr = "peer_addr", "10.0.0.1:80:90" }),
+		"a\r\nb":      encode(func(i *Instance) { i.ID = "a\r\nb" }),
+	}
+	for key, value := range odd {
+		entries = append(entries, entry(key, value))
+	}
+	for range 3 {
+		r.Update(entries)
+		c.Assert(r.Live(), qt.DeepEquals, []Instance{testInstance("other"), testInstance("self")})
+	}
+	c.Assert(observer.errs, qt.HasLen, len(odd))
+	for key, errs := range observer.errs {
+		c.Check(errs, qt.HasLen, 1, qt.Commentf(key))
+		c.Check(errs[0], qt.ErrorMatches, "decode "+regexp.QuoteMeta(strconv.Quote(key))+": .*")
+	}
+	for _, field := range []string{"region", "zone", "caller_addr", "peer_addr"} {
+		c.Check(observer.errs["instances/"+field][0], qt.ErrorMatches, ".*field "+field+".*")
+	}
+	// An odd entry under the key of an instance is like a removed one: the instance
+	// is probed. A repaired entry counts again.
+	r.Update([]store.Entry{entry("other", "{")})
+	c.Assert(r.members["other"], qt.IsNotNil)
+	r.Update(entries[:1])
+	c.Assert(r.Live(), qt.HasLen, 2)
+	c.Assert(r.members["other"].listed, qt.IsTrue)
+}
