--- a/hosted/oddentries_test.go
+++ b/hosted/oddentries_test.go
@@ -162,3 +162,19 @@
 	n.f.Assert(n.rejectedEntries("server"), qt.Equals, "2")
 	n.f.Assert(n.rejectedEntries("instance"), qt.Equals, "1")
 }
+
+// TestLargeEntriesDoNotStopTheMirror guards against an instance that stops following
+// the store because the changes that it missed exceed the largest response that it
+// reads.
+func TestLargeEntriesDoNotStopTheMirror(t *testing.T) {
+	// Not parallel: the overload guards of other instances would see its heap.
+	n, _ := startWithGoodServers(t)
+	n.f.store.SetDown(true)
+	n.f.eventually("outage", func() bool { return n.mirror.Outage() > 0 })
+	for range 10 {
+		n.f.store.Put(platform.ServerPrefix+"odd", strings.Repeat("x", 1<<20))
+	}
+	n.f.store.SetDown(false)
+	n.awaitEntry()
+	n.assertServed("after")
+}
