Read the platform's lists entry by entry

An instance of the product's own deployment stopped following the list of backend servers or of instances when one entry could not be read: the whole list was an error, and the last one stayed in force. Entries with a port out of range, an id that is no header value or negative slots were used, with the effects that they had on the hosting platform.

Entries are decoded one by one and checked by backend.Info.Validate, which the entries of the hosting platform use too. A rejected one is logged and counted when it appears and when its cause changes, not at each reading of the list. Load reports with negative or huge numbers are rejected like those that cannot be decoded.

--- a/backend/server.go
+++ b/backend/server.go
@@ -29,10 +29,6 @@
 	StateDraining = "leaving"
 )
 
-// MaxCount is the highest valid number of slots or requests of a server. It keeps
-// sums over all servers far from an overflow.
-const MaxCount = 1 << 16
-
 // Load is a backend server's report of its own load.
 type Load struct {
 	Running    int       `json:"running"` // sequences in the batch
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,6 +128,8 @@
 		return nil, err
 	}
 	d.observer = &telemetry.Observer{Log: logger, Metrics: metrics}
+	d.listing.RejectedServer = func(object string, err error) { d.observer.EntryRejected(telemetry.ServerEntry, object, 0, err) }
+	d.listing.RejectedInstance = func(object string, err error) { d.observer.EntryRejected(telemetry.InstanceEntry, object, 0, err) }
 	d.routingState = d.newRoutingState()
 	d.loadTracker = d.newLoadTracker()
 	d.entryService = d.newEntryService()
--- a/daemon/loads.go
+++ b/daemon/loads.go
@@ -56,5 +56,8 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadReportBytes)).Decode(&report); err != nil {
 		return report, draining, errors.Wrapf(err, "decode load report of %s", server.Addr)
 	}
+	if err := report.Validate(); err != nil {
+		return backend.Load{}, draining, errors.Wrapf(err, "load report of %s", server.Addr)
+	}
 	return report, draining, nil
 }
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/internal/check"
 )
 
 // callTimeout limits one HTTP request, including reading the response.
@@ -36,11 +37,19 @@
 
 // Client calls the platform over HTTP. It is safe for concurrent use.
 type Client struct {
+	// RejectedServer and RejectedInstance are called for an entry of a list that
+	// cannot be used: when it first appears, and when the cause changes. object is
+	// the id, or the beginning of the entry if that has none. Nil for none; they
+	// must be set before the first call.
+	RejectedServer, RejectedInstance func(object string, err error)
+
 	base string
 	http *http.Client
 
 	mu     sync.Mutex
 	cached cachedServers // last list received, for conditional requests
+	// Errors of the last lists by object, to report each only once.
+	serverErrors, instanceErrors map[string]string
 }
 
 // cachedServers is a list of backend servers with its entity tag.
@@ -88,25 +97,89 @@
 		return nil, errors.Errorf("region %q: status %d", region, resp.StatusCode)
 	}
 	var response struct {
-		Servers []backend.Info `json:"servers"`
+		Servers []json.RawMessage `json:"servers"`
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&response); err != nil {
 		return nil, err
 	}
+	servers, rejected := decodeEntries(response.Servers, (*backend.Info).Validate, func(i *backend.Info) string { return i.ID })
+	report(c, rejected, &c.serverErrors, c.RejectedServer)
 	c.mu.Lock()
-	c.cached = cachedServers{region: region, etag: resp.Header.Get("ETag"), servers: response.Servers}
+	c.cached = cachedServers{region: region, etag: resp.Header.Get("ETag"), servers: servers}
 	c.mu.Unlock()
-	return response.Servers, nil
+	return servers, nil
+}
+
+// decodeEntries decodes each entry of a list on its own, so that one that cannot
+// be used does not hide the others. It returns the errors of those by object.
+func decodeEntries[T any](texts []json.RawMessage, validate func(*T) error, id func(*T) string) (entries []T, rejected map[string]error) {
+	rejected = make(map[string]error)
+	for _, text := range texts {
+		var entry T
+		err := check.DecodeJSON(text, &entry)
+		if err == nil {
+			err = validate(&entry)
+		}
+		if err == nil {
+			entries = append(entries, entry)
+			continue
+		}
+		object := check.Shorten(id(&entry))
+		if object == "" {
+			object = check.Shorten(string(text))
+		}
+		rejected[object] = err
+	}
+	return entries, rejected
+}
+
+// report calls observe for the rejected entries whose errors are not in *known,
+// and stores the errors there.
+func report(c *Client, rejected map[string]error, known *map[string]string, observe func(object string, err error)) {
+	texts := make(map[string]string, len(rejected))
+	c.mu.Lock()
+	before := *known
+	for object, err := range rejected {
+		texts[object] = err.Error()
+	}
+	*known = texts
+	c.mu.Unlock()
+	for object, err := range rejected {
+		if observe != nil && before[object] != texts[object] {
+			observe(object, err)
+		}
+	}
+}
+
+// validate returns a *check.FieldError if the instance has no id or an address that
+// cannot be dialed. Addresses are optional.
+func (i *Instance) validate() error {
+	if i.ID == "" {
+		return check.Field("id", i.ID, check.ErrMissing)
+	}
+	if i.PeerAddr != "" {
+		if err := check.Addr(i.PeerAddr); err != nil {
+			return check.Field("peer_addr", i.PeerAddr, err)
+		}
+	}
+	if i.ControlAddr != "" {
+		return check.Field("control_addr", i.ControlAddr, check.Addr(i.ControlAddr))
+	}
+	return nil
 }
 
 // Instances returns the gateway instances of a region, or of all regions if
 // region is empty.
 func (c *Client) Instances(ctx context.Context, region string) ([]Instance, error) {
 	var response struct {
-		Instances []Instance `json:"instances"`
+		Instances []json.RawMessage `json:"instances"`
+	}
+	if err := c.call(ctx, http.MethodGet, "/v1/directory?region="+url.QueryEscape(region), nil, &response); err != nil {
+		return nil, wrap(err, "list instances in directory")
 	}
-	err := c.call(ctx, http.MethodGet, "/v1/directory?region="+url.QueryEscape(region), nil, &response)
-	return response.Instances, wrap(err, "list instances in directory")
+	instances, rejected := decodeEntries(response.Instances, (*Instance).validate, func(i *Instance) string { return i.ID })
+	report(c, rejected, &c.instanceErrors, c.RejectedInstance)
+	return instances, nil
 }
 
 // Register adds an instance to the directory, or renews its entry. The entry
