Show that good entries are followed beside odd ones

With the real parts: each of 14 odd entries (nested 300,000 levels deep, numbers out of range, bytes that cannot be read, 1 MB and others) is put beside good ones below servers/, the instances and the evacuated zones, then in place of a good one. All requests are served, the replaced server takes none until its entry is repaired at the same seq, and later changes of entries and configurations are followed. A server that does not exist at the address of another one costs no request.

--- a/hosted/oddentries_test.go
+++ b/hosted/oddentries_test.go
@@ -8,9 +8,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
 )
@@ -178,3 +180,60 @@
 	n.awaitEntry()
 	n.assertServed("after")
 }
+
+// TestGoodEntriesAreFollowedBesideOddOnes guards against instances that end, or that
+// stop following the store, because of an odd entry among those of the backend
+// servers. A good entry that an odd one replaces names no server until it is
+// repaired.
+func TestGoodEntriesAreFollowedBesideOddOnes(t *testing.T) {
+	t.Parallel()
+	n, servers := startWithGoodServers(t)
+	f, first := n.f, servers[0]
+	deep := strings.Repeat("[", 300_000)
+	accepts := func(id string) bool {
+		return slices.ContainsFunc(n.registry.Servers("orders"), func(s *backend.Server) bool { return s.ID == id && s.Accepts() })
+	}
+	for k, odd := range []string{
+		deep, deep + strings.Repeat("]", 300_000), oddServer(first, `"seq":1`, `"seq":1,"x":`+deep+strings.Repeat("]", 300_000)),
+		"", "null", "\xff\x00", oddServer(first, `"slots":8`, `"slots":1e400`), oddServer(first, `"slots":8`, `"slots":9007199254740993`),
+		oddServer(first, `"warmup-left-ms":0`, `"warmup-left-ms":1e12`), oddServer(first, `"seq":1`, `"seq":1e19`),
+		oddServer(first, first.Addr(), "127.0.0.1:65536"), oddServer(first, `"state":"ready"`, `"state":"dancing"`),
+		oddServer(first, `"seq":1`, `"seq":1,"slots":-5`), strings.Repeat("x", 1<<20),
+	} {
+		what := fmt.Sprintf("odd%d", k)
+		for _, key := range []string{platform.ServerPrefix + "odd", instanceKeyPrefix + "odd", platform.EvacuatePrefix + "odd"} {
+			f.store.Put(key, odd)
+		}
+		n.awaitEntry()
+		n.assertServed(what)
+		f.Assert(accepts(first.ID), qt.IsTrue)
+		f.store.Put(platform.ServerPrefix+first.ID, odd)
+		f.eventually(what+" replaces the good entry", func() bool { return !accepts(first.ID) })
+		f.register(first, "orders", "cairo-a", "ready") // at the same seq
+		f.eventually(what+" is repaired", func() bool { return accepts(first.ID) })
+		for _, s := range n.registry.Servers("orders") {
+			f.Assert(s.Cold(time.Now()), qt.IsFalse)
+		}
+		f.configure(k+2, newRoute("orders", "unsafe", "orders"), newRoute("stock", "safe", "orders"), newRoute(what, "safe", "orders"))
+		f.eventually("new route is served", func() bool {
+			return n.send(n.request("GET", "/"+what+"/", what+"-route", "")).status == http.StatusOK
+		})
+	}
+	f.store.Put(platform.ConfigKey, deep)
+	n.awaitEntry()
+	n.assertServed("config")
+	f.register(first, "orders", "cairo-a", "draining")
+	f.eventually("draining", func() bool { return !accepts(first.ID) })
+	f.Assert(n.status(n.settings.ReadyAddr, "/v1/readyz"), qt.Equals, http.StatusOK)
+}
+
+// TestServersAtOneAddress checks that requests are served if a second entry, of a
+// server that does not exist, holds the address of another one.
+func TestServersAtOneAddress(t *testing.T) {
+	t.Parallel()
+	n, servers := startWithGoodServers(t)
+	n.f.store.Put(platform.ServerPrefix+"ghost", oddServer(servers[0]))
+	n.f.store.Put(platform.ServerPrefix+"ghost-draft", servers[0].Entry("drafts", "cairo-a", "ready"))
+	n.waitForServers(4)
+	n.assertServed("ghost")
+}
