--- a/hosted/directory_test.go
+++ b/hosted/directory_test.go
@@ -27,7 +27,7 @@
 	c.Assert(err, qt.IsNil)
 	var entries []store.Entry
 	for _, region := range regions {
-		value, err := json.Marshal(roster.Instance{ID: "entry-" + region, Region: region, Zone: region + "-a", CallerAddr: region + ":80"})
+		value, err := json.Marshal(roster.Instance{ID: "entry-" + region, Region: region, Zone: region + "-a", CallerAddr: region + ":80", PeerAddr: region + ":81"})
 		c.Assert(err, qt.IsNil)
 		entries = append(entries, store.Entry{Key: instanceKeyPrefix + "entry-" + region, Value: value, Version: 1})
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -149,6 +149,9 @@
 		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
 	i.parts = &quarantine.Parts{Observer: i.observer}
+	i.store.ItemsSkipped = func(prefix string, revision uint64, err error) {
+		i.observer.EntryRejected(telemetry.StoreItem, prefix, revision, err)
+	}
 	i.transport = i.newTransport(telemetry.PurposeServers)
 	i.peers = &http.Client{Transport: i.newTransport(telemetry.PurposeQueries)}
 	i.roster = i.newRoster()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -9,11 +9,13 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/fuchsiastack/fuchsiastack/internal/check"
 	"github.com/fuchsiastack/fuchsiastack/store"
 )
 
@@ -43,6 +45,36 @@
 	PeerAddr   string `json:"peer_addr"`   // host:port for other instances
 }
 
+// decodeInstance decodes the entry of the instance with the given id.
+func decodeInstance(id string, value []byte) (Instance, error) {
+	var instance Instance
+	if err := check.DecodeJSON(value, &instance); err != nil {
+		return instance, err
+	}
+	return instance, instance.check(id)
+}
+
+// check returns a *check.FieldError for the first field that cannot be used.
+func (i *Instance) check(id string) error {
+	if err := check.HeaderValue(id); err != nil || i.ID != id {
+		return check.Field("id", i.ID, errIDMismatch)
+	}
+	if i.Region == "" {
+		return check.Field("region", i.Region, check.ErrMissing)
+	}
+	if i.Zone == "" {
+		return check.Field("zone", i.Zone, check.ErrMissing)
+	}
+	if err := check.Addr(i.CallerAddr); err != nil {
+		return check.Field("caller_addr", i.CallerAddr, err)
+	}
+	return check.Field("peer_addr", i.PeerAddr, check.Addr(i.PeerAddr))
+}
+
+// errIDMismatch is the cause if an entry is not stored under the key of its
+// instance.
+var errIDMismatch = errors.New("is not the valid id that the key contains")
+
 // Probe probes an instance. It returns nil if the instance is running and ready
 // for requests.
 type Probe func(ctx context.Context, instance Instance) error
@@ -58,9 +90,9 @@
 	// RegistrationFailed is called when the registration of this instance could not be
 	// written or renewed.
 	RegistrationFailed(err error)
-	// EntryUnreadable is called for an entry that cannot be decoded; err is nil if
-	// only its id is missing.
-	EntryUnreadable(key string, err error)
+	// EntryUnreadable is called once for each revision of an entry that cannot be
+	// used.
+	EntryUnreadable(key string, revision uint64, err error)
 }
 
 // Roster tracks the live instances and registers this instance in the store.
@@ -77,6 +109,7 @@
 
 	mu           sync.Mutex
 	members      map[string]*member
+	unreadable   map[string]uint64 // revisions of the entries that cannot be used, by key
 	lease        store.LeaseID
 	renewedAt    time.Time // when lease was last granted or renewed
 	keyMissing   bool      // the key of Self was missing at the last Update although there is a lease
@@ -101,10 +134,14 @@
 		r.members = make(map[string]*member)
 	}
 	listed := make(map[string]bool)
+	unreadable := make(map[string]uint64)
 	for _, e := range entries {
-		var instance Instance
-		if err := json.Unmarshal(e.Value, &instance); err != nil || instance.ID == "" {
-			r.Observer.EntryUnreadable(e.Key, err)
+		instance, err := decodeInstance(strings.TrimPrefix(e.Key, r.Prefix), e.Value)
+		if err != nil {
+			unreadable[e.Key] = e.Version
+			if r.unreadable[e.Key] != e.Version {
+				r.Observer.EntryUnreadable(e.Key, e.Version, errors.Wrapf(err, "decode %q", e.Key))
+			}
 			continue
 		}
 		listed[instance.ID] = true
@@ -121,6 +158,7 @@
 			m.listed = false
 		}
 	}
+	r.unreadable = unreadable
 	r.keyMissing = r.lease != "" && !listed[r.Self.ID]
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -34,6 +34,7 @@
 	latency   metric.Float64Histogram
 	firstByte metric.Float64Histogram
 	inFlight  metric.Int64UpDownCounter
+	rejected  metric.Int64Counter
 	routing   routingMetrics
 }
 
@@ -51,7 +52,7 @@
 		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		provider: provider,
 	}
-	var errs [7]error
+	var errs [8]error
 	m.requests, errs[0] = meter.Int64Counter("fuchsia.requests", metric.WithDescription("Requests by service, rank and outcome."))
 	m.attempts, errs[1] = meter.Int64Counter("fuchsia.attempts", metric.WithDescription("Attempts at backend servers and regions by outcome."))
 	m.forwarded, errs[2] = meter.Int64Counter("fuchsia.sent_elsewhere", metric.WithDescription("Requests sent to another region."))
@@ -61,6 +62,8 @@
 		metric.WithDescription("Time to the first byte of the answer."), metric.WithExplicitBucketBoundaries(latencyBoundsSeconds...))
 	m.inFlight, errs[5] = meter.Int64UpDownCounter("fuchsia.in_flight", metric.WithDescription("Requests in flight."))
 	m.discarded, errs[6] = meter.Int64Counter("fuchsia.responses_discarded", metric.WithDescription("Responses of backend servers that may belong to another attempt."))
+	m.rejected, errs[7] = meter.Int64Counter("fuchsia.rejected_entries",
+		metric.WithDescription("Entries and configurations that cannot be used, by kind."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Wrap(err, "create request instrument")
