--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -38,7 +38,7 @@
 
 	maxServedParts    = 8192
 	maxSuspectParts   = 1024
-	maxCrashesPerPart = 32
+	maxCrashesPerPart = 128
 	maxReportedParts  = 64
 )
 
