Echo the request id in the stand-in's 421

The stand-in's 421 had no request id, and a refusal without one is not believed on a connection that is in use again.

--- a/standin/hosting/server.go
+++ b/standin/hosting/server.go
@@ -97,13 +97,13 @@
 	})
 	override := s.override
 	s.mu.Unlock()
+	header := w.Header()
+	header.Set("Request-Id", id)
 	if expected := r.Header.Get("Expect-Instance"); expected != s.ID {
-		w.Header().Set("Instance", s.ID)
+		header.Set("Instance", s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	header := w.Header()
-	header.Set("Request-Id", id)
 	header.Set("Signature", "signed-"+id)
 	header.Set("Load", "1,0,8")
 	if override != nil && override(w, r) {
