Keep a second crashing part in quarantine

Cause: a crash under requests with both parts counted only for the part with more crashes, and the other needed three incidents of its own. So news of one part took away the evidence against another.

A part with three incidents is now a cause unless causes with more crashes explain all of its crashes. Sound parts in flight at the crashes of one cause are still released, as they have no other crashes. The test on the old logic:

--- FAIL: TestSecondCauseStaysQuarantined value is not true c.Assert(refuses(p, at(8), second, 9), qt.IsTrue)

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -357,8 +357,9 @@
 	with []PartID
 }
 
-// causes returns the parts that are the cause of enough crashes. A crash with a part
-// that has more crashes does not count against the others.
+// causes returns the parts that are the cause of enough crashes. A part is none if
+// causes with more crashes explain all of its crashes: one crash without them shows
+// that it is a further cause.
 func (p *Parts) causes(now time.Time) map[PartID]refusal {
 	var candidates []PartID
 	for part, s := range p.suspects {
@@ -379,7 +380,7 @@
 			candidates = candidates[1:]
 			crashes := p.suspects[part].crashes
 			until := crashes[count-1].at.Add(verdictTTL)
-			if incidents(crashes, explained) >= verdictIncidents && now.Before(until) {
+			if incidents(crashes) >= verdictIncidents && !allExplained(crashes, explained) && now.Before(until) {
 				causes[part] = refusal{until: until}
 				found = append(found, crashes...)
 			}
@@ -405,12 +406,12 @@
 }
 
 // incidents returns the number of incidents among crashes, which are in order of
-// time, without those that are explained.
-func incidents(crashes []*partCrash, explained map[*partCrash]bool) int {
+// time.
+func incidents(crashes []*partCrash) int {
 	count := 0
 	var last time.Time
 	for _, crash := range crashes {
-		if !explained[crash] && (count == 0 || crash.at.Sub(last) >= incidentGap) {
+		if count == 0 || crash.at.Sub(last) >= incidentGap {
 			count++
 			last = crash.at
 		}
@@ -418,6 +419,15 @@
 	return count
 }
 
+func allExplained(crashes []*partCrash, explained map[*partCrash]bool) bool {
+	for _, crash := range crashes {
+		if !explained[crash] {
+			return false
+		}
+	}
+	return true
+}
+
 // PartReport is what an instance has seen of parts that were in flight in crashes.
 // Times are ages, as the clocks of instances differ.
 type PartReport struct {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -67,6 +67,25 @@
 	c.Assert(refuses(p, at(8), 7), qt.IsFalse)
 }
 
+// TestSecondCauseStaysQuarantined guards against the release of a part that crashes
+// servers when another one has crashed more of them, some of them while requests with
+// both were in flight.
+func TestSecondCauseStaysQuarantined(t *testing.T) {
+	c := qt.New(t)
+	p := &Parts{}
+	const first, second = 1, 2
+	for n := range 4 {
+		p.RecordCrash(at(float64(n)), uint64(n), []PartID{first, second})
+	}
+	p.RecordCrash(at(4), 4, []PartID{second})
+	p.RecordCrash(at(5), 5, []PartID{first})
+	c.Assert(refuses(p, at(6), first, 8), qt.IsTrue)
+	c.Assert(refuses(p, at(6), second, 9), qt.IsTrue)
+	p.RecordCrash(at(7), 6, []PartID{first})
+	c.Assert(refuses(p, at(8), first, 8), qt.IsTrue)
+	c.Assert(refuses(p, at(8), second, 9), qt.IsTrue)
+}
+
 // TestLossOfManyServers checks that the loss of many servers at once for an external
 // reason does not condemn the parts of the requests in flight, even if none of them
 // has been served before.
