Check servers whose unframed answers have ended before clearing parts

An answer with neither a length nor chunks ends with its connection. When its server crashes after the head, or between two events, it looks complete, so that the crash was no evidence against the parts of the prompt; an event before it even cleared them, for ten minutes. A part that crashes servers would have gone on to do so.

The server of such an answer is now checked in the same way as that of a lost one, in the background: if it refuses connections the answer counts as lost, else the request as served. On the old code:

--- FAIL: TestCrashAfterHeadOfUnframedStream --- FAIL: TestUnframedStreamOfCrashedServerClearsNoPart value is not true

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -276,6 +276,7 @@
 	success       bool        // the response status is 2xx
 	serverError   bool        // the response status is 5xx
 	refused       bool        // the server refused the request without running it
+	unframed      bool        // the response body ends with its connection
 	firstByteAt   time.Time   // of the response body; zero before
 	bodyTruncated bool        // reading the body failed; the crash has been recorded
 	bodyBytes     int64       // read from the response body
@@ -356,6 +357,7 @@
 	w.gotHeader = true
 	w.success = resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	w.serverError = resp.StatusCode >= http.StatusInternalServerError
+	w.unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && w.loop.x.Request.Method != http.MethodHead
 	w.stopStallTimer()
 	resp.Body = &watchedBody{ReadCloser: resp.Body, watcher: w}
 }
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -103,9 +103,25 @@
 }
 
 // recordServedParts records that the request was served. An answer without a body
-// does not show that the server survived it.
+// does not show that the server survived it. An unframed one ends in the same way
+// when its server crashes.
 func (r *attemptLoop) recordServedParts(w *attemptWatcher) {
-	if r.Parts != nil && w.success && w.bodyBytes > 0 {
+	if len(r.x.Parts) == 0 || r.Parts == nil || !w.success {
+		return
+	}
+	if w.unframed {
+		go r.recordUnframedEnd(w)
+	} else if w.bodyBytes > 0 {
+		r.Parts.RecordServed(time.Now(), r.x.Parts)
+	}
+}
+
+// recordUnframedEnd records that the answer of a server was lost if the server has
+// crashed, else that the request was served.
+func (r *attemptLoop) recordUnframedEnd(w *attemptWatcher) {
+	if r.serverCrashed(r.ctx, w.server.ID, w.server.Addr) {
+		r.recordLostAnswer(w)
+	} else if w.bodyBytes > 0 {
 		r.Parts.RecordServed(time.Now(), r.x.Parts)
 	}
 }
