Clear parts by answers that are well under way

A part that is new, and whose streams last long, was in no served request for as long as its first streams ran. Three crashes of servers for another reason meanwhile quarantined it, and nothing could clear it during ten minutes but the end of one of these streams.

An answer that still arrives a second after its first byte now clears its parts: a crash so late was no evidence against them before either. On the old code:

--- FAIL: TestRunningStreamClearsParts value is not false

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -280,6 +280,7 @@
 	firstByteAt   time.Time   // of the response body; zero before
 	bodyTruncated bool        // reading the body failed; the crash has been recorded
 	bodyBytes     int64       // read from the response body
+	underWay      bool        // the body still arrives startedAfter its first byte
 }
 
 // startAttempt registers an attempt at the server. The attempt of a repeatable
@@ -390,6 +391,10 @@
 		w.firstByteAt = time.Now()
 	}
 	w.bodyBytes += int64(n)
+	if n > 0 && !w.underWay && time.Since(w.firstByteAt) >= startedAfter {
+		w.underWay = true
+		w.loop.recordSurvived(w)
+	}
 	if err != nil && !errors.Is(err, io.EOF) && w.loop.ctx.Err() == nil && !w.bodyTruncated {
 		w.bodyTruncated = true
 		w.loop.suspect.recordCrash(w.server, w.startedAt)
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -116,6 +116,14 @@
 	}
 }
 
+// recordSurvived records that the answer to the request is well under way, which
+// shows as much about its parts as the end, and earlier.
+func (r *attemptLoop) recordSurvived(w *attemptWatcher) {
+	if r.Parts != nil && w.success {
+		r.Parts.RecordServed(time.Now(), r.x.Parts)
+	}
+}
+
 // recordUnframedEnd records that the answer of a server was lost if the server has
 // crashed, else that the request was served.
 func (r *attemptLoop) recordUnframedEnd(w *attemptWatcher) {
--- a/dispatch/partstream_test.go
+++ b/dispatch/partstream_test.go
@@ -93,6 +93,25 @@
 	})
 }
 
+// TestRunningStreamClearsParts guards against the quarantine of a new part of long
+// streams, none of which has ended, when servers crash for another reason.
+func TestRunningStreamClearsParts(t *testing.T) {
+	servers := &streamServers{events: 300, gap: 100 * time.Millisecond}
+	inStreamTest(t, servers, func(c *qt.C, i *testInstance) {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = i.send("long", streaming(7))
+		}()
+		time.Sleep(5 * time.Second)
+		for k := range 3 {
+			i.Parts.RecordCrash(time.Now().Add(time.Duration(k)*time.Second), uint64(k), []quarantine.PartID{7})
+		}
+		c.Check(partRefused(i, 7), qt.IsFalse)
+		<-done
+	})
+}
+
 // TestUnframedStreamIsServed checks that a complete stream that ends with its
 // connection, at a server that goes on, clears its parts.
 func TestUnframedStreamIsServed(t *testing.T) {
