Cut reports on parts that are larger than instances send

A report of a faulty instance with 50,000 parts and crashes took seconds to merge, while each request waited for the lock, and displaced what the instance had seen itself. Only as many parts and crashes as Report sends are merged. The test took 3.12 s on the old logic:

--- FAIL: TestOversizedReportIsCut value is not true

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -40,6 +40,7 @@
 	maxSuspectParts   = 1024
 	maxCrashesPerPart = 32
 	maxReportedParts  = 64
+	maxReportCrashes  = maxReportedParts * maxCrashesPerPart
 )
 
 // Parts decides which parts of prompts crash backend servers. A part that was in
@@ -500,18 +501,19 @@
 	return parts
 }
 
-// Merge adds what another instance has seen.
+// Merge adds what another instance has seen. Of a report that is larger than those of
+// Report it ignores the rest.
 func (p *Parts) Merge(now time.Time, report *PartReport) {
 	age := func(ms int64) time.Time {
 		return now.Add(-min(max(time.Duration(ms)*time.Millisecond, 0), evidenceTTL))
 	}
 	p.mu.Lock()
-	crashes := make([]*partCrash, len(report.Crashes))
-	for i, c := range report.Crashes {
+	crashes := make([]*partCrash, min(len(report.Crashes), maxReportCrashes))
+	for i, c := range report.Crashes[:len(crashes)] {
 		crashes[i] = p.crash(age(c.AgeMS), c.Server)
 	}
-	for _, entry := range report.Parts {
-		for _, i := range entry.Crashes {
+	for _, entry := range report.Parts[:min(len(report.Parts), maxReportedParts)] {
+		for _, i := range entry.Crashes[:min(len(entry.Crashes), maxCrashesPerPart)] {
 			if i >= 0 && i < len(crashes) {
 				p.suspect(now, entry.Part, crashes[i])
 			}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -156,6 +156,23 @@
 	c.Assert(seen, qt.Equals, len(p.suspects))
 }
 
+// TestOversizedReportIsCut guards against a faulty instance whose report keeps others
+// busy, and displaces what they have seen themselves.
+func TestOversizedReportIsCut(t *testing.T) {
+	c := qt.New(t)
+	p := &Parts{}
+	p.RecordCrash(at(0), 1, []PartID{1 << 40})
+	report := &PartReport{Version: 1}
+	for n := range 50_000 {
+		report.Crashes = append(report.Crashes, PartReportCrash{Server: uint64(n + 10), AgeMS: int64(n)})
+		report.Parts = append(report.Parts, PartReportPart{Part: PartID(n), Crashes: []int{n, 0, 1}})
+	}
+	p.Merge(at(1), report)
+	c.Assert(len(p.suspects) <= maxReportedParts+1, qt.IsTrue)
+	c.Assert(len(p.crashes) <= maxReportCrashes+1, qt.IsTrue)
+	c.Assert(p.suspects[1<<40], qt.IsNotNil)
+}
+
 // exchangeAll lets each instance merge the reports of all others.
 func exchangeAll(fleet []*Parts, now time.Time) {
 	for _, to := range fleet {
