Hold early requests until the crashing parts are known

A new instance serves requests as soon as it has a configuration, which is before it is ready.

A seed that is not ready and knows of nothing does not end the wait, as it may have started with the instance. On the old code:

--- FAIL: TestEarlyRequestWaitsForCrashingParts unexpected length: got 36 --- FAIL: TestNewSeedIsNotAskedForCrashingParts

--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -7,6 +7,7 @@
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
@@ -70,7 +71,7 @@
 		filters.Match{Reader: callerProtocol},
 		countRoute{i.usage},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
-		filters.RefuseParts{Refuse: dispatcher.RefusePart},
+		i.refusePartsFilter(dispatcher),
 		i.admitFilter(),
 	)
 }
@@ -84,7 +85,7 @@
 		filters.AcceptHop{Instance: i.settings.Instance, Region: i.settings.Region},
 		filters.Describe{Reader: callerProtocol},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
-		filters.RefuseParts{Refuse: dispatcher.RefusePart},
+		i.refusePartsFilter(dispatcher),
 		i.admitFilter(),
 	)
 }
@@ -93,6 +94,10 @@
 	return filters.Overload{Guard: i.guard, Observer: i.admission, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout}
 }
 
+func (i *Instance) refusePartsFilter(dispatcher *dispatch.Dispatcher) filters.Filter {
+	return filters.RefuseParts{Refuse: func(x *filters.Exchange) *outcome.Error { return i.refuseParts(x, dispatcher.RefusePart) }}
+}
+
 func (i *Instance) admitFilter() filters.Filter {
 	return filters.Admit{Queue: i.queue, CanServeLocally: i.canServeLocally, CanSpill: i.canSpill, Observer: i.admission}
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -97,7 +97,7 @@
 	transport    *http.Transport
 
 	draining    atomic.Bool
-	partsKnown  atomic.Bool // what other instances know of parts has been requested
+	partsKnown  chan struct{} // closed when what other instances know of parts has been requested
 	peerCounter atomic.Uint64
 }
 
@@ -148,7 +148,7 @@
 		reportBudget: newByteBudget(settings.LinkRate),
 		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
-	i.parts = &quarantine.Parts{Observer: i.observer}
+	i.parts, i.partsKnown = &quarantine.Parts{Observer: i.observer}, make(chan struct{})
 	i.transport = i.newTransport(telemetry.PurposeServers)
 	i.peers = &http.Client{Transport: i.newTransport(telemetry.PurposeQueries)}
 	i.roster = i.newRoster()
@@ -190,7 +190,12 @@
 // ready reports whether the instance accepts requests: it has a configuration, has
 // asked for the parts of prompts that crash servers, and is not draining.
 func (i *Instance) ready() bool {
-	return !i.draining.Load() && i.table.Current() != nil && i.partsKnown.Load()
+	select {
+	case <-i.partsKnown:
+	default:
+		return false
+	}
+	return !i.draining.Load() && i.table.Current() != nil
 }
 
 // httpServers are the servers that drain shuts down: those for callers first,
--- a/hosted/parts.go
+++ b/hosted/parts.go
@@ -8,6 +8,11 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
 // partsSeeds is how many seeds a new instance asks at once for the parts of prompts
@@ -18,18 +23,23 @@
 // is more than the reports that all suspects of an instance take.
 const maxPartReports = 64
 
+// errSeedNotReady is the cause of a response that does not count, as the seed may know
+// less than others.
+var errSeedNotReady = errors.New("seed is not ready")
+
 // fetchParts fetches what the seeds know of parts of prompts that crash servers, so
-// that a new instance does not crash servers to find out. It sets partsKnown when the
-// first of them has responded, or none does.
+// that a new instance does not crash servers to find out. It closes partsKnown when
+// the first seed that is ready has responded, or none does.
 func (i *Instance) fetchParts(ctx context.Context) {
-	defer i.partsKnown.Store(true)
+	known := sync.OnceFunc(func() { close(i.partsKnown) })
+	defer known()
 	seeds := slices.DeleteFunc(slices.Clone(i.settings.Seeds), func(addr string) bool { return addr == i.settings.PeerAddr })
 	rand.Shuffle(len(seeds), func(a, b int) { seeds[a], seeds[b] = seeds[b], seeds[a] })
 	var group sync.WaitGroup
 	for _, addr := range seeds[:min(len(seeds), partsSeeds)] {
 		group.Go(func() {
 			if i.fetchPartsFrom(ctx, addr) == nil {
-				i.partsKnown.Store(true)
+				known()
 			}
 		})
 	}
@@ -45,6 +55,9 @@
 			i.log.Debug().Str("event", "parts_failed").Str("peer", addr).Err(err).Msg("")
 			return err
 		}
+		if response.Parts == nil && !response.Ready {
+			return errSeedNotReady
+		}
 		if response.Parts == nil {
 			return nil
 		}
@@ -53,3 +66,16 @@
 	}
 	return nil
 }
+
+// refuseParts returns the refusal of a request with a part that crashes servers, or
+// nil. Requests may come before the instance is ready, so that it waits until the
+// parts are known.
+func (i *Instance) refuseParts(x *filters.Exchange, refuse func(x *filters.Exchange) *outcome.Error) *outcome.Error {
+	if len(x.Parts) > 0 {
+		select {
+		case <-i.partsKnown:
+		case <-x.Request.Context().Done():
+		}
+	}
+	return refuse(x)
+}
--- a/hosted/parts_test.go
+++ b/hosted/parts_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
@@ -248,3 +253,74 @@
 	_, refused := second.parts.Refused(time.Now(), []quarantine.PartID{part})
 	f.Assert(refused, qt.IsTrue)
 }
+
+// slowSeedDelay is less than the time in which a query fails.
+const slowSeedDelay = 250 * time.Millisecond
+
+// startSlowSeed returns the address of a proxy for the queries to an instance that
+// delays the responses.
+func (f *fleet) startSlowSeed(n *testInstance) string {
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: n.settings.PeerAddr})
+	seed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(slowSeedDelay)
+		proxy.ServeHTTP(w, r)
+	}))
+	f.Cleanup(seed.Close)
+	return seed.Listener.Addr().String()
+}
+
+// checkNewInstanceRefuses checks that an instance with the seeds refuses requests with
+// deadlyPart from its start. known is an instance that knows of the part.
+func (f *fleet) checkNewInstanceRefuses(known *testInstance, server *hosting.Server, seeds ...string) {
+	part := quarantine.PartID(xxhash.Sum64String(deadlyPart))
+	for k := range 3 {
+		known.parts.RecordCrash(time.Now().Add(time.Duration(k-3)*time.Second), uint64(k), []quarantine.PartID{part})
+	}
+	settings := f.settings("cairo")
+	settings.Seeds = seeds
+	sender := &testInstance{Instance: &Instance{settings: settings}, f: f}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for k := 0; ; k++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			req := sender.request("POST", "/query/", fmt.Sprintf("early-%d", k), "x")
+			req.Header.Set("Prefix-Hash", deadlyPart+":100,1:10")
+			sender.send(req)
+		}
+	}()
+	f.start(settings)
+	close(stop)
+	<-done
+	f.Assert(server.Arrivals(), qt.HasLen, 0)
+}
+
+// TestEarlyRequestWaitsForCrashingParts guards against an instance that serves requests
+// before it is ready, and crashes servers under parts that others have quarantined.
+func TestEarlyRequestWaitsForCrashingParts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("query", "stream", "drafts"))
+	server := f.startServer("drafts", "cairo-a", 1)
+	known := f.start(f.settings("alex"))
+	f.checkNewInstanceRefuses(known, server, f.startSlowSeed(known))
+}
+
+// TestNewSeedIsNotAskedForCrashingParts guards against an instance that takes the
+// response of a seed which has just started too for all that is known of parts.
+func TestNewSeedIsNotAskedForCrashingParts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("query", "stream", "drafts"))
+	server := f.startServer("drafts", "cairo-a", 1)
+	known := f.start(f.settings("alex"))
+	newSeed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"id":"entry-new","ready":false}`)
+	}))
+	f.Cleanup(newSeed.Close)
+	f.checkNewInstanceRefuses(known, server, newSeed.Listener.Addr().String(), f.startSlowSeed(known))
+}
