Refuse parts with the same crashes each alone after five incidents

Parts with exactly the same crashes are refused only together. Two that were in flight in the same crashes in different requests, such as a busy new part and the cause, are never in one request, so that the cause went on to crash servers for as long as both were in flight.

From the fifth incident on each of them is refused alone. On the old logic:

--- FAIL: TestPartsOfDifferentRequestsInTheSameCrashes value is not true

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -25,6 +25,9 @@
 	// incidentGap is the least time between two incidents. Crashes at about the same
 	// time may have one external cause, such as the loss of a region.
 	incidentGap = 500 * time.Millisecond
+	// joinedIncidents is the number of incidents from which parts that have exactly
+	// the same crashes are refused each alone: they may never have been in one request.
+	joinedIncidents = 5
 	// samePartCrash is the time within which instances see one crash of a server. It
 	// is shorter than a server takes to return and to crash again.
 	samePartCrash = 2 * time.Second
@@ -353,8 +356,8 @@
 // refusal is the quarantine of a part.
 type refusal struct {
 	until time.Time
-	// with are the parts that were in flight in exactly the same crashes. As any of
-	// them may be the cause, only requests that have all of them are refused.
+	// with are the parts that were in flight in exactly the same few crashes. As any
+	// of them may be the cause, only requests that have all of them are refused.
 	with []PartID
 }
 
@@ -394,9 +397,12 @@
 	return causes
 }
 
-// joinCauses joins the parts that have exactly the same crashes.
+// joinCauses joins the parts that have exactly the same crashes, if they are few.
 func (p *Parts) joinCauses(causes map[PartID]refusal) {
 	for part, cause := range causes {
+		if incidents(p.suspects[part].crashes) >= joinedIncidents {
+			continue
+		}
 		for other := range causes {
 			if other != part && slices.Equal(p.suspects[part].crashes, p.suspects[other].crashes) {
 				cause.with = append(cause.with, other)
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -52,6 +52,20 @@
 	c.Assert(refuses(p, at(3), 1), qt.IsFalse)
 }
 
+// TestPartsOfDifferentRequestsInTheSameCrashes guards against a part that goes on to
+// crash servers because only requests with a further part would be refused, which was
+// in flight in the same crashes, but in other requests.
+func TestPartsOfDifferentRequestsInTheSameCrashes(t *testing.T) {
+	c := qt.New(t)
+	p := &Parts{}
+	for n := range 5 {
+		p.RecordCrash(at(float64(n)), uint64(n), []PartID{1})
+		p.RecordCrash(at(float64(n)), uint64(n), []PartID{2})
+	}
+	c.Assert(refuses(p, at(5), 1, 8), qt.IsTrue)
+	c.Assert(refuses(p, at(5), 2, 9), qt.IsTrue)
+}
+
 // TestCrashesWithKnownCause checks that the crashes of a quarantined part do not count
 // against parts that were in flight in them.
 func TestCrashesWithKnownCause(t *testing.T) {
