Let instances try a quarantined part again at different times

All instances learn of the same last crash, and each admitted the part again ten minutes after it. At this moment a request of each instance could crash a server before they knew of the first: 60 of 60 instances in the test, with the delay unused:

--- FAIL: TestPartIsNotTriedByAllAtOnce got: int(60) want: int(1)

Each instance now adds a random time of up to ten minutes of its own. The first to try the part tells the others, by its crash or by the answer.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -148,7 +148,8 @@
 		reportBudget: newByteBudget(settings.LinkRate),
 		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
-	i.parts, i.partsKnown = &quarantine.Parts{Observer: i.observer}, make(chan struct{})
+	i.parts = &quarantine.Parts{Observer: i.observer, RetryDelay: rand.N(quarantine.MaxRetryDelay)}
+	i.partsKnown = make(chan struct{})
 	i.transport = i.newTransport(telemetry.PurposeServers)
 	i.peers = &http.Client{Transport: i.newTransport(telemetry.PurposeQueries)}
 	i.roster = i.newRoster()
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -33,9 +33,11 @@
 	samePartCrash = 2 * time.Second
 	// evidenceTTL is how long a crash is remembered.
 	evidenceTTL = time.Hour
-	// verdictTTL is how long a part is refused after the last crash. After that a
-	// single new crash quarantines it again.
+	// verdictTTL is how long a part is refused after the last crash, without
+	// Parts.RetryDelay. After that a single new crash quarantines it again.
 	verdictTTL = 10 * time.Minute
+	// MaxRetryDelay is the largest useful Parts.RetryDelay.
+	MaxRetryDelay = 10 * time.Minute
 	// servedTTL is how long a part counts as sound after it was served.
 	servedTTL = 10 * time.Minute
 
@@ -53,6 +55,9 @@
 type Parts struct {
 	// Observer receives decisions; nil for none.
 	Observer PartObserver
+	// RetryDelay is how much longer than others this instance refuses a part, so that
+	// the instances do not all try it again at once.
+	RetryDelay time.Duration
 
 	// refused holds the parts in quarantine.
 	refused atomic.Pointer[map[PartID]refusal]
@@ -383,7 +388,7 @@
 			part := candidates[0]
 			candidates = candidates[1:]
 			crashes := p.suspects[part].crashes
-			until := crashes[count-1].at.Add(verdictTTL)
+			until := crashes[count-1].at.Add(verdictTTL + p.RetryDelay)
 			if incidents(crashes) >= verdictIncidents && !allExplained(crashes, explained) && now.Before(until) {
 				causes[part] = refusal{until: until}
 				found = append(found, crashes...)
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -148,6 +148,35 @@
 	c.Assert(refuses(p, at(605), 2), qt.IsTrue)
 }
 
+// TestPartIsNotTriedByAllAtOnce guards against instances that all admit a part again at
+// the same moment, so that it crashes a server of each before they know.
+func TestPartIsNotTriedByAllAtOnce(t *testing.T) {
+	c := qt.New(t)
+	const part, count = PartID(2), 60
+	fleet := make([]*Parts, count)
+	for n := range fleet {
+		fleet[n] = &Parts{RetryDelay: MaxRetryDelay * time.Duration(n) / count}
+	}
+	for n := range 3 {
+		fleet[0].RecordCrash(at(float64(n)), uint64(n), []PartID{part})
+	}
+	exchangeAll(fleet, at(3))
+	crashes := 0
+	for second := 600; second < 660; second++ {
+		now, before := at(float64(second)), crashes
+		for _, p := range fleet {
+			if !refuses(p, now, part) {
+				crashes++
+				p.RecordCrash(now, uint64(100+crashes), []PartID{part})
+			}
+		}
+		if crashes > before {
+			exchangeAll(fleet, now)
+		}
+	}
+	c.Assert(crashes, qt.Equals, 1)
+}
+
 // TestPartsAreBounded checks that the memory and the reports stay bounded.
 func TestPartsAreBounded(t *testing.T) {
 	c := qt.New(t)
