--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -276,9 +276,11 @@
 	success       bool        // the response status is 2xx
 	serverError   bool        // the response status is 5xx
 	refused       bool        // the server refused the request without running it
+	unframed      bool        // the response body ends with its connection
 	firstByteAt   time.Time   // of the response body; zero before
 	bodyTruncated bool        // reading the body failed; the crash has been recorded
 	bodyBytes     int64       // read from the response body
+	underWay      bool        // the body still arrives startedAfter its first byte
 }
 
 // startAttempt registers an attempt at the server. The attempt of a repeatable
@@ -356,6 +358,7 @@
 	w.gotHeader = true
 	w.success = resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	w.serverError = resp.StatusCode >= http.StatusInternalServerError
+	w.unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && w.loop.x.Request.Method != http.MethodHead
 	w.stopStallTimer()
 	resp.Body = &watchedBody{ReadCloser: resp.Body, watcher: w}
 }
@@ -388,6 +391,10 @@
 		w.firstByteAt = time.Now()
 	}
 	w.bodyBytes += int64(n)
+	if n > 0 && !w.underWay && time.Since(w.firstByteAt) >= startedAfter {
+		w.underWay = true
+		w.loop.recordSurvived(w)
+	}
 	if err != nil && !errors.Is(err, io.EOF) && w.loop.ctx.Err() == nil && !w.bodyTruncated {
 		w.bodyTruncated = true
 		w.loop.suspect.recordCrash(w.server, w.startedAt)
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -25,14 +25,19 @@
 	// incidentGap is the least time between two incidents. Crashes at about the same
 	// time may have one external cause, such as the loss of a region.
 	incidentGap = 500 * time.Millisecond
+	// joinedIncidents is the number of incidents from which parts that have exactly
+	// the same crashes are refused each alone: they may never have been in one request.
+	joinedIncidents = 5
 	// samePartCrash is the time within which instances see one crash of a server. It
 	// is shorter than a server takes to return and to crash again.
 	samePartCrash = 2 * time.Second
 	// evidenceTTL is how long a crash is remembered.
 	evidenceTTL = time.Hour
-	// verdictTTL is how long a part is refused after the last crash. After that a
-	// single new crash quarantines it again.
+	// verdictTTL is how long a part is refused after the last crash, without
+	// Parts.RetryDelay. After that a single new crash quarantines it again.
 	verdictTTL = 10 * time.Minute
+	// MaxRetryDelay is the largest useful Parts.RetryDelay.
+	MaxRetryDelay = 10 * time.Minute
 	// servedTTL is how long a part counts as sound after it was served.
 	servedTTL = 10 * time.Minute
 
@@ -40,6 +45,7 @@
 	maxSuspectParts   = 1024
 	maxCrashesPerPart = 128
 	maxReportedParts  = 64
+	maxReportCrashes  = maxReportedParts * maxCrashesPerPart
 )
 
 // Parts decides which parts of prompts crash backend servers. A part that was in
@@ -49,6 +55,9 @@
 type Parts struct {
 	// Observer receives decisions; nil for none.
 	Observer PartObserver
+	// RetryDelay is how much longer than others this instance refuses a part, so that
+	// the instances do not all try it again at once.
+	RetryDelay time.Duration
 
 	// refused holds the parts in quarantine.
 	refused atomic.Pointer[map[PartID]refusal]
@@ -352,13 +361,14 @@
 // refusal is the quarantine of a part.
 type refusal struct {
 	until time.Time
-	// with are the parts that were in flight in exactly the same crashes. As any of
-	// them may be the cause, only requests that have all of them are refused.
+	// with are the parts that were in flight in exactly the same few crashes. As any
+	// of them may be the cause, only requests that have all of them are refused.
 	with []PartID
 }
 
-// causes returns the parts that are the cause of enough crashes. A crash with a part
-// that has more crashes does not count against the others.
+// causes returns the parts that are the cause of enough crashes. A part is none if
+// causes with more crashes explain all of its crashes: one crash without them shows
+// that it is a further cause.
 func (p *Parts) causes(now time.Time) map[PartID]refusal {
 	var candidates []PartID
 	for part, s := range p.suspects {
@@ -378,8 +388,8 @@
 			part := candidates[0]
 			candidates = candidates[1:]
 			crashes := p.suspects[part].crashes
-			until := crashes[count-1].at.Add(verdictTTL)
-			if incidents(crashes, explained) >= verdictIncidents && now.Before(until) {
+			until := crashes[count-1].at.Add(verdictTTL + p.RetryDelay)
+			if incidents(crashes) >= verdictIncidents && !allExplained(crashes, explained) && now.Before(until) {
 				causes[part] = refusal{until: until}
 				found = append(found, crashes...)
 			}
@@ -392,9 +402,12 @@
 	return causes
 }
 
-// joinCauses joins the parts that have exactly the same crashes.
+// joinCauses joins the parts that have exactly the same crashes, if they are few.
 func (p *Parts) joinCauses(causes map[PartID]refusal) {
 	for part, cause := range causes {
+		if incidents(p.suspects[part].crashes) >= joinedIncidents {
+			continue
+		}
 		for other := range causes {
 			if other != part && slices.Equal(p.suspects[part].crashes, p.suspects[other].crashes) {
 				cause.with = append(cause.with, other)
@@ -405,12 +418,12 @@
 }
 
 // incidents returns the number of incidents among crashes, which are in order of
-// time, without those that are explained.
-func incidents(crashes []*partCrash, explained map[*partCrash]bool) int {
+// time.
+func incidents(crashes []*partCrash) int {
 	count := 0
 	var last time.Time
 	for _, crash := range crashes {
-		if !explained[crash] && (count == 0 || crash.at.Sub(last) >= incidentGap) {
+		if count == 0 || crash.at.Sub(last) >= incidentGap {
 			count++
 			last = crash.at
 		}
@@ -418,6 +431,15 @@
 	return count
 }
 
+func allExplained(crashes []*partCrash, explained map[*partCrash]bool) bool {
+	for _, crash := range crashes {
+		if !explained[crash] {
+			return false
+		}
+	}
+	return true
+}
+
 // PartReport is what an instance has seen of parts that were in flight in crashes.
 // Times are ages, as the clocks of instances differ.
 type PartReport struct {
@@ -490,18 +512,19 @@
 	return parts
 }
 
-// Merge adds what another instance has seen.
+// Merge adds what another instance has seen. Of a report that is larger than those of
+// Report it ignores the rest.
 func (p *Parts) Merge(now time.Time, report *PartReport) {
 	age := func(ms int64) time.Time {
 		return now.Add(-min(max(time.Duration(ms)*time.Millisecond, 0), evidenceTTL))
 	}
 	p.mu.Lock()
-	crashes := make([]*partCrash, len(report.Crashes))
-	for i, c := range report.Crashes {
+	crashes := make([]*partCrash, min(len(report.Crashes), maxReportCrashes))
+	for i, c := range report.Crashes[:len(crashes)] {
 		crashes[i] = p.crash(age(c.AgeMS), c.Server)
 	}
-	for _, entry := range report.Parts {
-		for _, i := range entry.Crashes {
+	for _, entry := range report.Parts[:min(len(report.Parts), maxReportedParts)] {
+		for _, i := range entry.Crashes[:min(len(entry.Crashes), maxCrashesPerPart)] {
 			if i >= 0 && i < len(crashes) {
 				p.suspect(now, entry.Part, crashes[i])
 			}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -52,6 +52,20 @@
 	c.Assert(refuses(p, at(3), 1), qt.IsFalse)
 }
 
+// TestPartsOfDifferentRequestsInTheSameCrashes guards against a part that goes on to
+// crash servers because only requests with a further part would be refused, which was
+// in flight in the same crashes, but in other requests.
+func TestPartsOfDifferentRequestsInTheSameCrashes(t *testing.T) {
+	c := qt.New(t)
+	p := &Parts{}
+	for n := range 5 {
+		p.RecordCrash(at(float64(n)), uint64(n), []PartID{1})
+		p.RecordCrash(at(float64(n)), uint64(n), []PartID{2})
+	}
+	c.Assert(refuses(p, at(5), 1, 8), qt.IsTrue)
+	c.Assert(refuses(p, at(5), 2, 9), qt.IsTrue)
+}
+
 // TestCrashesWithKnownCause checks that the crashes of a quarantined part do not count
 // against parts that were in flight in them.
 func TestCrashesWithKnownCause(t *testing.T) {
@@ -67,6 +81,25 @@
 	c.Assert(refuses(p, at(8), 7), qt.IsFalse)
 }
 
+// TestSecondCauseStaysQuarantined guards against the release of a part that crashes
+// servers when another one has crashed more of them, some of them while requests with
+// both were in flight.
+func TestSecondCauseStaysQuarantined(t *testing.T) {
+	c := qt.New(t)
+	p := &Parts{}
+	const first, second = 1, 2
+	for n := range 4 {
+		p.RecordCrash(at(float64(n)), uint64(n), []PartID{first, second})
+	}
+	p.RecordCrash(at(4), 4, []PartID{second})
+	p.RecordCrash(at(5), 5, []PartID{first})
+	c.Assert(refuses(p, at(6), first, 8), qt.IsTrue)
+	c.Assert(refuses(p, at(6), second, 9), qt.IsTrue)
+	p.RecordCrash(at(7), 6, []PartID{first})
+	c.Assert(refuses(p, at(8), first, 8), qt.IsTrue)
+	c.Assert(refuses(p, at(8), second, 9), qt.IsTrue)
+}
+
 // TestLossOfManyServers checks that the loss of many servers at once for an external
 // reason does not condemn the parts of the requests in flight, even if none of them
 // has been served before.
@@ -115,6 +148,35 @@
 	c.Assert(refuses(p, at(605), 2), qt.IsTrue)
 }
 
+// TestPartIsNotTriedByAllAtOnce guards against instances that all admit a part again at
+// the same moment, so that it crashes a server of each before they know.
+func TestPartIsNotTriedByAllAtOnce(t *testing.T) {
+	c := qt.New(t)
+	const part, count = PartID(2), 60
+	fleet := make([]*Parts, count)
+	for n := range fleet {
+		fleet[n] = &Parts{RetryDelay: MaxRetryDelay * time.Duration(n) / count}
+	}
+	for n := range 3 {
+		fleet[0].RecordCrash(at(float64(n)), uint64(n), []PartID{part})
+	}
+	exchangeAll(fleet, at(3))
+	crashes := 0
+	for second := 600; second < 660; second++ {
+		now, before := at(float64(second)), crashes
+		for _, p := range fleet {
+			if !refuses(p, now, part) {
+				crashes++
+				p.RecordCrash(now, uint64(100+crashes), []PartID{part})
+			}
+		}
+		if crashes > before {
+			exchangeAll(fleet, now)
+		}
+	}
+	c.Assert(crashes, qt.Equals, 1)
+}
+
 // TestPartsAreBounded checks that the memory and the reports stay bounded.
 func TestPartsAreBounded(t *testing.T) {
 	c := qt.New(t)
@@ -137,6 +199,23 @@
 	c.Assert(seen, qt.Equals, len(p.suspects))
 }
 
+// TestOversizedReportIsCut guards against a faulty instance whose report keeps others
+// busy, and displaces what they have seen themselves.
+func TestOversizedReportIsCut(t *testing.T) {
+	c := qt.New(t)
+	p := &Parts{}
+	p.RecordCrash(at(0), 1, []PartID{1 << 40})
+	report := &PartReport{Version: 1}
+	for n := range 50_000 {
+		report.Crashes = append(report.Crashes, PartReportCrash{Server: uint64(n + 10), AgeMS: int64(n)})
+		report.Parts = append(report.Parts, PartReportPart{Part: PartID(n), Crashes: []int{n, 0, 1}})
+	}
+	p.Merge(at(1), report)
+	c.Assert(len(p.suspects) <= maxReportedParts+1, qt.IsTrue)
+	c.Assert(len(p.crashes) <= maxReportCrashes+1, qt.IsTrue)
+	c.Assert(p.suspects[1<<40], qt.IsNotNil)
+}
+
 // exchangeAll lets each instance merge the reports of all others.
 func exchangeAll(fleet []*Parts, now time.Time) {
 	for _, to := range fleet {
