Let the filter of quarantined parts wait for what is known of them

The wait until the parts are known stood in a method of the instance that got the check as an argument, inside a closure that the filter called. The filter now has the channel and the check as its two fields. No change of behavior: the hosted tests of parts pass with -race, and TestEarlyRequestWaitsForCrashingParts fails when the filter does not wait.

--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -7,7 +7,6 @@
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
-	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
@@ -71,7 +70,7 @@
 		filters.Match{Reader: callerProtocol},
 		countRoute{i.usage},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
-		i.refusePartsFilter(dispatcher),
+		filters.RefuseParts{Known: i.partsKnown, Refuse: dispatcher.RefusePart},
 		i.admitFilter(),
 	)
 }
@@ -85,7 +84,7 @@
 		filters.AcceptHop{Instance: i.settings.Instance, Region: i.settings.Region},
 		filters.Describe{Reader: callerProtocol},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
-		i.refusePartsFilter(dispatcher),
+		filters.RefuseParts{Known: i.partsKnown, Refuse: dispatcher.RefusePart},
 		i.admitFilter(),
 	)
 }
@@ -94,10 +93,6 @@
 	return filters.Overload{Guard: i.guard, Observer: i.admission, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout}
 }
 
-func (i *Instance) refusePartsFilter(dispatcher *dispatch.Dispatcher) filters.Filter {
-	return filters.RefuseParts{Refuse: func(x *filters.Exchange) *outcome.Error { return i.refuseParts(x, dispatcher.RefusePart) }}
-}
-
 func (i *Instance) admitFilter() filters.Filter {
 	return filters.Admit{Queue: i.queue, CanServeLocally: i.canServeLocally, CanSpill: i.canSpill, Observer: i.admission}
 }
--- a/hosted/parts.go
+++ b/hosted/parts.go
@@ -10,9 +10,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/fuchsiastack/fuchsiastack/filters"
-	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
 // partsSeeds is how many seeds a new instance asks at once for the parts of prompts
@@ -66,16 +63,3 @@
 	}
 	return nil
 }
-
-// refuseParts returns the refusal of a request with a part that crashes servers, or
-// nil. Requests may come before the instance is ready, so that it waits until the
-// parts are known.
-func (i *Instance) refuseParts(x *filters.Exchange, refuse func(x *filters.Exchange) *outcome.Error) *outcome.Error {
-	if len(x.Parts) > 0 {
-		select {
-		case <-i.partsKnown:
-		case <-x.Request.Context().Done():
-		}
-	}
-	return refuse(x)
-}
