Check a server once after an answer without length or chunks

The end of such an answer asked twice whether its server had crashed: the second time for the log line, from the result kept of the first. The record of a loss is now apart from the check. Tests of parts and crashes in dispatch pass with -race.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -91,17 +91,29 @@
 	if len(r.x.Parts) == 0 || w.refused || w.serverError && !w.bodyTruncated {
 		return
 	}
-	var began time.Duration
-	if !w.firstByteAt.IsZero() {
-		began = time.Since(w.firstByteAt)
-	}
-	crashed := r.serverCrashed(r.ctx, w.server.ID, w.server.Addr)
+	began := w.sinceFirstByte() // before the check, which takes time
+	r.recordLoss(w, began, r.serverCrashed(r.ctx, w.server.ID, w.server.Addr))
+}
+
+// recordLoss records an answer that was lost when its first byte was began ago, and
+// counts a crash of the server against the parts of the request unless the answer was
+// under way.
+func (r *attemptLoop) recordLoss(w *attemptWatcher, began time.Duration, crashed bool) {
 	r.Observer.AnswerLost(r.x, w.server.ID, crashed, began)
 	if crashed && r.Parts != nil && began < startedAfter {
 		r.Parts.RecordCrash(time.Now(), w.server.Key, r.x.Parts)
 	}
 }
 
+// sinceFirstByte returns the time since the first byte of the response body; 0 if none
+// has arrived.
+func (w *attemptWatcher) sinceFirstByte() time.Duration {
+	if w.firstByteAt.IsZero() {
+		return 0
+	}
+	return time.Since(w.firstByteAt)
+}
+
 // recordServedParts records that the request was served. An answer without a body
 // does not show that the server survived it. An unframed one ends in the same way
 // when its server crashes.
@@ -127,8 +139,9 @@
 // recordUnframedEnd records that the answer of a server was lost if the server has
 // crashed, else that the request was served.
 func (r *attemptLoop) recordUnframedEnd(w *attemptWatcher) {
+	began := w.sinceFirstByte()
 	if r.serverCrashed(r.ctx, w.server.ID, w.server.Addr) {
-		r.recordLostAnswer(w)
+		r.recordLoss(w, began, true)
 	} else if w.bodyBytes > 0 {
 		r.Parts.RecordServed(time.Now(), r.x.Parts)
 	}
