Share the set-ups of raw backend servers and of dispatchers in tests

The accept loop and the registration of a backend server that sends raw bytes stood in two test files of hosted, and a dispatcher with test servers in two of dispatch. Each stands once now. No check changes: the tests of streams, endless and HEAD responses in hosted and all of dispatch pass with -race.

--- a/dispatch/broken_test.go
+++ b/dispatch/broken_test.go
@@ -11,11 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/relay"
-	"github.com/fuchsiastack/fuchsiastack/retry"
-	"github.com/fuchsiastack/fuchsiastack/routing"
 )
 
 // offsetEvents returns the events with the offsets first to last.
@@ -30,32 +27,14 @@
 // newScriptedDispatcher returns a dispatcher with two servers that answer a request
 // with first, and one that resumes a stream with next.
 func newScriptedDispatcher(t *testing.T, first, next http.HandlerFunc) *Dispatcher {
-	registry := backend.NewRegistry()
-	var list []backend.Info
-	for i := range 2 {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.Header.Get("Last-Event-ID") != "" {
-				next(w, r)
-			} else {
-				first(w, r)
-			}
-		}))
-		t.Cleanup(server.Close)
-		list = append(list, backend.Info{
-			ID: fmt.Sprint("engine-", i), Addr: server.Listener.Addr().String(), Region: "cairo", Service: "desk", State: backend.StateLive,
-		})
-	}
-	registry.Replace(list)
-	transport := &http.Transport{DialContext: GuardDial(tcpDial)}
-	t.Cleanup(transport.CloseIdleConnections)
-	return &Dispatcher{
-		Instance: "entry", Region: "cairo", Peers: noRegions{}, Transport: transport, PeerScheme: "http", Observer: nopObserver{},
-		Router: &routing.Router{
-			Region: "cairo", Registry: registry, Regions: noRegions{},
-			Filters: []routing.Filter{routing.UntriedFilter{}}, Scorer: routing.FirstTokenScorer{},
-		},
-		Retry: &retry.Policy{},
-	}
+	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-ID") != "" {
+			next(w, r)
+		} else {
+			first(w, r)
+		}
+	})
+	return newServerDispatcher(t, answer, answer)
 }
 
 // sendText returns a handler that sends a response with a status and the given header
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -209,3 +210,27 @@
 func (nopObserver) AnswerLost(*filters.Exchange, string, bool, time.Duration)                     {}
 func (nopObserver) PartRefused(*filters.Exchange, quarantine.PartID)                              {}
 func (nopObserver) EjectionChanged(routing.Ejection)                                              {}
+
+// newServerDispatcher returns a dispatcher with a backend server for each handler.
+func newServerDispatcher(tb testing.TB, handlers ...http.Handler) *Dispatcher {
+	registry := backend.NewRegistry()
+	var list []backend.Info
+	for i, handler := range handlers {
+		server := httptest.NewServer(handler)
+		tb.Cleanup(server.Close)
+		list = append(list, backend.Info{
+			ID: fmt.Sprint("engine-", i), Addr: server.Listener.Addr().String(), Region: "cairo", Service: "desk", State: backend.StateLive,
+		})
+	}
+	registry.Replace(list)
+	transport := &http.Transport{DialContext: GuardDial(tcpDial), MaxIdleConnsPerHost: streamCount}
+	tb.Cleanup(transport.CloseIdleConnections)
+	return &Dispatcher{
+		Instance: "entry", Region: "cairo", Peers: noRegions{}, Transport: transport, PeerScheme: "http", Observer: nopObserver{},
+		Router: &routing.Router{
+			Region: "cairo", Registry: registry, Regions: noRegions{},
+			Filters: []routing.Filter{routing.UntriedFilter{}}, Scorer: routing.FirstTokenScorer{},
+		},
+		Retry: &retry.Policy{},
+	}
+}
--- a/dispatch/stream_test.go
+++ b/dispatch/stream_test.go
@@ -17,12 +17,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/relay"
-	"github.com/fuchsiastack/fuchsiastack/retry"
-	"github.com/fuchsiastack/fuchsiastack/routing"
 	"github.com/fuchsiastack/fuchsiastack/standin/engine"
 	"github.com/fuchsiastack/fuchsiastack/stream"
 )
@@ -84,11 +81,10 @@
 // engine that does not resume streams restarts them with another response.
 func newStreamDispatcher(tb testing.TB, faults streamFaults, resumes bool, decode time.Duration) *Dispatcher {
 	random := &lockedRand{random: rand.New(rand.NewPCG(1, 4))}
-	registry := backend.NewRegistry()
-	var list []backend.Info
-	for i := range 4 {
+	var handlers []http.Handler
+	for range 4 {
 		e := engine.New(engine.Config{Slots: 2 * streamCount, DecodePerToken: decode})
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handlers = append(handlers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			other := chatBody("another question", streamTokens)
 			if !resumes && r.Header.Get("Last-Event-ID") != "" {
 				r.Header.Del("Last-Event-ID")
@@ -100,22 +96,8 @@
 			}
 			e.ServeHTTP(&faultyWriter{ResponseWriter: w, faults: faults, random: random}, r)
 		}))
-		tb.Cleanup(server.Close)
-		list = append(list, backend.Info{
-			ID: fmt.Sprint("engine-", i), Addr: server.Listener.Addr().String(), Region: "cairo", Service: "desk", State: backend.StateLive,
-		})
-	}
-	registry.Replace(list)
-	transport := &http.Transport{DialContext: GuardDial(tcpDial), MaxIdleConnsPerHost: streamCount}
-	tb.Cleanup(transport.CloseIdleConnections)
-	return &Dispatcher{
-		Instance: "entry", Region: "cairo", Peers: noRegions{}, Transport: transport, PeerScheme: "http", Observer: nopObserver{},
-		Router: &routing.Router{
-			Region: "cairo", Registry: registry, Regions: noRegions{},
-			Filters: []routing.Filter{routing.UntriedFilter{}}, Scorer: routing.FirstTokenScorer{},
-		},
-		Retry: &retry.Policy{},
 	}
+	return newServerDispatcher(tb, handlers...)
 }
 
 func chatBody(prompt string, tokens int) []byte {
--- a/hosted/endless_test.go
+++ b/hosted/endless_test.go
@@ -1,18 +1,15 @@
 package hosted
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
@@ -22,23 +19,7 @@
 	chunk string // sent repeatedly until the connection is closed
 }
 
-// serve responds to one request on each connection that l accepts.
-func (b endlessBackend) serve(l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go b.respond(conn)
-	}
-}
-
-func (b endlessBackend) respond(conn net.Conn) {
-	defer conn.Close()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
+func (b endlessBackend) respond(conn net.Conn, req *http.Request) {
 	data := []byte(strings.ReplaceAll(b.head, "REQUEST", req.Header.Get("Request-Id")))
 	for {
 		if _, err := conn.Write(data); err != nil {
@@ -48,16 +29,6 @@
 	}
 }
 
-// startEndlessServer starts a backend server and registers it in the store.
-func (f *fleet) startEndlessServer(b endlessBackend, service string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	f.Assert(err, qt.IsNil)
-	f.Cleanup(func() { l.Close() })
-	go b.serve(l)
-	s := &hosting.Server{Server: &httptest.Server{URL: "http://" + l.Addr().String()}, ID: "i-endless"}
-	f.register(s, service, "cairo-a", "ready")
-}
-
 const responseHead = "HTTP/1.1 200 OK\r\nRequest-Id: REQUEST\r\nSignature: signed\r\n"
 
 // TestEndlessResponse guards against instances that read a response for as long as
@@ -93,7 +64,7 @@
 			plain, stream := newRoute("orders", "unsafe", "orders"), newRoute("drafts", "stream", "drafts")
 			plain.Timeout, stream.Timeout = 60000, 60000
 			f.configure(1, plain, stream)
-			f.startEndlessServer(test.backend, test.service)
+			f.startRawServer(test.service, "cairo-a", test.backend.respond)
 			n := f.start(f.settings("cairo")).waitForServers(1)
 			req := n.request("POST", "/"+test.service+"/", "id-1", "x")
 			req.Header.Set("Deadline-Ms", "60000")
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -1,12 +1,14 @@
 package hosted
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -96,6 +98,31 @@
 	return s
 }
 
+// startRawServer starts a backend server and registers it in the store. It reads one
+// request on each connection, calls respond and closes the connection.
+func (f *fleet) startRawServer(service, zone string, respond func(conn net.Conn, req *http.Request)) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	f.Assert(err, qt.IsNil)
+	f.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					respond(conn, req)
+				}
+			}()
+		}
+	}()
+	f.count++
+	s := &hosting.Server{Server: &httptest.Server{URL: "http://" + l.Addr().String()}, ID: fmt.Sprintf("i-%d", f.count)}
+	f.register(s, service, zone, "ready")
+}
+
 func (f *fleet) register(s *hosting.Server, service, zone, state string) {
 	f.store.Put(platform.ServerPrefix+s.ID, s.Entry(service, zone, state))
 }
--- a/hosted/stream_test.go
+++ b/hosted/stream_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -15,7 +14,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/platform"
-	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
 )
 
 // answer is what a scripted backend server sends before it ends the connection.
@@ -28,22 +26,7 @@
 // stream, and another to those that do.
 type scriptedBackend struct{ first, next answer }
 
-func (b scriptedBackend) serve(l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go b.respond(conn)
-	}
-}
-
-func (b scriptedBackend) respond(conn net.Conn) {
-	defer conn.Close()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
+func (b scriptedBackend) respond(conn net.Conn, req *http.Request) {
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
@@ -63,13 +46,7 @@
 // startScriptedServers starts two backend servers with the same script.
 func (f *fleet) startScriptedServers(b scriptedBackend, service, zone string) {
 	for range 2 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		f.Assert(err, qt.IsNil)
-		f.Cleanup(func() { l.Close() })
-		go b.serve(l)
-		f.count++
-		s := &hosting.Server{Server: &httptest.Server{URL: "http://" + l.Addr().String()}, ID: fmt.Sprintf("i-%d", f.count)}
-		f.register(s, service, zone, "ready")
+		f.startRawServer(service, zone, b.respond)
 	}
 }
 
