Test that the directory learns from other regions which routes are used

With the reports of other instances left out, at the sender or at the receiver, all tests passed: nothing showed that they arrive. TestDirectoryLearnsFromOtherRegions fails in both cases (an idle instance never names the busy one), and passes 3 of 3 with -race.

--- a/hosted/directory_test.go
+++ b/hosted/directory_test.go
@@ -215,6 +215,23 @@
 	f.Assert(n.directory("cairo"), qt.Contains, n.settings.CallerAddr)
 }
 
+// TestDirectoryLearnsFromOtherRegions guards against an instance that receives few
+// requests itself and therefore names no region, although instances of other regions
+// have seen enough of them.
+func TestDirectoryLearnsFromOtherRegions(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, homedRoute("query", "cairo", "alex"), homedRoute("local", "cairo"))
+	f.startServer("orders", "alex-a", 0)
+	busy := f.start(f.settings("alex")).waitForServers(1)
+	idle := f.start(f.settings("delta"))
+	f.Assert(idle.directory("cairo"), qt.Not(qt.Contains), busy.settings.CallerAddr)
+	for k := range 60 {
+		f.Assert(busy.send(busy.request("GET", "/query/", fmt.Sprintf("id-%d", k), "")).status, qt.Equals, http.StatusOK)
+	}
+	f.eventually("the idle instance names the busy one", func() bool { return strings.Contains(idle.directory("cairo"), busy.settings.CallerAddr) })
+}
+
 // TestRouteUsage guards against counts that never fade or that other instances never
 // learn, and against counts of routes that are no longer configured.
 func TestRouteUsage(t *testing.T) {
