Open the second connection of an idle test when the first is idle

TestNewConnectionClosesLongestIdle failed now and then: the first connection was not closed within 10 s (1 of 9,000 runs alone, 8 and 26 of 9,000 beside load). Callers saw nothing; the test was wrong.

Cause: net/http sends the response and reports StateIdle of its connection afterwards. The test opened the second connection once it had the response to the first, so that the second could become idle before the first. Then the second is the one idle longest, and the limiter rightly closes it. A trace of the states (log lines in ConnState, 2 copies of the test at once, -count=3000 -cpu 1,2,6, here with a read limit of 1 s) failed in 80 and 72 of 9,000 runs; in all 152 the second was reported idle before the first:

06:01:56.565246 127.0.0.1:43936 new 06:01:56.565307 127.0.0.1:43936 idle 06:01:56.565345 127.0.0.1:43922 idle (the first) 06:01:56.566535 127.0.0.1:43936 closed got: e"read tcp 127.0.0.1:43922->127.0.0.1:45931: i/o timeout", want EOF

Ruled out: a connection closed and still listed as idle, and one closed that was not in front: none of the traces shows either.

Change: the test waits until the first is idle before it opens the second, and checks in addition that the second still serves a request. With the limiter closing the last idle instead of the first, the test fails.

--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -109,17 +109,23 @@
 	}
 }
 
+// TestNewConnectionClosesLongestIdle guards against a new connection that closes
+// another one than the longest idle. The server reports a connection idle after it
+// has sent the response, so the second is opened only when the first is idle.
 func TestNewConnectionClosesLongestIdle(t *testing.T) {
 	c := qt.New(t)
 	conns, addr, _ := startServer(t, 2)
 	first, err := get(t, addr, "/")
 	c.Assert(err, qt.IsNil)
-	_, err = get(t, addr, "/")
+	conns.awaitIdle(1)
+	second, err := get(t, addr, "/")
 	c.Assert(err, qt.IsNil)
 	conns.awaitIdle(2)
 	_, err = get(t, addr, "/")
 	c.Assert(err, qt.IsNil)
 	c.Check(readResponse(first), qt.Equals, io.EOF)
+	fmt.Fprintf(second, "GET / HTTP/1.1\r\nHost: test\r\n\r\n")
+	c.Check(readResponse(second), qt.IsNil)
 	c.Check(conns.OpenCount() <= 2, qt.IsTrue)
 	c.Check(conns.ShedCount(), qt.Equals, int64(0))
 }
