Reject a response that arrives before its request was sent

Seen: TestRepeatedRefusalIsNotBelieved/unsafe/after_the_next_request/with_ids, once: "4 requests failed after 3 repeated refusals". A caller got 502, "may have run", for a request of which no byte had left; an unsafe request is then neither retried here nor by the caller.

Cause: a faulty server repeats a refusal and sends the true response right after it. The attempt that reads the refusal discards it and closes the connection, but net/http has pooled the connection already. The next request obtains it, its gate rejects the write, and at the same time the reading loop of net/http finds the true response in its buffer and hands it over as the response to the next request. RoundTrip selects between the two at random. So one repeated refusal failed two requests. On a server that sends no ids the response would have been relayed to the wrong caller.

Ruled out: the count of repetitions is raised under the lock before a repetition is sent, and no earlier subtest runs in that fleet; the connections that are turned away by the gate alone end as not-run (503).

Change: a response is rejected if the transport had obtained a guarded connection and no byte of the attempt was sent on it: the connection is closed, the attempt is not-run, and another connection or server is tried.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -321,9 +321,13 @@
 // if no byte of the request was sent.
 func (d *Dispatcher) send(req *http.Request, gate *gate) (*http.Response, *outcome.Error) {
 	resp, err := d.Transport.RoundTrip(req.WithContext(gate.withTrace(req.Context())))
-	if err == nil {
+	if err == nil && !gate.rejectEarly() {
 		return resp, nil
 	}
+	if err == nil {
+		_ = resp.Body.Close()
+		err = errors.Wrapf(errRetiredConn, "response with status %d received before the request was sent", resp.StatusCode)
+	}
 	failure := outcome.Fail(outcome.CodeBackendFailed, err, "the backend server did not answer")
 	if gate.close() {
 		failure.Outcome = outcome.NotRun
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -75,7 +75,8 @@
 	avoid    []*guardedConn              // connections on which an earlier attempt of the request was refused
 	owner    atomic.Pointer[guardedConn] // the connection that may have sent bytes
 	sent     atomic.Bool
-	first    atomic.Bool // the attempt is the first one on the owner
+	first    atomic.Bool                 // the attempt is the first one on the owner
+	obtained atomic.Pointer[guardedConn] // the connection that the transport obtained last
 }
 
 // closedGate is the owner of a gate that rejects all writes.
@@ -103,6 +104,7 @@
 		return
 	}
 	guarded.gate.Store(g)
+	g.obtained.Store(guarded)
 }
 
 // acquire returns nil if c may send bytes of the attempt.
@@ -139,5 +141,19 @@
 // close reports whether no byte of the attempt has been sent. If so, none will be
 // sent later.
 func (g *gate) close() bool {
-	return g.owner.CompareAndSwap(nil, closedGate) && !g.sent.Load()
+	closed := g.owner.CompareAndSwap(nil, closedGate) || g.owner.Load() == closedGate
+	return closed && !g.sent.Load()
+}
+
+// rejectEarly reports whether a response was received before any byte of the
+// attempt was sent. It then belongs to an earlier request on the connection, which
+// is closed. The transport obtains a connection on which such a response has
+// arrived if it has not read it yet.
+func (g *gate) rejectEarly() bool {
+	conn := g.obtained.Load()
+	if conn == nil || !g.close() {
+		return false
+	}
+	conn.retire(g)
+	return true
 }
