Do not report a request as waiting that takes a free slot

Seen: TestBatchFloodDoesNotBlockUrgent, once in a whole run: load.Waiting 1, want 0, as if the gateway sent more requests to the engine than slots. Neither callers nor operators saw anything; the stand-in was wrong.

Cause: the stand-in counted each request as waiting first, released its lock, took a slot, and counted it as running under the lock again. A load report between the two counted a request as waiting that held a slot already.

Trace (a copy with log lines in the stand-in, two copies at once, one of them with GOMAXPROCS=1, -test.count=5 each), 1 of 10 runs failed:

TRIAL-REPORTED-WAITING 06:20:44.915733 running 2 slots held 3 waiting 1 admission_test.go:127: got: int(1) want: int(0)

Ruled out: admission that sends too much. A line for each request that came while all slots ran was never written in the 10 runs. A finished request that keeps its slot: responses of this test are sent when the slot is free.

Change: a free slot is taken and counted under one lock, and released under it; only a request that finds no free slot counts as waiting.

--- a/standin/engine/state.go
+++ b/standin/engine/state.go
@@ -14,6 +14,13 @@
 		e.mu.Unlock()
 		return false
 	}
+	select {
+	case e.slots <- struct{}{}:
+		e.running++
+		e.mu.Unlock()
+		return true
+	default:
+	}
 	e.waiting++
 	e.mu.Unlock()
 	acquired := false
@@ -33,8 +40,8 @@
 
 func (e *Engine) releaseSlot() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.running--
-	e.mu.Unlock()
 	<-e.slots
 }
 
