Confirm a failure by several probes and not by the prober's own pause

A library user would see a live instance vanish from one view for some seconds after it, or the observer, had paused.

A probe is lost 208 ms before the pause. The probes through relays meet the pause and fail, so that the suspicion is older than the pause. The confirming probe is sent 2.1 s after the lost one, 108 ms before the member resumes. It is answered at once then, but the response is lost (1%) and the refutation reaches this instance only later: the member is removed.

Ruled out: the order in which maps are iterated (no suspicion depends on it), two suspicions that share a time (not in the traces; the merge of an equal suspicion now respects a later response all the same, and a newer suspicion does not inherit the confirmation of the old one).

Change: the confirmation is 3 probes, 62 ms apart, the last two also through 2 relays, within the same 250 ms. The second attempt of a check also repeats the direct probe. An instance that sees a timeout more than 50 ms late, so that it was paused, repeats the probes. The bound of removal stays 2.9 s. The test link lets a call return when its context ends while the service method still runs, as peer.Client does; before, a relay delayed its caller's timeout.

--- a/internal/testlink/link.go
+++ b/internal/testlink/link.go
@@ -148,9 +148,17 @@
 	}
 	response := reflect.New(reflect.TypeOf(reply).Elem())
 	service, name, _ := strings.Cut(method, ".")
-	result := target.services[service].MethodByName(name).Call([]reflect.Value{reflect.ValueOf(args), response})
-	if err, _ := result[0].Interface().(error); err != nil {
-		return err
+	results := make(chan []reflect.Value, 1)
+	go func() {
+		results <- target.services[service].MethodByName(name).Call([]reflect.Value{reflect.ValueOf(args), response})
+	}()
+	select {
+	case result := <-results:
+		if err, _ := result[0].Interface().(error); err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		return n.timedOut(ctx)
 	}
 	n.link.endCall(n, target, response.Interface())
 	if err := n.link.deliver(ctx, target, n); err != nil {
@@ -232,10 +240,15 @@
 		return ctx.Err()
 	case <-ctx.Done():
 	}
-	// A paused process observes its timeouts only after the pause.
-	l.mu.Lock()
-	pauseLeft := time.Until(from.pausedUntil)
-	l.mu.Unlock()
+	return from.timedOut(ctx)
+}
+
+// timedOut returns the error of a call whose ctx has ended. A paused process
+// observes its timeouts only after the pause.
+func (n *Node) timedOut(ctx context.Context) error {
+	n.link.mu.Lock()
+	pauseLeft := time.Until(n.pausedUntil)
+	n.link.mu.Unlock()
 	time.Sleep(pauseLeft)
-	return errors.Wrapf(ctx.Err(), "deliver message from %s", from.Instance.ID)
+	return errors.Wrapf(ctx.Err(), "deliver message from %s", n.Instance.ID)
 }
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -22,8 +22,9 @@
 	terminated   []string
 }
 
-// start runs an instance until ctx ends.
-func start(ctx context.Context, l *testlink.Link, id, region, zone, addr string) *node {
+// newNode returns an instance that answers calls, but makes none until its runner
+// runs.
+func newNode(l *testlink.Link, id, region, zone, addr string) *node {
 	instance := listing.Instance{ID: id, Region: region, Zone: zone, ControlAddr: addr, URL: "http://" + addr + "0", PeerAddr: addr + "1"}
 	self := membership.Member{Instance: instance, Generation: uint64(time.Now().UnixNano()), Serving: true}
 	n := &node{Node: l.Node(instance), stateMachine: membership.NewStateMachine(self, rand.New(rand.NewPCG(l.Seed(), 3)))}
@@ -33,8 +34,14 @@
 		n.terminated = append(n.terminated, id)
 	})
 	n.runner = membership.NewRunner(n.stateMachine, n, l, nil, 10*time.Second)
-	ctx, n.cancel = context.WithCancel(ctx)
 	n.Attach(map[string]any{membership.ServiceName: n.runner.Service()})
+	return n
+}
+
+// start runs an instance until ctx ends.
+func start(ctx context.Context, l *testlink.Link, id, region, zone, addr string) *node {
+	n := newNode(l, id, region, zone, addr)
+	ctx, n.cancel = context.WithCancel(ctx)
 	go n.runner.Run(ctx)
 	return n
 }
--- a/membership/member.go
+++ b/membership/member.go
@@ -27,7 +27,7 @@
 const (
 	Alive State = iota
 	Suspect
-	Dead // did not answer the confirming probe
+	Dead // answered no confirming probe
 	Left // announced its end, or was replaced at its address
 )
 
@@ -56,7 +56,7 @@
 	state               State
 	since               time.Time // Suspect: when the first failed probe was sent; Dead, Left: when marked so here
 	lastResponse        time.Time // time of the last response to a probe by this instance
-	confirming          bool      // the confirming probe, the last one before Dead, is in progress
+	confirming          bool      // the confirming probes, the last ones before Dead, are in progress
 	terminationReported bool      // OnForget was called after terminationDelay as Dead
 }
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -79,6 +79,68 @@
 	})
 }
 
+// TestLostConfirmingProbeDoesNotRemove guards against the removal of a live suspect
+// because one confirming message was lost, or because only the direct path to the
+// suspect is cut.
+func TestLostConfirmingProbeDoesNotRemove(t *testing.T) {
+	for name, lose := range map[string]func(from, to string, count int) bool{
+		"first request":                 func(_, to string, count int) bool { return to == "suspect" && count == 1 },
+		"first response and refutation": func(from, _ string, count int) bool { return from == "suspect" && count <= 2 },
+		"direct path": func(from, to string, _ int) bool {
+			return from == "suspect" && to == "prober" || from == "prober" && to == "suspect"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				l := testlink.New()
+				suspect := newNode(l, "suspect", "cairo", "cairo-0", "suspect:1")
+				relay := newNode(l, "relay", "cairo", "cairo-0", "relay:1")
+				prober := newNode(l, "prober", "cairo", "cairo-0", "prober:1")
+				c.Assert(prober.runner.Sync(t.Context(), suspect.Instance), qt.IsNil)
+				c.Assert(prober.runner.Sync(t.Context(), relay.Instance), qt.IsNil)
+				prober.stateMachine.Merge(time.Now(), membership.Message{Updates: []membership.Update{{
+					ID: "suspect", Region: "cairo", Incarnation: suspect.stateMachine.Incarnation(),
+					State: membership.Suspect, Age: membership.SuspicionTimeout,
+				}}})
+				counts := make(map[string]int)
+				l.UpdateConditions(func(s *testlink.Conditions) {
+					s.Partitioned = func(from, to *testlink.Node) bool {
+						path := from.Instance.ID + ">" + to.Instance.ID
+						counts[path]++
+						return lose(from.Instance.ID, to.Instance.ID, counts[path])
+					}
+				})
+				go prober.runner.Run(t.Context())
+				time.Sleep(membership.ProbeTimeout + 100*time.Millisecond)
+				c.Assert(prober.hasServing("suspect"), qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestPausedProberDoesNotRemove pauses an instance and, when it resumes, another
+// one, each for 2 s. It guards against a removal because the first one counted its
+// own pause as silence of the second.
+func TestPausedProberDoesNotRemove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := testlink.New()
+		prober := start(t.Context(), l, "prober", "cairo", "cairo-0", "prober:1")
+		silent := newNode(l, "silent", "cairo", "cairo-0", "silent:1") // answers probes, but sends none
+		await(c, 5*time.Second, func() bool { return prober.hasServing("silent") })
+		for _, paused := range []*node{prober, silent} {
+			paused.Pause(2 * time.Second)
+			for range 200 {
+				time.Sleep(10 * time.Millisecond)
+				c.Assert(prober.hasServing("silent"), qt.IsTrue)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		c.Assert(prober.hasServing("silent"), qt.IsTrue)
+	})
+}
+
 // TestReplacedInstance replaces a killed instance by a process with the same id and
 // address, and another one by a process with a new id and the same address.
 func TestReplacedInstance(t *testing.T) {
--- a/membership/runner.go
+++ b/membership/runner.go
@@ -22,6 +22,14 @@
 	pushFanout                   = 6   // instances that receive an urgent update at once
 	maxDirectoryContacts         = 3   // instances contacted after one read of the directory
 	syncTimeout                  = 2 * time.Second
+
+	confirmingProbes   = 3                // sent to a suspect before it is Dead, so that a few lost messages do not remove it
+	confirmingInterval = ProbeTimeout / 4 // between confirming probes
+
+	// pauseTolerance is the delay of a timeout above which this process is assumed
+	// to have been paused. It is less than the time for which a confirming probe
+	// outlasts a pause of 2 s.
+	pauseTolerance = 50 * time.Millisecond
 )
 
 // Transport calls other instances; *peer.Client implements it.
@@ -135,20 +143,68 @@
 	}
 }
 
-// checkMember probes a member directly and then through relays. It reports a
-// failure to the StateMachine if neither gets a response.
+// checkMember probes a member directly and then on several paths. It reports a
+// failure to the StateMachine if no probe gets a response.
 func (r *Runner) checkMember(ctx context.Context, member Member) {
-	sentAt := time.Now()
-	if r.probe(ctx, member.Instance) == nil || ctx.Err() != nil {
+	sentAt, _, reached := repeatAfterPause(ProbeTimeout, func() bool { return r.probe(ctx, member.Instance) == nil })
+	if reached || ctx.Err() != nil {
 		return
 	}
-	if r.probeIndirectly(ctx, member.Instance) || ctx.Err() != nil {
+	resentAt, repeated, reached := repeatAfterPause(IndirectProbeTimeout, func() bool {
+		return r.probeOnPaths(ctx, member.Instance, IndirectProbeTimeout)
+	})
+	if reached || ctx.Err() != nil {
 		return
 	}
+	if repeated {
+		sentAt = resentAt
+	}
 	r.StateMachine.ProbeFailed(sentAt, member.Instance.ID)
 	r.wakeExpiry()
 }
 
+// repeatAfterPause calls probe, which returns false if it gets no response within
+// timeout. If it returns later than that, this process was paused and may have
+// missed a response, so probe is called once more. repeatAfterPause returns the
+// start and the result of the last call, and whether it was the second one.
+func repeatAfterPause(timeout time.Duration, probe func() bool) (sentAt time.Time, repeated, reached bool) {
+	sentAt = time.Now()
+	if reached = probe(); reached || time.Since(sentAt) < timeout+pauseTolerance {
+		return sentAt, false, reached
+	}
+	sentAt = time.Now()
+	return sentAt, true, probe()
+}
+
+// probeOnPaths probes an instance directly and through relays at the same time, and
+// reports whether one of the probes got a response within timeout. A direct probe
+// that fails alone may be a lost message.
+func (r *Runner) probeOnPaths(ctx context.Context, to listing.Instance, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return anyOf(2, func(i int) bool {
+		if i == 0 {
+			return r.probe(ctx, to) == nil
+		}
+		return r.probeIndirectly(ctx, to)
+	})
+}
+
+// anyOf calls f concurrently with 0 to n-1. It returns true as soon as one call
+// does, and false once all have returned false.
+func anyOf(n int, f func(i int) bool) bool {
+	results := make(chan bool, n)
+	for i := range n {
+		go func() { results <- f(i) }()
+	}
+	for range n {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
 // probe sends a probe with queued updates to an instance, and merges the response.
 func (r *Runner) probe(ctx context.Context, to listing.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
@@ -166,23 +222,12 @@
 // probeIndirectly requests random members to probe an instance and reports whether
 // one of them got a response.
 func (r *Runner) probeIndirectly(ctx context.Context, to listing.Instance) bool {
-	ctx, cancel := context.WithTimeout(ctx, IndirectProbeTimeout)
-	defer cancel()
 	relays := r.StateMachine.RandomMembers(relayCount, to.ID)
-	results := make(chan bool, len(relays))
-	for _, relay := range relays {
-		go func() {
-			var reply RelayReply
-			err := r.Transport.Call(ctx, relay.Instance, methodRelay, &RelayArgs{To: to}, &reply)
-			results <- err == nil && reply.Reached
-		}()
-	}
-	for range relays {
-		if <-results {
-			return true
-		}
-	}
-	return false
+	return anyOf(len(relays), func(i int) bool {
+		var reply RelayReply
+		err := r.Transport.Call(ctx, relays[i].Instance, methodRelay, &RelayArgs{To: to}, &reply)
+		return err == nil && reply.Reached
+	})
 }
 
 // merge applies the updates of a message. If they make this instance refute an
@@ -204,7 +249,7 @@
 	}
 }
 
-// expireSuspicions sends the confirming probe to suspects whose SuspicionTimeout
+// expireSuspicions sends the confirming probes to suspects whose SuspicionTimeout
 // has expired, until ctx ends.
 func (r *Runner) expireSuspicions(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -224,12 +269,37 @@
 	}
 }
 
+// confirmDead sends the confirming probes to a suspect and marks it as Dead if it
+// answers none of them.
 func (r *Runner) confirmDead(ctx context.Context, member Member) {
-	if r.probe(ctx, member.Instance) != nil && ctx.Err() == nil {
+	_, _, reached := repeatAfterPause(ProbeTimeout, func() bool { return r.confirmAlive(ctx, member.Instance) })
+	switch {
+	case reached:
+		r.StateMachine.ProbeSucceeded(time.Now(), member.Instance.ID)
+	case ctx.Err() == nil:
 		r.StateMachine.ConfirmDead(time.Now(), member.Instance.ID)
 	}
 }
 
+// confirmAlive sends confirmingProbes probes confirmingInterval apart, all but the
+// first also through relays, and reports whether one of them got a response within
+// ProbeTimeout after the first was sent.
+func (r *Runner) confirmAlive(ctx context.Context, to listing.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
+	defer cancel()
+	return anyOf(confirmingProbes, func(i int) bool {
+		if i == 0 {
+			return r.probe(ctx, to) == nil
+		}
+		select {
+		case <-time.After(time.Duration(i) * confirmingInterval):
+			return r.probeOnPaths(ctx, to, ProbeTimeout)
+		case <-ctx.Done():
+			return false
+		}
+	})
+}
+
 // syncRandom synchronizes records with a random member of the region, and with a
 // random Dead instance in case it is reachable again.
 func (r *Runner) syncRandom(ctx context.Context) {
--- a/membership/statemachine.go
+++ b/membership/statemachine.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -11,12 +12,12 @@
 // Timing of failure detection. A failed instance is probed within two
 // ProbePeriods and removed SuspicionTimeout+ProbeTimeout after that probe. An
 // instance that pauses for up to 2 s is not removed, since it still answers the
-// confirming probe.
+// confirming probes, which end ProbeTimeout after the first of them is sent.
 const (
 	ProbePeriod          = 250 * time.Millisecond
 	ProbeTimeout         = 250 * time.Millisecond
 	IndirectProbeTimeout = 500 * time.Millisecond
-	SuspicionTimeout     = 2100 * time.Millisecond // from the sending of the first failed probe to the confirming probe
+	SuspicionTimeout     = 2100 * time.Millisecond // from the sending of the first failed probe to the first confirming probe
 )
 
 const (
@@ -206,8 +207,7 @@
 		return m.insert(now, u)
 	}
 	if u.State == Suspect && r.state == Suspect && u.Incarnation == r.incarnation {
-		r.since = earliest(r.since, now.Add(-u.Age))
-		return false
+		return m.suspect(r, u.Incarnation, now.Add(-u.Age))
 	}
 	if !r.overriddenBy(u) {
 		return false
@@ -299,13 +299,13 @@
 		r.since = earliest(r.since, since)
 		return false
 	}
-	r.state, r.incarnation, r.since = Suspect, incarnation, since
+	r.state, r.incarnation, r.since, r.confirming = Suspect, incarnation, since, false
 	return true
 }
 
 // applyDead applies an update that says that a member is Dead. A member of the
 // own region is marked as a Suspect whose SuspicionTimeout has expired instead:
-// this instance then sends it a confirming probe of its own, so that one instance
+// this instance then sends it confirming probes of its own, so that one instance
 // with a bad connection cannot remove a member for all.
 func (m *StateMachine) applyDead(now time.Time, r *record, u *Update) bool {
 	if !r.live() {
@@ -340,7 +340,8 @@
 }
 
 // ProbeSucceeded records that the instance with the given id responded to a probe
-// by this one. It ends any suspicion of that instance.
+// by this one or to a confirming probe by a relay. It ends any suspicion of that
+// instance.
 func (m *StateMachine) ProbeSucceeded(now time.Time, id string) {
 	m.mutate(func() bool {
 		r := m.records[id]
@@ -355,7 +356,7 @@
 }
 
 // ProbeFailed marks a member as Suspect that answered neither the probe that this
-// instance sent at sentAt nor the indirect probes.
+// instance sent at sentAt nor the probes after it.
 func (m *StateMachine) ProbeFailed(sentAt time.Time, id string) {
 	m.mutate(func() bool {
 		r := m.records[id]
@@ -368,7 +369,7 @@
 }
 
 // ExpiredSuspects returns, once each, the suspects whose SuspicionTimeout has
-// expired. The caller sends each a confirming probe and calls ProbeSucceeded or
+// expired. The caller sends each confirming probes and calls ProbeSucceeded or
 // ConfirmDead.
 func (m *StateMachine) ExpiredSuspects(now time.Time) []Member {
 	m.mu.Lock()
@@ -380,6 +381,8 @@
 			expired = append(expired, r.member)
 		}
 	}
+	// Map iteration order would make simulations irreproducible.
+	slices.SortFunc(expired, func(a, b Member) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) })
 	return expired
 }
 
@@ -400,7 +403,8 @@
 	return next, !next.IsZero()
 }
 
-// ConfirmDead marks a suspect as Dead that did not answer the confirming probe.
+// ConfirmDead marks a suspect as Dead that answered none of the
+// confirming probes.
 func (m *StateMachine) ConfirmDead(now time.Time, id string) {
 	m.mutate(func() bool {
 		r := m.records[id]
