Refuse requests that a draining instance cannot finish

From 3.5 s on it did not listen, although it ran on for its streams and callers of a dark region had nowhere else to go.

Cause: the instance knew its exit time, but no request was compared with it. Ruled out: requests sent while a kept connection was closed (all cases were read and half answered); waiting within the instance (0.05 to 1.0 s of more than 4).

Now the drain fixes the time of the exit at its start. A request, and each further attempt, is taken if its deadline ends before the exit. While callers may hold directory responses that name the instance, it is also taken if requests of its kind, by what this instance has seen of them in the last 30 s, would end before: for 9 in 10 of them if another instance of the region is ready, else for 1 in 2, as the refused caller has nowhere to go. Others get a 503 (not run) with a Retry-After that is short if another instance is ready, and otherwise leads past the cached directory responses. The listener stays open as long as earlier requests run. What is left at the exit is ended by its context: a final error where no response had begun, else an aborted connection after a whole event.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -81,6 +81,11 @@
 	if refusal := r.RefusePart(r.x); refusal != nil {
 		return routing.Decision{}, refusal
 	}
+	if r.RefuseAttempt != nil {
+		if refusal := r.RefuseAttempt(r.x); refusal != nil {
+			return routing.Decision{}, refusal
+		}
+	}
 	if refusal := r.suspect.admit(); refusal != nil {
 		return routing.Decision{}, refusal
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -118,6 +118,10 @@
 	Parts      *quarantine.Parts   // nil for none
 	Link       *routing.LinkBudget // nil for no limit on the links between regions
 	Memory     relay.Memory        // for buffered responses; nil for no limit
+	// RefuseAttempt returns the refusal of a request that must not be sent to another
+	// server or region, or nil. It is called before each attempt. Nil means that no
+	// request is refused.
+	RefuseAttempt func(x *filters.Exchange) *outcome.Error
 	// MaxResponseBytes limits the response body. A larger body is treated as
 	// endless and is cut off. 0 means the default limit.
 	MaxResponseBytes int64
--- /dev/null
+++ b/hosted/drain_test.go
@@ -0,0 +1,184 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
+)
+
+// newStreamRoute returns a route whose responses are streams that another server may
+// continue.
+func newStreamRoute(name string) route {
+	r := newRoute(name, "stream", "drafts")
+	r.Timeout, r.GapTarget, r.Resumable = 60000, 10000, true
+	return r
+}
+
+// streamFor is an override that sends an event at once and another one after d.
+func streamFor(d time.Duration) hosting.Override {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: event 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(d):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, "id: 2\ndata: event 2\n\n")
+		return true
+	}
+}
+
+// startDrainable starts an instance that is killed grace after it is stopped.
+func (f *fleet) startDrainable(grace time.Duration, servers int) *testInstance {
+	settings := f.settings("cairo")
+	settings.Bounds.GracePeriod = grace
+	return f.start(settings).waitForServers(servers)
+}
+
+// sendMany sends count requests at once and checks that all are served.
+func (n *testInstance) sendMany(count int, target string) {
+	var group sync.WaitGroup
+	for k := range count {
+		group.Go(func() {
+			got := n.send(n.longRequest(target, fmt.Sprintf("%s-%d", n.settings.Instance, k)))
+			n.f.Check(got.err, qt.IsNil)
+			n.f.Check(got.status, qt.Equals, http.StatusOK)
+		})
+	}
+	group.Wait()
+}
+
+// longRequest returns a request whose caller waits for a minute.
+func (n *testInstance) longRequest(target, id string) *http.Request {
+	req := n.request("POST", target, id, "x")
+	req.Header.Set("Deadline-Ms", "60000")
+	req.Header.Set("Tokens", "10,100")
+	return req
+}
+
+// checkRefused checks that a response refuses a request that has not run, and returns
+// its Retry-After time.
+func (f *fleet) checkRefused(got response, id string, servers ...*hosting.Server) time.Duration {
+	f.Helper()
+	f.Assert(got.err, qt.IsNil)
+	f.Assert(got.status, qt.Equals, http.StatusServiceUnavailable)
+	f.Assert(got.closes, qt.IsTrue)
+	for _, server := range servers {
+		for _, arrival := range server.Arrivals() {
+			f.Assert(arrival.ID, qt.Not(qt.Equals), id)
+		}
+	}
+	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	f.Assert(err, qt.IsNil)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// TestDrainingInstanceRefusesStreamsThatCannotEnd guards against streams that an instance
+// takes after SIGTERM although it must exit before they end, while all instances of the
+// region drain and callers come back until they are gone.
+func TestDrainingInstanceRefusesStreamsThatCannotEnd(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newStreamRoute("drafts"), newRoute("orders", "unsafe", "orders"))
+	orders := f.startServer("orders", "cairo-a", 0)
+	var drafts []*hosting.Server
+	for range 3 {
+		server := f.startServer("drafts", "cairo-a", 0)
+		server.SetOverride(streamFor(3500 * time.Millisecond))
+		drafts = append(drafts, server)
+	}
+	const grace = 6 * time.Second // exits after 5.3 s
+	first, second := f.startDrainable(grace, 4), f.startDrainable(grace, 4)
+	f.eventually("both instances are live", func() bool {
+		return len(first.roster.InRegion("cairo")) == 2 && len(second.roster.InRegion("cairo")) == 2
+	})
+	var group sync.WaitGroup
+	for _, n := range []*testInstance{first, second} {
+		group.Go(func() { n.sendMany(10, "/drafts/") })
+	}
+	group.Wait()
+
+	first.stop()
+	second.stop()
+	start := time.Now()
+	f.eventually("draining", func() bool { return first.draining.Load() && second.draining.Load() })
+	f.eventually("both have left", func() bool { return len(first.roster.Live())+len(second.roster.Live()) == 0 })
+	early := make(chan response, 1)
+	go func() { early <- first.send(first.longRequest("/drafts/", "early")) }()
+
+	// 2.3 s or less are left, and the instance still listens for callers with old
+	// directory responses.
+	time.Sleep(time.Until(start.Add(2900 * time.Millisecond)))
+	retryAfter := f.checkRefused(first.send(first.longRequest("/drafts/", "long")), "long", drafts...)
+	f.Assert(retryAfter <= directoryTTL, qt.IsTrue)
+	f.checkRefused(second.send(second.longRequest("/drafts/", "long-2")), "long-2", drafts...)
+
+	// The early stream still runs, so that other requests are served as long as they
+	// end in time.
+	time.Sleep(time.Until(start.Add(3200 * time.Millisecond)))
+	short := first.request("POST", "/orders/", "short", "x")
+	short.Header.Set("Deadline-Ms", "1500")
+	got := first.send(short)
+	f.Assert(got.err, qt.IsNil)
+	f.Assert(got.body, qt.Equals, "answer to short by "+orders.ID)
+	f.checkRefused(first.send(first.longRequest("/orders/", "unbounded")), "unbounded", orders)
+
+	got = <-early
+	f.Assert(got.err, qt.IsNil)
+	f.Assert(got.body, qt.Equals, "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n")
+	<-first.done
+	f.Assert(time.Since(start) < grace, qt.IsTrue)
+}
+
+// TestDrainingInstanceLeadsToReadyOne guards against callers that wait although another
+// instance of the region can serve them.
+func TestDrainingInstanceLeadsToReadyOne(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newStreamRoute("drafts"))
+	server := f.startServer("drafts", "cairo-a", 2)
+	n := f.startDrainable(4*time.Second, 1)
+	other := f.start(f.settings("cairo")).waitForServers(1)
+	f.eventually("both instances are live", func() bool { return len(n.roster.InRegion("cairo")) == 2 })
+	n.stop()
+	f.eventually("draining", func() bool { return n.draining.Load() })
+	// Nothing is known of the times of such requests.
+	retryAfter := f.checkRefused(n.send(n.longRequest("/drafts/", "refused")), "refused", server)
+	f.Assert(retryAfter, qt.Equals, drainRetryAfter)
+	f.Assert(other.send(other.longRequest("/drafts/", "served")).status, qt.Equals, http.StatusOK)
+}
+
+// TestRequestsLeftAtTheEndOfDrain guards against requests that end with a closed
+// connection and no answer when their instance exits, and against streams that look
+// complete then.
+func TestRequestsLeftAtTheEndOfDrain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newStreamRoute("drafts"), newRoute("orders", "unsafe", "orders"))
+	drafts, orders := f.startServer("drafts", "cairo-a", 0), f.startServer("orders", "cairo-a", 0)
+	drafts.SetOverride(streamFor(time.Minute))
+	orders.SetOverride(hosting.Hang(func() {}))
+	n := f.startDrainable(2*time.Second, 2)
+	responses := map[string]chan response{"/drafts/": make(chan response, 1), "/orders/": make(chan response, 1)}
+	for target, channel := range responses {
+		go func() { channel <- n.send(n.longRequest(target, "id"+target[1:len(target)-1])) }()
+	}
+	f.eventually("in flight", func() bool { return len(drafts.Arrivals()) == 1 && len(orders.Arrivals()) == 1 })
+	n.stop()
+	got := <-responses["/orders/"]
+	f.Assert(got.err, qt.IsNil)
+	f.Assert(got.status, qt.Equals, http.StatusBadGateway) // it may have run
+	got = <-responses["/drafts/"]
+	f.Assert(got.body, qt.Equals, "id: 1\ndata: event 1\n\n")
+	f.Assert(got.err, qt.IsNotNil)
+	<-n.done
+}
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -47,7 +47,7 @@
 	dispatcher := &dispatch.Dispatcher{
 		Instance: i.settings.Instance, Region: i.settings.Region, Router: i.router, Peers: regionPeers{i},
 		Transport: i.transport, PeerScheme: "http", Observer: i.observer, Protocol: platform.ServerProtocol{}, Passthrough: true,
-		Retry: i.retry, Ejector: i.ejector, Memory: i.guard, Parts: i.parts,
+		Retry: i.retry, Ejector: i.ejector, Memory: i.guard, Parts: i.parts, RefuseAttempt: i.refuseWhileDraining,
 	}
 	callerProtocol := platform.CallerProtocol{}
 	callers := &gateway.Handler{Chain: i.callerChain(callerProtocol, dispatcher), Observer: i.observer, Codec: callerProtocol, AbortOnError: true}
@@ -57,7 +57,7 @@
 	directory := http.NewServeMux()
 	directory.HandleFunc(platform.DirectoryPattern, i.serveDirectory)
 	return &handlers{
-		callers: i.closeConnections(callers), peers: i.newPeerHandler(forwarded), ready: ready, directory: directory,
+		callers: i.countNoticedRequests(i.closeConnections(callers)), peers: i.newPeerHandler(i.countNoticedRequests(forwarded)), ready: ready, directory: directory,
 	}
 }
 
@@ -71,6 +71,7 @@
 		countRoute{i.usage},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
 		filters.RefuseParts{Known: i.partsKnown, Refuse: dispatcher.RefusePart},
+		drainFilter{i},
 		i.admitFilter(),
 	)
 }
@@ -85,6 +86,7 @@
 		filters.Describe{Reader: callerProtocol},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
 		filters.RefuseParts{Known: i.partsKnown, Refuse: dispatcher.RefusePart},
+		drainFilter{i},
 		i.admitFilter(),
 	)
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -22,6 +22,7 @@
 	"github.com/fuchsiastack/fuchsiastack/admission"
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/drain"
 	"github.com/fuchsiastack/fuchsiastack/mirror"
 	"github.com/fuchsiastack/fuchsiastack/overload"
 	"github.com/fuchsiastack/fuchsiastack/platform"
@@ -96,7 +97,14 @@
 	peers        *http.Client
 	transport    *http.Transport
 
-	draining    atomic.Bool
+	gate            drain.Gate
+	draining        atomic.Bool
+	noticeEnd       atomic.Int64 // of the drain, in Unix nanoseconds
+	noticeOver      atomic.Bool  // drainNoticeTime has passed
+	noticedRequests atomic.Int64 // see countNoticedRequests
+	requests        context.Context
+	cancelRequests  context.CancelCauseFunc // ends requests
+
 	partsKnown  chan struct{} // closed when what other instances know of parts has been requested
 	peerCounter atomic.Uint64
 }
@@ -148,6 +156,7 @@
 		reportBudget: newByteBudget(settings.LinkRate),
 		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
+	i.requests, i.cancelRequests = context.WithCancelCause(context.Background())
 	i.parts = &quarantine.Parts{Observer: i.observer, RetryDelay: rand.N(quarantine.MaxRetryDelay)}
 	i.partsKnown = make(chan struct{})
 	i.store.ItemsSkipped = func(prefix string, revision uint64, err error) {
@@ -230,6 +239,7 @@
 		}
 		server := &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			BaseContext: func(net.Listener) context.Context { return i.requests },
 		}
 		*s.list = append(*s.list, server)
 		group.Go(func() error {
--- a/telemetry/admission.go
+++ b/telemetry/admission.go
@@ -11,6 +11,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/admission"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/drain"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/overload"
@@ -53,16 +54,36 @@
 
 // Refused implements filters.AdmissionObserver.
 func (a *AdmissionObserver) Refused(x *filters.Exchange, filter, reason string, refusal *outcome.Error) {
-	service, rank := "", ""
+	service, rank := a.countRefusal(x, filter, reason, refusal)
+	a.log.Info().Str("event", "refused").Str("request_id", x.ID).Str("service", service).Str("rank", rank).
+		Str("caller", x.Caller).Str("filter", filter).Str("reason", reason).Str("code", string(refusal.Code)).
+		Str("outcome", refusal.Outcome.String()).Dur("retry_after", refusal.RetryAfter).Msg("")
+}
+
+func (a *AdmissionObserver) countRefusal(x *filters.Exchange, filter, reason string, refusal *outcome.Error) (service, rank string) {
 	if x.Service != nil {
 		service, rank = x.Service.Name, x.Work.Rank.String()
 	}
 	a.refusals.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("service", service), attribute.String("rank", rank), attribute.String("filter", filter),
 		attribute.String("reason", reason), attribute.String("code", string(refusal.Code))))
-	a.log.Info().Str("event", "refused").Str("request_id", x.ID).Str("service", service).Str("rank", rank).
-		Str("caller", x.Caller).Str("filter", filter).Str("reason", reason).Str("code", string(refusal.Code)).
-		Str("outcome", refusal.Outcome.String()).Dur("retry_after", refusal.RetryAfter).Msg("")
+	return service, rank
+}
+
+// DrainRefusal is why a draining instance refuses a request.
+type DrainRefusal struct {
+	drain.Decision
+	ReadyInstances int // other instances of the region that are ready
+}
+
+// RefusedByDrain is called for each request that a draining instance refuses because
+// it would not end in time.
+func (a *AdmissionObserver) RefusedByDrain(x *filters.Exchange, r DrainRefusal, refusal *outcome.Error) {
+	a.countRefusal(x, "drain", string(r.Basis), refusal)
+	a.log.Info().Str("event", "drain_refused").Str("request_id", x.ID).Str("service", x.Service.Name).Str("work", x.Work.Name).
+		Str("basis", string(r.Basis)).Dur("time_left", r.Left).Dur("estimate", r.Estimate).Int("samples", r.Samples).
+		Int("output_tokens", x.MaxOutputTokens).Dur("deadline_in", time.Until(x.Deadline)).Int("ready_instances", r.ReadyInstances).
+		Bool("started", x.Started).Str("code", string(refusal.Code)).Dur("retry_after", refusal.RetryAfter).Msg("")
 }
 
 // gauges holds the instruments whose values are read when metrics are collected.
