Log what decided a refusal by a caller's limit, and which members share it

A line "refused" of filter limit now has allowed and used, and the share they were computed from: fraction, units, members, bound (settling or isolated) and its age. A new line "share_member" tells when an instance begins or ceases to count another one in dividing limits and slots, or hears that it was itself forgotten. There is one line for each refusal, as before, and one for each change of a member; none of them blocks.

The recorder of the tests of filters implements the new method of the observer by its old one; its checks are unchanged.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -39,9 +39,14 @@
 }
 
 func newAdmissionControl(s *Settings, observer *telemetry.AdmissionObserver) (*admissionControl, error) {
-	limitShares := share.NewTable(share.DefaultConfig("limits", s.Instance))
+	newShares := func(topic string) *share.Table {
+		config := share.DefaultConfig(topic, s.Instance)
+		config.Observe = observer.ShareMember
+		return share.NewTable(config)
+	}
+	limitShares := newShares("limits")
 	a := &admissionControl{
-		slotShares:  share.NewTable(share.DefaultConfig("slots", s.Instance)),
+		slotShares:  newShares("slots"),
 		limitShares: limitShares,
 		queue:       admission.NewQueue(queueBounds(s), rand.Uint64()),
 		limiter:     ratelimit.New(limitShares, rand.Uint64()),
--- a/filters/admission_test.go
+++ b/filters/admission_test.go
@@ -37,6 +37,10 @@
 	r.reasons = append(r.reasons, filter+":"+reason)
 }
 
+func (r *recorder) OverLimit(x *Exchange, exceeded *ratelimit.Refusal, refusal *outcome.Error) {
+	r.Refused(x, Limit{}.Name(), string(exceeded.Limit), refusal)
+}
+
 func testService(limits catalog.Limits) *catalog.Service {
 	s := &catalog.Service{Name: "drafting-desk", Kind: catalog.Model, Limits: limits}
 	s.Ranks[catalog.Urgent] = catalog.RankPolicy{Target: 2 * time.Second, Deadline: 30 * time.Second, MinShare: 0.2}
--- a/filters/admit.go
+++ b/filters/admit.go
@@ -7,6 +7,7 @@
 	"github.com/fuchsiastack/fuchsiastack/admission"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/ratelimit"
 )
 
 // maxWaitFraction is the fraction of the latency target that a request may wait
@@ -23,6 +24,8 @@
 	Queued(x *Exchange, wait time.Duration)
 	// Refused is called for each refusal, with the filter's name and its reason.
 	Refused(x *Exchange, filter, reason string, refusal *outcome.Error)
+	// OverLimit is called instead of Refused for a request over a caller's limit.
+	OverLimit(x *Exchange, exceeded *ratelimit.Refusal, refusal *outcome.Error)
 }
 
 // Admit queues a request until a slot of its service is free. The slots are
--- a/filters/limit.go
+++ b/filters/limit.go
@@ -24,7 +24,7 @@
 	reservation, exceeded := f.Limiter.Admit(time.Now(), x.Service, x.Caller, x.TokenEstimate())
 	if exceeded != nil {
 		refusal := outcome.Refuse(http.StatusTooManyRequests, outcome.CodeRateLimited, "the caller's limit of %s is reached", exceeded.Limit)
-		f.Observer.Refused(x, f.Name(), string(exceeded.Limit), refusal.WithRetryAfter(exceeded.RetryAfter))
+		f.Observer.OverLimit(x, exceeded, refusal.WithRetryAfter(exceeded.RetryAfter))
 		return refusal
 	}
 	counter := countTokens(x)
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -52,6 +52,10 @@
 type Refusal struct {
 	Limit      Kind
 	RetryAfter time.Duration
+	Allowed    float64       // this instance's share of the limit
+	Used       float64       // requests in flight, or what the last second has used of the rate
+	Share      share.Share   // from which Allowed was computed
+	ShareAge   time.Duration // since Share was read
 }
 
 // String returns one line for logs.
@@ -62,7 +66,7 @@
 // Shares provides the fraction of each limit that this instance may use.
 // share.Table implements it.
 type Shares interface {
-	Fraction(key share.Key) float64
+	Share(key share.Key) share.Share
 	SetDemand(key share.Key, demand share.Demand)
 	Members() int
 }
@@ -87,7 +91,8 @@
 type caller struct {
 	key         share.Key
 	limits      catalog.Limits
-	fraction    float64
+	share       share.Share
+	shareReadAt time.Time
 	requests    bucket
 	tokens      bucket
 	inFlight    int
@@ -136,7 +141,7 @@
 	c.limits = limits
 	c.recordDemand(now, estimatedTokens)
 	if kind, wait := c.exceededLimit(now, estimatedTokens); kind != "" {
-		return Reservation{}, s.newRefusal(kind, wait)
+		return Reservation{}, s.newRefusal(now, c, kind, wait)
 	}
 	c.requests.level--
 	c.chargeTokens(estimatedTokens)
@@ -147,9 +152,9 @@
 
 func (l *Limiter) newCaller(now time.Time, service, callerName string, limits catalog.Limits) *caller {
 	key := share.KeyOf(service, callerName)
-	c := &caller{key: key, limits: limits, fraction: l.shares.Fraction(key)}
-	c.requests = bucket{level: bucketSize(limits.RequestsPerSecond * c.fraction), updatedAt: now}
-	c.tokens = bucket{level: bucketSize(limits.TokensPerSecond * c.fraction), updatedAt: now}
+	c := &caller{key: key, limits: limits, share: l.shares.Share(key), shareReadAt: now}
+	c.requests = bucket{level: bucketSize(limits.RequestsPerSecond * c.share.Fraction), updatedAt: now}
+	c.tokens = bucket{level: bucketSize(limits.TokensPerSecond * c.share.Fraction), updatedAt: now}
 	return c
 }
 
@@ -169,12 +174,12 @@
 	if c.limits.InFlight > 0 && c.inFlight >= c.maxInFlight() {
 		return InFlight, minRetryAfter
 	}
-	if perSecond := c.limits.RequestsPerSecond * c.fraction; c.limits.RequestsPerSecond > 0 {
+	if perSecond := c.limits.RequestsPerSecond * c.share.Fraction; c.limits.RequestsPerSecond > 0 {
 		if wait := c.requests.wait(now, perSecond, 1); wait > 0 {
 			return Requests, wait
 		}
 	}
-	if perSecond := c.limits.TokensPerSecond * c.fraction; c.limits.TokensPerSecond > 0 {
+	if perSecond := c.limits.TokensPerSecond * c.share.Fraction; c.limits.TokensPerSecond > 0 {
 		if wait := c.tokens.wait(now, perSecond, float64(tokens)); wait > 0 {
 			return Tokens, wait
 		}
@@ -192,14 +197,32 @@
 
 // maxInFlight returns this instance's share of the limit on requests in flight.
 func (c *caller) maxInFlight() int {
-	return max(int(float64(c.limits.InFlight)*c.fraction), 1)
+	return max(int(float64(c.limits.InFlight)*c.share.Fraction), 1)
 }
 
-func (s *shard) newRefusal(kind Kind, wait time.Duration) *Refusal {
+func (s *shard) newRefusal(now time.Time, c *caller, kind Kind, wait time.Duration) *Refusal {
 	retryAfter := min(max(wait, minRetryAfter), maxRetryAfter)
 	// Jitter keeps requests that were refused together from being retried together.
 	retryAfter += time.Duration(s.random.Int64N(int64(retryAfter)/2 + 1))
-	return &Refusal{Limit: kind, RetryAfter: retryAfter}
+	allowed, used := c.usage(kind)
+	return &Refusal{
+		Limit: kind, RetryAfter: retryAfter, Allowed: allowed, Used: used,
+		Share: c.share, ShareAge: now.Sub(c.shareReadAt),
+	}
+}
+
+// usage returns this instance's share of a limit and how much of it is used.
+func (c *caller) usage(kind Kind) (allowed, used float64) {
+	switch kind {
+	case Requests:
+		allowed = bucketSize(c.limits.RequestsPerSecond * c.share.Fraction)
+		return allowed, allowed - c.requests.level
+	case Tokens:
+		allowed = bucketSize(c.limits.TokensPerSecond * c.share.Fraction)
+		return allowed, allowed - c.tokens.level
+	default:
+		return float64(c.maxInFlight()), float64(c.inFlight)
+	}
 }
 
 // Done ends a request that ran, and charges the difference between the actual and
@@ -245,7 +268,7 @@
 				delete(s.callers, key)
 			}
 			l.shares.SetDemand(c.key, share.NewDemand(demand))
-			c.fraction = l.shares.Fraction(c.key)
+			c.share, c.shareReadAt = l.shares.Share(c.key), now
 		}
 		s.mu.Unlock()
 	}
@@ -260,8 +283,8 @@
 // refill credits the time since the last refill at the present fraction. It is
 // called before the fraction changes.
 func (c *caller) refill(now time.Time) {
-	c.requests.refill(now, c.limits.RequestsPerSecond*c.fraction)
-	c.tokens.refill(now, c.limits.TokensPerSecond*c.fraction)
+	c.requests.refill(now, c.limits.RequestsPerSecond*c.share.Fraction)
+	c.tokens.refill(now, c.limits.TokensPerSecond*c.share.Fraction)
 }
 
 // demand returns the caller's demand at this instance as a fraction of its limits,
--- a/share/share.go
+++ b/share/share.go
@@ -80,6 +80,9 @@
 	// MaxStateBytes bounds the size of a state. Limits that do not fit are sent
 	// in later rounds.
 	MaxStateBytes int
+	// Observe is called for each change of the members that are counted; nil
+	// ignores them. It must neither block nor call methods of the table.
+	Observe func(*MemberChange)
 }
 
 // DefaultConfig returns the default configuration for a topic and the ID of this
@@ -244,9 +247,30 @@
 	s.demand = demand
 }
 
+// Share is this instance's share of a limit and what determines it.
+type Share struct {
+	Fraction  float64 // of the limit, from 0 to 1, that this instance may use
+	HeldUnits int64
+	Members   int // that the limit is divided among
+	Bound     Bound
+}
+
+// Bound is the reason why an instance uses fewer units than it holds.
+type Bound string
+
+// The bounds on the units that an instance uses.
+const (
+	Unbounded Bound = ""
+	Settling  Bound = "settling" // the floor for SettleTime after the start
+	Isolated  Bound = "isolated" // an equal share without a state from any peer
+)
+
 // Fraction returns the fraction of a limit, from 0 to 1, that this instance may
 // use now.
-func (t *Table) Fraction(key Key) float64 {
+func (t *Table) Fraction(key Key) float64 { return t.Share(key).Fraction }
+
+// Share returns this instance's share of a limit now.
+func (t *Table) Share(key Key) Share {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.config.Clock()
@@ -254,24 +278,29 @@
 	if s := t.limits[key]; s != nil {
 		held = s.heldUnits(now)
 	}
-	return float64(t.usable(now, held)) / float64(UnitsPerMember*int64(t.count(now)))
+	usable, bound := t.usable(now, held)
+	members := t.count(now)
+	return Share{
+		Fraction:  float64(usable) / float64(UnitsPerMember*int64(members)),
+		HeldUnits: held, Members: members, Bound: bound,
+	}
 }
 
 // usable returns how many of the held units this instance may use. While its peers
 // may have a different view of the membership, the instance uses fewer: at most the
 // floor for SettleTime after its start, and at most an equal share once
 // IsolationTimeout has passed without a state from any peer.
-func (t *Table) usable(now time.Time, held int64) int64 {
+func (t *Table) usable(now time.Time, held int64) (int64, Bound) {
 	if len(t.members) == 0 {
-		return held
+		return held, Unbounded
 	}
 	if now.Sub(t.started) < t.config.SettleTime {
-		return min(held, t.floor())
+		return min(held, t.floor()), Settling
 	}
 	if now.Sub(t.lastReceived) > t.config.IsolationTimeout {
-		return min(held, UnitsPerMember)
+		return min(held, UnitsPerMember), Isolated
 	}
-	return held
+	return held, Unbounded
 }
 
 func (t *Table) floor() int64 { return int64(t.config.Floor * UnitsPerMember) }
@@ -349,6 +378,7 @@
 	delete(t.members, id)
 	t.departed = append(t.departed, departure{until: now.Add(t.config.SettleTime)})
 	t.retireIncarnation(now, id, m.incarnation)
+	t.observe(now, MemberForgotten, instance, m.incarnation)
 }
 
 // retireIncarnation removes an incarnation from all limits, converts the units
@@ -375,6 +405,7 @@
 // restart starts a new incarnation after a peer has forgotten the present one, so
 // that neither side counts transferred units that the other has removed.
 func (t *Table) restart(now time.Time) {
+	t.observe(now, SelfForgotten, t.config.Self, t.incarnation)
 	t.startIncarnation(now)
 	for _, s := range t.limits {
 		clear(s.peers)
--- a/share/state.go
+++ b/share/state.go
@@ -152,7 +152,7 @@
 		return errMalformedState
 	}
 	incarnation := r.fixed64()
-	if r.failed || !t.acceptIncarnation(now, id, incarnation) {
+	if r.failed || !t.acceptIncarnation(now, id, instance, incarnation) {
 		return r.err()
 	}
 	t.lastReceived = now
@@ -165,7 +165,7 @@
 
 // acceptIncarnation records the incarnation of a peer and reports whether its
 // state is to be merged. States of retired and of earlier incarnations are not.
-func (t *Table) acceptIncarnation(now time.Time, id memberID, incarnation uint64) bool {
+func (t *Table) acceptIncarnation(now time.Time, id memberID, instance string, incarnation uint64) bool {
 	if _, retired := t.tombstones[tombstone{id, incarnation}]; retired {
 		return false
 	}
@@ -180,7 +180,10 @@
 	if m.incarnation != 0 && incarnation > m.incarnation {
 		t.retireIncarnation(now, id, m.incarnation)
 	}
-	m.incarnation = incarnation
+	if incarnation != m.incarnation {
+		m.incarnation = incarnation
+		t.observe(now, MemberJoined, instance, incarnation)
+	}
 	return true
 }
 
--- a/telemetry/admission.go
+++ b/telemetry/admission.go
@@ -14,6 +14,8 @@
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/overload"
+	"github.com/fuchsiastack/fuchsiastack/ratelimit"
+	"github.com/fuchsiastack/fuchsiastack/share"
 )
 
 // AdmissionObserver writes metrics and log lines for admission control, rate
@@ -53,6 +55,19 @@
 
 // Refused implements filters.AdmissionObserver.
 func (a *AdmissionObserver) Refused(x *filters.Exchange, filter, reason string, refusal *outcome.Error) {
+	a.refused(x, filter, reason, refusal).Msg("")
+}
+
+// OverLimit implements filters.AdmissionObserver.
+func (a *AdmissionObserver) OverLimit(x *filters.Exchange, exceeded *ratelimit.Refusal, refusal *outcome.Error) {
+	a.refused(x, filters.Limit{}.Name(), string(exceeded.Limit), refusal).
+		Float64("used", exceeded.Used).Float64("allowed", exceeded.Allowed).Float64("share", exceeded.Share.Fraction).
+		Int64("units", exceeded.Share.HeldUnits).Int("members", exceeded.Share.Members).
+		Str("bound", string(exceeded.Share.Bound)).Dur("share_age", exceeded.ShareAge).Msg("")
+}
+
+// refused counts a refusal and returns its log line.
+func (a *AdmissionObserver) refused(x *filters.Exchange, filter, reason string, refusal *outcome.Error) *log.Entry {
 	service, rank := "", ""
 	if x.Service != nil {
 		service, rank = x.Service.Name, x.Work.Rank.String()
@@ -60,9 +75,16 @@
 	a.refusals.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("service", service), attribute.String("rank", rank), attribute.String("filter", filter),
 		attribute.String("reason", reason), attribute.String("code", string(refusal.Code))))
-	a.log.Info().Str("event", "refused").Str("request_id", x.ID).Str("service", service).Str("rank", rank).
+	return a.log.Info().Str("event", "refused").Str("request_id", x.ID).Str("service", service).Str("rank", rank).
 		Str("caller", x.Caller).Str("filter", filter).Str("reason", reason).Str("code", string(refusal.Code)).
-		Str("outcome", refusal.Outcome.String()).Dur("retry_after", refusal.RetryAfter).Msg("")
+		Str("outcome", refusal.Outcome.String()).Dur("retry_after", refusal.RetryAfter)
+}
+
+// ShareMember logs a change of the members among which limits or slots are divided.
+func (a *AdmissionObserver) ShareMember(change *share.MemberChange) {
+	a.log.Info().Str("event", "share_member").Str("topic", change.Topic).Str("change", string(change.Kind)).
+		Str("instance", change.Instance).Uint64("incarnation", change.Incarnation).Dur("age", change.Age).
+		Int("members", change.Members).Int("departed", change.Departed).Msg("")
 }
 
 // gauges holds the instruments whose values are read when metrics are collected.
