Join until records were exchanged, not until one member is known

A replaced instance that does not know its region is a fault that its users see: for up to 10 s it counts its fleet too small and misses its peers. Cause, from a traced run: the others still probe the process that was killed, by id and address. Before the successor reads the directory the first time (500 ms), one of these probes reaches it, with the updates in the queue:

00.940 cairo-0 is replaced 00.986 cairo-0 receives a probe of cairo-2, inserts cairo-1 and cairo-5 (no read of the directory and no exchange of records after it) 01.502 inserts cairo-2 01.705 inserts cairo-4 cairo-3 only by the exchange every 10 s

join stopped as soon as any other instance was known. It now goes on until records were exchanged once. It also no longer stops after an exchange with itself, if its own address is among its seeds: then it never tried the other seeds or the directory.

--- a/membership/runner.go
+++ b/membership/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -51,10 +52,11 @@
 	Directory    Directory // may be nil
 	Seeds        []string  // control addresses to try first
 	// DirectoryPeriod is the time between reads of the directory by a bridge. An
-	// instance whose view has no other member also reads it every joinPeriod.
+	// instance that has not joined the others also reads it every joinPeriod.
 	DirectoryPeriod time.Duration
 
-	wake chan struct{} // signals that a suspicion may expire earlier than expected
+	joined atomic.Bool   // records were synchronized with another instance at least once
+	wake   chan struct{} // signals that a suspicion may expire earlier than expected
 	// ctx is canceled when Run returns. It bounds work that outlives the call
 	// that started it, and work for calls of other instances.
 	ctx    context.Context
@@ -327,23 +329,33 @@
 	go func() { _ = r.Sync(ctx, bridges[r.StateMachine.intN(len(bridges))]) }()
 }
 
-// join tries to find another instance as long as none is known: through the seeds,
-// the directory's list of the own region, and its list of all regions.
+// join synchronizes with another instance as long as that has not succeeded once,
+// or no other instance is known: with a member, with the seeds, and with instances
+// of the directory's list of the own region and of all regions. A known member does
+// not mean that the others are known: probes for an earlier process with the same
+// id introduce a few of them.
 func (r *Runner) join(ctx context.Context) {
-	if !r.StateMachine.View().onlySelf {
+	if !r.mustJoin() {
 		return
 	}
+	targets := r.StateMachine.RandomMembers(1)
 	for _, seed := range r.Seeds {
-		if r.Sync(ctx, listing.Instance{ControlAddr: seed}) == nil {
+		targets = append(targets, Member{Instance: listing.Instance{ControlAddr: seed}})
+	}
+	for _, target := range targets {
+		_ = r.Sync(ctx, target.Instance)
+		if !r.mustJoin() {
 			return
 		}
 	}
 	r.syncListed(ctx, r.StateMachine.View().self.Instance.Region)
-	if r.StateMachine.View().onlySelf {
+	if r.mustJoin() {
 		r.syncListed(ctx, "")
 	}
 }
 
+func (r *Runner) mustJoin() bool { return !r.joined.Load() || r.StateMachine.View().onlySelf }
+
 // syncFromDirectory synchronizes with listed instances that are not members here,
 // if this instance is a bridge. It reads the list of its own region and, once in
 // as many reads on average as there are regions, the list of all regions.
@@ -404,6 +416,9 @@
 		return err
 	}
 	if digests.Same {
+		if to.ID != "" { // otherwise to may be this instance
+			r.joined.Store(true)
+		}
 		return nil
 	}
 	for regions := r.StateMachine.DifferingRegions(digests.Regions); len(regions) > 0; {
@@ -413,6 +428,7 @@
 		}
 		regions = regions[covered:]
 	}
+	r.joined.Store(true)
 	return nil
 }
 
