--- a/membership/runner.go
+++ b/membership/runner.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -51,10 +53,11 @@
 	Directory    Directory // may be nil
 	Seeds        []string  // control addresses to try first
 	// DirectoryPeriod is the time between reads of the directory by a bridge. An
-	// instance whose view has no other member also reads it every joinPeriod.
+	// instance that has not joined the others also reads it every joinPeriod.
 	DirectoryPeriod time.Duration
 
-	wake chan struct{} // signals that a suspicion may expire earlier than expected
+	joined atomic.Bool   // records were synchronized with another instance at least once
+	wake   chan struct{} // signals that a suspicion may expire earlier than expected
 	// ctx is canceled when Run returns. It bounds work that outlives the call
 	// that started it, and work for calls of other instances.
 	ctx    context.Context
@@ -75,7 +78,8 @@
 	defer r.cancel()
 	var group errgroup.Group
 	loop := func(period time.Duration, f func(context.Context)) {
-		group.Go(func() error { r.every(ctx, period, f); return nil })
+		random := r.StateMachine.newRandom()
+		group.Go(func() error { every(ctx, period, random, f); return nil })
 	}
 	loop(ProbePeriod, r.probeNeighbor)
 	loop(ProbePeriod*neighborProbesPerRandomProbe, r.probeRandom)
@@ -89,11 +93,9 @@
 }
 
 // every calls f once per jittered period until ctx ends.
-func (r *Runner) every(ctx context.Context, period time.Duration, f func(context.Context)) {
-	const steps = 1 << 16
+func every(ctx context.Context, period time.Duration, random *rand.Rand, f func(context.Context)) {
 	for {
-		fraction := float64(r.StateMachine.intN(steps)) / steps
-		interval := time.Duration(float64(period) * (1 + jitterFraction*(2*fraction-1)))
+		interval := time.Duration(float64(period) * (1 + jitterFraction*(2*random.Float64()-1)))
 		select {
 		case <-time.After(interval):
 			f(ctx)
@@ -122,7 +124,8 @@
 func (r *Runner) push(ctx context.Context) {
 	var group errgroup.Group
 	for _, member := range r.StateMachine.RandomMembers(pushFanout) {
-		group.Go(func() error { return r.probe(ctx, member.Instance) })
+		msg := r.StateMachine.Compose(time.Now(), member.Instance.ID)
+		group.Go(func() error { return r.send(ctx, member.Instance, msg) })
 	}
 	_ = group.Wait()
 }
@@ -207,9 +210,14 @@
 
 // probe sends a probe with queued updates to an instance, and merges the response.
 func (r *Runner) probe(ctx context.Context, to listing.Instance) error {
+	return r.send(ctx, to, r.StateMachine.Compose(time.Now(), to.ID))
+}
+
+// send sends a probe with the given message, and merges the response.
+func (r *Runner) send(ctx context.Context, to listing.Instance, msg Message) error {
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
-	args := ProbeArgs{Message: r.StateMachine.Compose(time.Now(), to.ID)}
+	args := ProbeArgs{Message: msg}
 	var reply Message
 	if err := r.Transport.Call(ctx, to, methodProbe, &args, &reply); err != nil {
 		return err
@@ -327,23 +335,33 @@
 	go func() { _ = r.Sync(ctx, bridges[r.StateMachine.intN(len(bridges))]) }()
 }
 
-// join tries to find another instance as long as none is known: through the seeds,
-// the directory's list of the own region, and its list of all regions.
+// join synchronizes with another instance as long as that has not succeeded once,
+// or no other instance is known: with a member, with the seeds, and with instances
+// of the directory's list of the own region and of all regions. A known member does
+// not mean that the others are known: probes for an earlier process with the same
+// id introduce a few of them.
 func (r *Runner) join(ctx context.Context) {
-	if !r.StateMachine.View().onlySelf {
+	if !r.mustJoin() {
 		return
 	}
+	targets := r.StateMachine.RandomMembers(1)
 	for _, seed := range r.Seeds {
-		if r.Sync(ctx, listing.Instance{ControlAddr: seed}) == nil {
+		targets = append(targets, Member{Instance: listing.Instance{ControlAddr: seed}})
+	}
+	for _, target := range targets {
+		_ = r.Sync(ctx, target.Instance)
+		if !r.mustJoin() {
 			return
 		}
 	}
 	r.syncListed(ctx, r.StateMachine.View().self.Instance.Region)
-	if r.StateMachine.View().onlySelf {
+	if r.mustJoin() {
 		r.syncListed(ctx, "")
 	}
 }
 
+func (r *Runner) mustJoin() bool { return !r.joined.Load() || r.StateMachine.View().onlySelf }
+
 // syncFromDirectory synchronizes with listed instances that are not members here,
 // if this instance is a bridge. It reads the list of its own region and, once in
 // as many reads on average as there are regions, the list of all regions.
@@ -404,6 +422,9 @@
 		return err
 	}
 	if digests.Same {
+		if to.ID != "" { // otherwise to may be this instance
+			r.joined.Store(true)
+		}
 		return nil
 	}
 	for regions := r.StateMachine.DifferingRegions(digests.Regions); len(regions) > 0; {
@@ -413,6 +434,7 @@
 		}
 		regions = regions[covered:]
 	}
+	r.joined.Store(true)
 	return nil
 }
 
