Keep a new member from transferring units before all others count it

For SettleTime after its start a new member uses at most the floor, since peers that do not count it yet divide the limit among fewer members. It did transfer the rest of its units, however, and the receivers used them at once: a limit could be exceeded by more than the stated floor of the new member.

Cause: transferSurplus looked at the units held, not at those that may be used.

Change: no transfers for SettleTime after the start of an incarnation.

--- a/share/divide.go
+++ b/share/divide.go
@@ -146,11 +146,12 @@
 // that holds fewer than its own. If the total surplus covers the total deficit,
 // each member with a surplus covers the peer's deficit in proportion to its
 // surplus. Otherwise each surplus is divided among the peers in proportion to
-// their deficits.
+// their deficits. A new member transfers nothing for SettleTime: until all members
+// count it, their shares already add up to the limit without its units.
 func (t *Table) transferSurplus(now time.Time, key Key, s *limitState, id memberID) {
 	recipient := s.peers[id]
 	ownUnits := s.heldUnits(now)
-	if ownUnits <= t.floor() || now.Sub(recipient.lastTransfer) < transferInterval {
+	if now.Sub(t.started) < t.config.SettleTime || ownUnits <= t.floor() || now.Sub(recipient.lastTransfer) < transferInterval {
 		return
 	}
 	allocations, peerIndex := t.allocations(now, s, id)
