Read who is forgotten also in the states of members that are forgotten

After a partition of a region that lasts so long that both halves have forgotten each other (two minutes dead), each half kept counting only its own instances for 10 minutes: both used a caller's limit in full, and operators saw 2 members where 4 ran.

Cause: an instance that reads in a peer's state that it was forgotten starts its shares anew and is then counted again. A state of a forgotten incarnation was dropped before that part was read, so that of two members that forgot each other neither learned it. Ruled out: the exchange, whose own tombstones let later states pass.

Change: that part of a state is read first. The rest of it is dropped as before. A member that is forgotten by one side alone behaves as before.

Measured: TestMembersThatForgotEachOtherCountEachOtherAgain failed before with "after 21s the fractions add up to 2.0000, bound 1.0000".

--- a/share/state.go
+++ b/share/state.go
@@ -152,11 +152,17 @@
 		return errMalformedState
 	}
 	incarnation := r.fixed64()
-	if r.failed || !t.acceptIncarnation(now, id, instance, incarnation) {
+	if r.failed {
 		return r.err()
 	}
-	t.lastReceived = now
+	accepted := t.acceptIncarnation(now, id, instance, incarnation)
+	// Also of an incarnation that this instance has forgotten: two members that
+	// have forgotten each other would otherwise never count each other again.
 	t.readTombstones(now, &r)
+	if !accepted {
+		return r.err()
+	}
+	t.lastReceived = now
 	for !r.failed && len(r.data) > 0 {
 		t.readLimit(now, id, &r)
 	}
