Test that a refusal carries the share that decided it

Operators read used, allowed and share of a refusal from the log; nothing checked that they belong to the limit that refused. The test covers the three limits at an instance of four that hears of no peer. Ruled out: that the test of the log line covers it, as that one makes up its values. Measured: it fails with the use of requests reported for tokens.

--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -175,6 +176,41 @@
 	c.Check(refusal, qt.IsNotNil)
 }
 
+// TestRefusalTellsWhatDecidedIt guards against refusals whose cause, the share of the
+// instance or the use of it, cannot be read from the logs.
+func TestRefusalTellsWhatDecidedIt(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	refused := func(limits catalog.Limits) *Refusal {
+		r := newRegion(4, limits)
+		r.now = r.now.Add(11 * time.Second)
+		for range 100 {
+			if _, refusal := r.limiters[0].Admit(r.now, r.service, "press", 10); refusal != nil {
+				return refusal
+			}
+			r.now = r.now.Add(time.Microsecond)
+		}
+		return nil
+	}
+	for _, test := range []struct {
+		limits        catalog.Limits
+		limit         Kind
+		allowed, used float64
+	}{
+		{catalog.Limits{InFlight: 20}, InFlight, 5, 5},
+		{catalog.Limits{RequestsPerSecond: 20}, Requests, 5, 5},
+		{catalog.Limits{TokensPerSecond: 200}, Tokens, 50, 50},
+	} {
+		refusal := refused(test.limits)
+		c.Assert(refusal, qt.IsNotNil)
+		c.Check(refusal.Limit, qt.Equals, test.limit)
+		c.Check(refusal.Allowed, qt.Equals, test.allowed)
+		c.Check(math.Round(refusal.Used), qt.Equals, test.used)
+		c.Check(refusal.Share, qt.Equals, share.Share{Fraction: 0.25, HeldUnits: share.UnitsPerMember, Members: 4, Bound: share.Isolated})
+		c.Check(refusal.ShareAge > 0, qt.IsTrue)
+	}
+}
+
 func TestCanceledRequestIsNotCharged(t *testing.T) {
 	c := qt.New(t)
 	r := newRegion(1, catalog.Limits{RequestsPerSecond: 1, InFlight: 1})
