Keep passing on a received quarantine entry after a merge

Two instances that had both received the same entry from another region replaced their own by each other's copy, which does not say who received it. Then neither passed it on: an instance that started later did not know the suspect until the region's state came again, and could run a request that crashes servers.

Cause: OwnState sends an entry of another region only where receivedBy is this instance; an entry that is merged from an instance of the own region has none, and it replaced the received one of the same owner.

Ruled out: quarantined entries; a merge only extends them.

Change: an entry that replaces one of the same owner keeps who received it.

TestReceivedEntryIsPassedOnAfterMerge, before: table_test.go:121: got: s"unknown" want: s"suspect" After: go test ./quarantine passes.

--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -98,6 +98,29 @@
 	c.Assert(alex.Admit(start, poison), qt.Equals, Verdict{Action: RefuseNotOwner, Owner: "@cairo", RetryAfter: defaultPropagationDelay})
 }
 
+// TestReceivedEntryIsPassedOnAfterMerge guards against a suspect of another region that
+// new instances do not learn of: two instances that had received it replaced their
+// entries by each other's copy, and then neither of them passed it on.
+func TestReceivedEntryIsPassedOnAfterMerge(t *testing.T) {
+	c := qt.New(t)
+	cairo := &Table{Instance: "a"}
+	cairo.RecordCrash(start, poison, LostAttempt{ServerKey: 1, StartedAt: start})
+	received := []*Table{{Instance: "c"}, {Instance: "d"}}
+	for _, table := range received {
+		c.Assert(table.MergeRegion(start, "cairo", cairo.RegionState(start)), qt.IsNil)
+	}
+	for range 2 {
+		first, second := received[0].OwnState(start), received[1].OwnState(start)
+		c.Assert(received[0].Merge(start, "d", second), qt.IsNil)
+		c.Assert(received[1].Merge(start, "c", first), qt.IsNil)
+	}
+	newInstance := &Table{Instance: "e"}
+	for _, table := range received {
+		c.Assert(newInstance.Merge(start, table.Instance, table.OwnState(start)), qt.IsNil)
+	}
+	c.Assert(newInstance.State(start, poison), qt.Equals, Suspect)
+}
+
 func TestTrialOrderIsUrgentThenLatestStarted(t *testing.T) {
 	c := qt.New(t)
 	table := &Table{Instance: "a"}
--- a/quarantine/topic.go
+++ b/quarantine/topic.go
@@ -255,6 +255,9 @@
 	if ours != nil && ours.state == Trial && ours.owner == t.Instance && theirs.state != Quarantined {
 		return
 	}
+	if ours != nil && ours.owner == theirs.owner && theirs.receivedBy == "" {
+		theirs.receivedBy = ours.receivedBy
+	}
 	t.put(now, digest, theirs)
 	if theirs.state == Quarantined {
 		t.clearConcurrent(now, digest, theirs.firstCrash)
