Put a repaired configuration of the same revision in force

An instance whose configuration was corrupted in transit logs config_digest_mismatch, reads the state from the store again and logs that it is in force, but goes on with the corrupted one until the next revision. The revision and digest that it reports to rollout are those of the repaired one, so that an operator sees nothing.

Ruled out: an older state; configsync passes none, and Repair refuses it.

Change: catalog.Table.Repair also takes the revision in force; a refusal is an error, which configsync logs. hosted goes on using Advance.

After: go test ./daemon ./configsync passes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -281,9 +281,19 @@
 // revision, and reports whether it did. A lower revision never replaces a higher
 // one.
 func (t *Table) Advance(next *Snapshot) bool {
+	return t.replace(next, func(current uint64) bool { return next.Revision > current })
+}
+
+// Repair is like Advance, and also replaces a snapshot of the same revision. Its
+// callers must know that the content in force is wrong.
+func (t *Table) Repair(next *Snapshot) bool {
+	return t.replace(next, func(current uint64) bool { return next.Revision >= current })
+}
+
+func (t *Table) replace(next *Snapshot, replaces func(current uint64) bool) bool {
 	for {
 		old := t.current.Load()
-		if old != nil && old.Revision >= next.Revision {
+		if old != nil && !replaces(old.Revision) {
 			return false
 		}
 		if t.current.CompareAndSwap(old, next) {
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -34,17 +34,23 @@
 		Peers:     configPeers{d},
 		IsWatcher: func() bool { return d.isSelected(purposeConfig, configWatchers) },
 		Logger:    d.log,
-		Apply: func(state *configlog.State) error {
-			snapshot, err := builder.Build(state)
-			if err != nil {
-				return err
-			}
-			d.table.Advance(snapshot)
-			return nil
-		},
+		Apply:     func(state *configlog.State) error { return d.applyConfig(builder, state) },
 	})
 }
 
+// applyConfig puts a state in force. The follower passes a state of the revision in
+// force only if it repairs one that was corrupted in transit.
+func (d *Daemon) applyConfig(builder *config.Builder, state *configlog.State) error {
+	snapshot, err := builder.Build(state)
+	if err != nil {
+		return err
+	}
+	if !d.table.Repair(snapshot) {
+		return errors.Errorf("revision %d is lower than the one in force, %d", state.Revision, d.table.Current().Revision)
+	}
+	return nil
+}
+
 // configPeers fetches the configuration from other instances.
 type configPeers struct{ daemon *Daemon }
 
