Let only the probe itself end the probe of an open circuit breaker

While the circuit breaker of store/budget is open, one call at a time probes the store. A call that was allowed before it opened and that ends during a probe, by a failure or by its caller's cancellation, let a second probe through. After an outage of a store that answers slowly there are many such calls, and the probes of all instances go beyond the fraction of reads that they may use.

Cause: every ending call cleared the flag of the probe.

Ruled out: a success; it closes the breaker whichever call has it.

Change: probes are numbered, and only the call with the number of the current probe ends it.

TestEarlierCallDoesNotAllowSecondProbe, before: budget_test.go:228: got error: "store: call : may have been applied: unavailable" (the second call reached the store), want "circuit breaker is open" After: go test -race ./store/budget passes.

--- a/store/budget/budget.go
+++ b/store/budget/budget.go
@@ -101,12 +101,13 @@
 // do waits for the rate limit and then runs one call. It rejects the call if the
 // circuit breaker is open, or if the wait would exceed the deadline of ctx.
 func (s *Store) do(ctx context.Context, k kind, op, key string, call func() error) error {
-	if !s.breaker.allow(time.Now()) {
+	probe, allowed := s.breaker.allow(time.Now())
+	if !allowed {
 		s.circuitOpen.Add(1)
 		return &store.Error{Op: op, Key: key, Cause: errors.Wrap(store.ErrUnavailable, "circuit breaker is open after repeated failures")}
 	}
 	if err := s.buckets[k].wait(ctx, s.rate(k)); err != nil {
-		s.breaker.release()
+		s.breaker.release(probe)
 		s.throttled.Add(1)
 		return &store.Error{Op: op, Key: key, Cause: errors.Wrap(store.ErrThrottled, err.Error())}
 	}
@@ -114,9 +115,9 @@
 	err := call()
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		s.breaker.release() // a cancellation by the caller is no evidence about the service
+		s.breaker.release(probe) // a cancellation by the caller is no evidence about the service
 	case errors.Is(err, store.ErrUnavailable):
-		s.breaker.recordFailure(time.Now(), s.backoffCap())
+		s.breaker.recordFailure(time.Now(), probe, s.backoffCap())
 	default:
 		s.recordSuccess()
 	}
@@ -295,37 +296,50 @@
 	mu        sync.Mutex
 	failures  int
 	openUntil time.Time
-	probing   bool
+	probes    probeID // number of probes so far
+	probing   probeID // the current probe, or 0
 }
 
+// probeID numbers the probes of a breaker from 1. It is 0 for other calls: those that
+// were allowed before the breaker opened may end while a probe runs.
+type probeID uint64
+
 // allow reports whether a call may run now. If so, release, recordFailure or
-// recordSuccess must be called at its end.
-func (b *breaker) allow(now time.Time) bool {
+// recordSuccess must be called at its end, the first two with its probeID.
+func (b *breaker) allow(now time.Time) (probe probeID, allowed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.failures < failureThreshold {
-		return true
+		return 0, true
 	}
-	if b.probing || now.Before(b.openUntil) {
-		return false
+	if b.probing != 0 || now.Before(b.openUntil) {
+		return 0, false
 	}
-	b.probing = true
-	return true
+	b.probes++
+	b.probing = b.probes
+	return b.probing, true
 }
 
 // release ends a call whose result is no evidence about the service.
-func (b *breaker) release() {
+func (b *breaker) release(probe probeID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.probing = false
+	b.endProbe(probe)
+}
+
+// endProbe ends the current probe if it is the given one. b.mu is held.
+func (b *breaker) endProbe(probe probeID) {
+	if b.probing == probe {
+		b.probing = 0
+	}
 }
 
 // recordFailure counts a failure and sets the end of the open state to a random
 // time. The limit of that time doubles with each failure, up to maxBackoff.
-func (b *breaker) recordFailure(now time.Time, maxBackoff time.Duration) {
+func (b *breaker) recordFailure(now time.Time, probe probeID, maxBackoff time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.probing = false
+	b.endProbe(probe)
 	b.failures++
 	limit := min(maxBackoff, backoffBase<<min(b.failures, 16))
 	b.openUntil = now.Add(time.Duration(rand.Int64N(int64(limit))))
@@ -336,6 +350,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	wasOpen := b.failures >= failureThreshold
-	b.failures, b.probing = 0, false
+	b.failures, b.probing = 0, 0
 	return wasOpen
 }
--- a/store/budget/budget_test.go
+++ b/store/budget/budget_test.go
@@ -32,9 +32,9 @@
 func (s *fakeStore) call(calls map[int64]int) error {
 	s.mu.Lock()
 	calls[time.Now().Unix()]++
-	down := s.down
+	down, latency := s.down, s.latency
 	s.mu.Unlock()
-	time.Sleep(s.latency)
+	time.Sleep(latency)
 	if down {
 		return &store.Error{Op: "call", Effect: store.MayBeApplied, Cause: store.ErrUnavailable}
 	}
@@ -55,6 +55,12 @@
 	return s.call(s.writes)
 }
 
+func (s *fakeStore) setLatency(latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency = latency
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -190,3 +196,37 @@
 		c.Assert(total <= 3, qt.IsTrue, qt.Commentf("%d reads", total))
 	})
 }
+
+// TestEarlierCallDoesNotAllowSecondProbe guards against probes beyond the one of an open
+// circuit breaker: a call that was allowed before it opened, and was canceled while the
+// probe ran, ended the probe as far as the breaker knew.
+func TestEarlierCallDoesNotAllowSecondProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fake := newFakeStore()
+		s := budget.New(fake, budget.DefaultLimits(), func() int { return 1 })
+		ctx, cancel := context.WithCancel(t.Context())
+		var calls sync.WaitGroup
+		fake.setLatency(3 * time.Second)
+		calls.Go(func() { _ = s.Txn(ctx, []store.Op{{Key: "a"}}) })
+		synctest.Wait()
+
+		fake.setDown(true)
+		fake.setLatency(5 * time.Millisecond)
+		for range 2 {
+			_, _ = s.Get(t.Context(), "a")
+		}
+		time.Sleep(time.Second)
+		fake.setLatency(time.Minute)
+		calls.Go(func() { _, _ = s.Get(t.Context(), "probe") })
+		synctest.Wait()
+		c.Assert(s.Counts().CircuitOpen, qt.Equals, uint64(0))
+
+		cancel()
+		time.Sleep(3 * time.Second) // until the first call has ended
+		_, err := s.Get(t.Context(), "second")
+		c.Check(err, qt.ErrorMatches, ".*circuit breaker is open.*")
+		c.Check(s.Counts().CircuitOpen, qt.Equals, uint64(1))
+		calls.Wait()
+	})
+}
