End requests at the drain deadline with an outcome

The own interface refuses new requests from the start of a drain, so that none is taken that cannot end. But what was left at the drain deadline had its connection closed: a plain request got no answer, and a stream neither error event nor outcome, so that callers could not tell whether they had been executed.

Cause: http.Server.Close ends connections, while the requests know nothing of the exit. Now the deadline ends the requests by their context, and they have a second to respond before connections are closed: 502 with the outcome may-have-run, or an error event and the outcome in the trailer. A line drain_deadline has the number of requests.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,6 +68,8 @@
 	joined           atomic.Bool // callers may be directed to this instance
 	draining         atomic.Bool
 	preDrainRequests inFlightCounter // requests that arrived before draining
+	requests         context.Context
+	cancelRequests   context.CancelCauseFunc // ends requests
 
 	admission *admissionControl
 	topics    []exchange.Topic // state that the instances of the region exchange
@@ -98,6 +100,7 @@
 		peers:     &peerTable{},
 		listing:   listing.New(settings.PlatformURL),
 	}
+	d.requests, d.cancelRequests = context.WithCancelCause(context.Background())
 	kv := budget.New(consul.New(settings.StoreURL), budget.DefaultLimits(), d.fleetSize)
 	d.store = kv
 	d.config = d.newConfigFollower(kv)
@@ -203,6 +206,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		WriteTimeout:      responseTimeout,
+		BaseContext:       func(net.Listener) context.Context { return d.requests },
 	}
 	if listener == d.callerListener {
 		listener = d.admission.limitConnections(server, listener)
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -6,11 +6,21 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// drainPollInterval is the interval at which a draining instance checks whether
+	// it can shut down its servers.
+	drainPollInterval = 20 * time.Millisecond
+	// drainCutResponseTime is how long the requests that are ended at the end of the
+	// drain may take to respond.
+	drainCutResponseTime = time.Second
 )
 
-// drainPollInterval is the interval at which a draining instance checks whether
-// it can shut down its servers.
-const drainPollInterval = 20 * time.Millisecond
+// errDrainDeadline is the cause of requests that are ended at the end of the drain.
+var errDrainDeadline = errors.New("the instance shuts down and its drain deadline has passed")
 
 // inFlightCounter counts the requests in flight.
 type inFlightCounter struct {
@@ -52,24 +62,36 @@
 // DrainNotice plus DrainDeadline at the latest. Until then the listeners stay open
 // and new requests are refused with the URL of another instance: if a connection
 // were closed while a caller sends a request on it, the caller would see a failed
-// request.
+// request. Requests that are left at the end are ended with an error that states their
+// outcome.
 func (d *Daemon) drain(servers []*http.Server) {
 	d.draining.Store(true)
 	start := time.Now()
 	d.log.Info().Str("event", "draining").Str("instance", d.settings.Instance).Msg("")
 	d.announceDraining()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainNotice+d.settings.DrainDeadline)
+	deadline := start.Add(d.settings.DrainNotice + d.settings.DrainDeadline)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	for ctx.Err() == nil && (time.Since(start) < d.settings.DrainNotice || !d.preDrainRequests.idleFor(d.settings.DrainNotice)) {
 		time.Sleep(drainPollInterval)
 	}
-	d.shutdown(ctx, servers)
+	cut := time.AfterFunc(time.Until(deadline), d.endRequests)
+	defer cut.Stop()
+	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), deadline.Add(drainCutResponseTime))
+	defer cancelShutdown()
+	d.shutdown(shutdownCtx, servers)
 	flushCtx, cancelFlush := context.WithTimeout(context.Background(), shutdownStepTimeout)
 	defer cancelFlush()
 	d.flushClaims(flushCtx)
 	d.log.Info().Str("event", "stopped").Str("instance", d.settings.Instance).Msg("")
 }
 
+// endRequests ends the requests in flight.
+func (d *Daemon) endRequests() {
+	d.log.Warn().Str("event", "drain_deadline").Int64("in_flight", d.preDrainRequests.count.Load()).Msg("")
+	d.cancelRequests(errDrainDeadline)
+}
+
 func (d *Daemon) announceDraining() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownStepTimeout)
 	defer cancel()
