Release requests that wait for a slot when no server accepts any

Callers whose requests waited for a slot when the last backend server of their service stopped accepting requests waited until the latest start of their request, 0.8 of its target, and were refused then. Requests that came later were sent to another region or refused at once, because admission asks for a server only on arrival.

Admission can now release the requests that wait for a service (Queue.ReleaseWaiting). They pass on without a slot, as those do that come later, and routing decides what becomes of them.

TestWaitingRequestsAreReleased runs in virtual time: the two requests that wait pass on at 300 ms, when they are released.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -36,6 +36,7 @@
 	ReasonCallerFull Reason = "caller_full" // the caller has reached its own bound in the queue
 	ReasonDisplaced  Reason = "displaced"   // removed from a full queue for a caller that uses less of it
 	ReasonCanceled   Reason = "canceled"    // the context of the request ended while it waited
+	ReasonNoServer   Reason = "no_server"   // no backend server accepts requests any more; see Queue.ReleaseWaiting
 )
 
 // Refusal describes why a request may not start, and when to retry.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -149,6 +149,18 @@
 	s.dispatch(now)
 }
 
+// ReleaseWaiting refuses all waiting requests of a service with ReasonNoServer. It is
+// called when no backend server accepts requests of the service, so that no slot
+// becomes free.
+func (q *Queue) ReleaseWaiting(service *catalog.Service) {
+	s := q.serviceQueueOf(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.scheduler.DropWaiting(now, ReasonNoServer)
+	s.dispatch(now)
+}
+
 // Stats is the state of a service's queue.
 type Stats struct {
 	Slots   int
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -286,6 +286,14 @@
 	return true
 }
 
+// DropWaiting removes all waiting entries, for the given reason.
+func (s *Scheduler) DropWaiting(now time.Time, reason Reason) {
+	s.advance(now)
+	for s.byStartBy.len() > 0 {
+		s.drop(s.byStartBy.top(), reason)
+	}
+}
+
 // TakeRefused returns the entries that were displaced or whose StartBy passed
 // since the last call.
 func (s *Scheduler) TakeRefused(now time.Time) []Refused {
--- a/filters/admission_test.go
+++ b/filters/admission_test.go
@@ -78,6 +78,44 @@
 	c.Check(observer.reasons, qt.DeepEquals, []string{"limit:tokens_per_second"})
 }
 
+// TestWaitingRequestsAreReleased guards against requests that wait for a slot until
+// their latest start although no backend server accepts requests any more. Routing
+// decides what becomes of them.
+func TestWaitingRequestsAreReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		service := testService(catalog.Limits{})
+		queue := admission.NewQueue(admission.DefaultBounds(), 1)
+		queue.SetCapacity(service, admission.Capacity{Slots: 1, Fraction: 1, Members: 1})
+		observer := &recorder{}
+		filter := Admit{Queue: queue, Observer: observer, CanServeLocally: func(*Exchange) bool { return true }}
+		start := time.Now()
+		var group sync.WaitGroup
+		for n := range 3 {
+			group.Go(func() {
+				wantWait := time.Duration(0)
+				if n > 0 {
+					time.Sleep(100 * time.Millisecond) // the first request holds the slot
+					wantWait = 300 * time.Millisecond
+				}
+				err := filter.Handle(testExchange(t.Context(), service, catalog.Batch), func(*Exchange) *outcome.Error {
+					c.Check(time.Since(start), qt.Equals, wantWait)
+					time.Sleep(5 * time.Second)
+					return nil
+				})
+				c.Check(err == nil, qt.IsTrue)
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		queue.ReleaseWaiting(service)
+		group.Wait()
+		c.Check(observer.reasons, qt.HasLen, 0)
+		stats := queue.StatsOf(service)
+		c.Check(stats.Running, qt.Equals, 0)
+		c.Check(stats.Waiting(), qt.Equals, 0)
+	})
+}
+
 func TestAdmitLimitsConcurrencyToSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/filters/admit.go
+++ b/filters/admit.go
@@ -30,8 +30,8 @@
 type Admit struct {
 	Queue *admission.Queue
 	// CanServeLocally reports whether a backend server of this region may run the
-	// request. If it returns false, the request needs no slot and routing
-	// decides where it is sent.
+	// request. If it returns false, or no server accepts requests any more while the
+	// request waits, the request needs no slot and routing decides where it is sent.
 	CanServeLocally func(x *Exchange) bool
 	// CanSpill reports whether another region may serve a request that gets
 	// no slot here. If it is nil, such requests are refused.
@@ -48,6 +48,9 @@
 		return next(x)
 	}
 	ticket, refused := f.acquire(x)
+	if refused != nil && refused.Reason == admission.ReasonNoServer {
+		return next(x)
+	}
 	if refused != nil {
 		return f.refuse(x, refused, next)
 	}
