Keep new requests from servers that leave or ask for a pause

A backend server that announced its leaving in its responses went on to receive requests until its entry in the store said the same, and a server that refused requests with 503 and Retry-After received the next ones at once. Both cost callers a refused attempt, and a server that shed its load was ejected for it after three refusals.

Two new states of a server in package backend hold this. They are kept with the state that descriptions of the same process share, so a change of the entry, a reload or an outage of the store leaves them alone, and a new process begins without them:

- Leaving: any response that is accepted as the answer to its attempt may announce it (Server-Leaving: 1; Fuchsia-Leaving: 1 on our own interface).
It outranks an entry that says ready.
If the entry of the process is lost and returns, the mark is found again (departedServers).
- Pause: a 503 with Retry-After, from the moment at which its head is read.
A later one may lengthen it, none shortens it; at most one hour.
The end has a monotonic reading, so that a clock step does not move it.

routing.PauseFilter keeps requests from paused servers, fallbacks and probes included; a server that has withdrawn is no source of a fetch either. After the pause an instance sends 4 requests/s at first, doubling each 250 ms, and has no limit after 2 s. If all servers that accept requests pause, a request is sent to another region as if there were no local server, or refused with the time until the first of them resumes (reason servers_paused). The gate of an attempt checks the server again before the first byte is written; a request that is held back there is free to go to another server. A 503 of a server that withdraws is no failure for outlier detection. Requests that wait for a slot are released when no server accepts any.

Not chosen: the warm-up limiter of cold servers for the return, as it leaves a server to two instances for the warm-up time of its service, and services without a warm-up have none. A special case in the attempt loop, as queue, summaries, probes and trials would not know of the pause. Spreading the marks between instances: not measured, and every instance learns from its own first response.

Headers that cannot be used are ignored, counted, and logged at most once a second. Each withdrawal and each end of a pause is one log line.

Tests, each seen to fail with its mechanism turned off:

- without PauseFilter: TestPausedServerReceivesNothing, TestAllServersPaused (routing and hosted), TestPausedServersSpill, TestPausedServerIsNoFetchSource, TestWithdrawnServerIsNotEjected, TestQueuedRequestsDuringPause
- without the limit after a pause: TestServerResumesGradually
- without the check before the first byte: TestRequestIsNotSentAfterWithdrawal
- with 503 as a failure: TestWithdrawnServerIsNotEjected
- marks from mismatched responses: TestResponseToEarlierRequestWithdrawsNothing
- header not read: TestAnnouncedServerReceivesNothing, TestAnnouncementWhileStoreIsSilent
- without departedServers: TestAnnouncementWhileStoreIsSilent and the property test TestWithdrawalOutlastsRecords ("MayReceive of {ID:i-1 ...} is true, want false"); with a pause that a later one shortens, the latter too ("is paused until 06:15:05.3, want 06:15:07.5")
- without the release of the queue: TestQueuedRequestsDuringPause

newRouter of the tests of package routing has the new filter.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -15,7 +15,8 @@
 // Registry holds the backend servers of a region by service, in shards with a
 // lock each. It is safe for concurrent use.
 type Registry struct {
-	shards [shardCount]shard
+	shards   [shardCount]shard
+	departed departedServers
 }
 
 type shard struct {
@@ -146,7 +147,8 @@
 
 // Replace replaces the list of servers. A server that is in both lists keeps its
 // state, such as its load report and requests in flight, unless its process has
-// been replaced.
+// been replaced. So does a server that has withdrawn from new requests and whose
+// entry, lost for a time, is listed again.
 func (r *Registry) Replace(list []Info) {
 	known := make(map[string]*Server)
 	for _, s := range r.All() {
@@ -154,8 +156,16 @@
 	}
 	next := make(map[string][]*Server)
 	for _, info := range list {
-		next[info.Service] = append(next[info.Service], updatedServer(known[info.ID], info))
+		old := known[info.ID]
+		if old == nil {
+			old = r.departed.take(info.ID)
+		}
+		next[info.Service] = append(next[info.Service], updatedServer(old, info))
+	}
+	for _, info := range list {
+		delete(known, info.ID)
 	}
+	r.departed.add(known)
 	for i := range r.shards {
 		r.shards[i].replace(r, next)
 	}
--- a/backend/server.go
+++ b/backend/server.go
@@ -58,8 +58,10 @@
 	peerPrefill   tokensByRank // the same of the other instances, as of their latest updates
 	report        atomic.Pointer[report]
 	draining      atomic.Bool
-	prefillRate   average      // tokens per second
-	prefillRateAt atomic.Int64 // when prefillRate was last updated, in Unix nanoseconds
+	pause         atomic.Pointer[pause] // the last one; nil if there was none
+	resume        requestLimiter        // after a pause
+	prefillRate   average               // tokens per second
+	prefillRateAt atomic.Int64          // when prefillRate was last updated, in Unix nanoseconds
 	// prefillRateExact is true if prefillRate is estimated from prompts whose
 	// number of uncached tokens was known exactly.
 	prefillRateExact atomic.Bool
@@ -70,7 +72,7 @@
 	baseLatencySamples atomic.Int32
 	health             Health
 	coldUntil          atomic.Int64 // when the caches count as warm, in Unix nanoseconds
-	warmup             warmupLimiter
+	warmup             requestLimiter
 }
 
 // report is a load report together with this instance's requests in flight, which
@@ -215,14 +217,6 @@
 	return max(0, now.Sub(r.ReceivedAt)-r.AgeAllowance)
 }
 
-// SetDraining records that the server itself has refused new requests because
-// it is draining.
-func (s *Server) SetDraining() { s.draining.Store(true) }
-
-// Accepts reports whether the server may receive new requests: it is listed as
-// live and not draining.
-func (s *Server) Accepts() bool { return s.State == StateLive && !s.draining.Load() }
-
 // PrefillRate returns the estimated prefill rate in tokens per second, or 0 if
 // unknown.
 func (s *Server) PrefillRate() float64 { return s.prefillRate.value() }
--- a/backend/warmup.go
+++ b/backend/warmup.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// warmupLimiter is a token bucket that limits the requests which this instance
-// sends to a server with cold caches.
-type warmupLimiter struct {
+// requestLimiter is a token bucket that limits the requests which this instance
+// sends to a server.
+type requestLimiter struct {
 	mu         sync.Mutex
 	available  float64   // requests that may be sent now
 	refilledAt time.Time // zero before the first refill, which fills the bucket
@@ -29,26 +29,37 @@
 // WarmupAllows reports whether one more request may be sent to a cold server
 // under a limit of rate requests per second with the given burst.
 func (s *Server) WarmupAllows(now time.Time, rate, burst float64) bool {
-	s.warmup.mu.Lock()
-	defer s.warmup.mu.Unlock()
-	s.warmup.refill(now, rate, burst)
-	return s.warmup.available >= 1
+	return s.warmup.allows(now, rate, burst)
 }
 
 // ReserveWarmup counts one request against the limit and returns true, or
 // returns false if the limit is reached.
 func (s *Server) ReserveWarmup(now time.Time, rate, burst float64) bool {
-	s.warmup.mu.Lock()
-	defer s.warmup.mu.Unlock()
-	s.warmup.refill(now, rate, burst)
-	if s.warmup.available < 1 {
+	return s.warmup.reserve(now, rate, burst)
+}
+
+// allows reports whether one more request may be sent.
+func (l *requestLimiter) allows(now time.Time, rate, burst float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now, rate, burst)
+	return l.available >= 1
+}
+
+// reserve counts one request and returns true, or returns false if the limit is
+// reached.
+func (l *requestLimiter) reserve(now time.Time, rate, burst float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now, rate, burst)
+	if l.available < 1 {
 		return false
 	}
-	s.warmup.available--
+	l.available--
 	return true
 }
 
-func (l *warmupLimiter) refill(now time.Time, rate, burst float64) {
+func (l *requestLimiter) refill(now time.Time, rate, burst float64) {
 	if l.refilledAt.IsZero() {
 		l.available = burst
 	} else {
--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -85,12 +85,7 @@
 // canServeLocally reports whether a backend server of this region accepts
 // requests of x's service.
 func (d *Daemon) canServeLocally(x *filters.Exchange) bool {
-	for _, server := range d.registry.Servers(x.Service.Name) {
-		if server.Accepts() {
-			return true
-		}
-	}
-	return false
+	return d.registry.MayReceive(x.Service.Name, time.Now())
 }
 
 // limitConnections returns a listener that bounds the open connections of server.
@@ -109,6 +104,7 @@
 	a.slotShares.SetMembers(members)
 	a.limitShares.SetMembers(members)
 	a.guard.SetHeap(overload.ReadHeap())
+	d.registry.EndPauses(time.Now(), d.observer.ServerResumed)
 	snapshot := d.table.Current()
 	if snapshot == nil {
 		return
@@ -128,6 +124,9 @@
 		Slots: total, Free: free, Fraction: a.slotShares.Fraction(key),
 		Members: a.slotShares.Members(),
 	})
+	if !d.registry.MayReceive(service.Name, time.Now()) {
+		a.queue.ReleaseWaiting(service)
+	}
 }
 
 // countSlots returns the total slots of the servers to which requests of a service
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -47,7 +47,7 @@
 		Region:   s.Region,
 		Registry: d.registry,
 		Regions:  d.peers,
-		Filters:  []routing.Filter{routing.AcceptingFilter{}, routing.StaleReportFilter{MaxAge: maxLoadReportAge}, routing.UntriedFilter{}, quarantine.Filter{Table: table}},
+		Filters:  []routing.Filter{routing.AcceptingFilter{}, routing.PauseFilter{}, routing.StaleReportFilter{MaxAge: maxLoadReportAge}, routing.UntriedFilter{}, quarantine.Filter{Table: table}},
 		Health:   []routing.Filter{routing.HealthyFilter{}},
 		Scorer:   routing.FirstTokenScorer{Zone: s.Zone},
 		Prefix:   routing.NewPrefixIndex(0),
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -95,7 +95,7 @@
 		}
 	}
 	decision := r.Router.Decide(r.req)
-	for decision.Server != nil && !r.Router.ReserveWarmup(r.req, decision.Server) {
+	for decision.Server != nil && !r.Router.Reserve(r.req, decision.Server) {
 		decision = r.Router.Decide(r.req)
 	}
 	r.Observer.RouteDecided(r.x, number, decision)
@@ -108,7 +108,10 @@
 // noRoute returns the refusal of a request that no server and no region can
 // serve.
 func (r *attemptLoop) noRoute(decision routing.Decision) *outcome.Error {
-	if decision.Reason == routing.ReasonWaitTooLong {
+	switch decision.Reason {
+	case routing.ReasonPaused:
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeOverloaded, "all backend servers have asked for a pause").WithRetryAfter(decision.RetryAfter)
+	case routing.ReasonWaitTooLong:
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeOverloaded, "the prompts ahead take too long").WithRetryAfter(min(decision.Wait, time.Second))
 	}
 	code, text := outcome.CodeNoBackend, "no backend server can serve this request now"
@@ -218,7 +221,8 @@
 	if result.stalled && err != nil {
 		err.Code = outcome.CodeBackendFailed
 	}
-	failed := err != nil && err.Code == outcome.CodeBackendFailed && r.ctx.Err() == nil && !errors.Is(err, errRetiredConn)
+	failed := err != nil && err.Code == outcome.CodeBackendFailed && r.ctx.Err() == nil &&
+		!errors.Is(err, errRetiredConn) && !errors.Is(err, errServerWithdrew)
 	connectionLost := failed && err.Outcome == outcome.MayHaveRun && !w.gotHeader && !result.stalled
 	if connectionLost && w.lostIdleConnection() {
 		connectionLost, failed = false, false
@@ -235,7 +239,7 @@
 		r.recordLostAnswer(w)
 	}
 	unreachable := failed && err.Outcome == outcome.NotRun && !w.reused.Load()
-	r.recordHealth(decision, failed || result.crashed || w.serverError, unreachable, served)
+	r.recordHealth(decision, (failed || w.serverError) && !w.withdrew || result.crashed, unreachable, served)
 	return result
 }
 
@@ -275,6 +279,7 @@
 	gotHeader     bool        // the response header has been received
 	success       bool        // the response status is 2xx
 	serverError   bool        // the response status is 5xx
+	withdrew      bool        // the status is 503 and the server has withdrawn from new requests
 	refused       bool        // the server refused the request without running it
 	unframed      bool        // the response body ends with its connection
 	firstByteAt   time.Time   // of the response body; zero before
@@ -288,7 +293,7 @@
 // the retry budget allows another attempt.
 func (r *attemptLoop) startAttempt(decision routing.Decision, cancel context.CancelCauseFunc) *attemptWatcher {
 	w := &attemptWatcher{loop: r, server: decision.Server, startedAt: time.Now()}
-	if decision.FetchFrom != nil {
+	if decision.FetchFrom != nil && decision.FetchFrom.MayReceive(w.startedAt) {
 		w.fetchFrom = decision.FetchFrom.Addr
 	}
 	job := decision.Job(r.req)
@@ -363,6 +368,23 @@
 	resp.Body = &watchedBody{ReadCloser: resp.Body, watcher: w}
 }
 
+// recordWithdrawal applies what the response header says of the server to it, and
+// reports withdrawals and ignored headers to the observer.
+func (w *attemptWatcher) recordWithdrawal(info *ResponseInfo, status int) {
+	if info.Mismatched {
+		return
+	}
+	now, observer, x := time.Now(), w.loop.Observer, w.loop.x
+	w.withdrew = status == http.StatusServiceUnavailable && (info.Draining || info.Pause > 0)
+	for _, withdrawal := range info.updateServer(now, w.server) {
+		withdrawal.Status, withdrawal.Refused, withdrawal.Elapsed = status, info.Refused, now.Sub(w.startedAt)
+		observer.ServerWithdrew(x, w.server, withdrawal)
+	}
+	for _, ignored := range info.Ignored {
+		observer.HeaderIgnored(x, w.server, ignored)
+	}
+}
+
 func (w *attemptWatcher) stopStallTimer() {
 	if w.stallTimer != nil {
 		w.stallTimer.Stop()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/internal/check"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/relay"
@@ -80,6 +81,12 @@
 	AnswerLost(x *filters.Exchange, server string, crashed bool, began time.Duration)
 	// PartRefused is called when a request is refused because of a part of its prompt.
 	PartRefused(x *filters.Exchange, part quarantine.PartID)
+	// ServerWithdrew is called when a response changes how long its backend server
+	// receives no more requests.
+	ServerWithdrew(x *filters.Exchange, server *backend.Server, w Withdrawal)
+	// HeaderIgnored is called for each header of a backend server's response whose
+	// value cannot be used.
+	HeaderIgnored(x *filters.Exchange, server *backend.Server, err *check.FieldError)
 	// EjectionChanged is called when a backend server is ejected or restored.
 	EjectionChanged(e routing.Ejection)
 }
@@ -196,6 +203,7 @@
 	d.protocol().SetRequestHeader(req.Header, attempt)
 	w.loop.callerResponse.SetResume(req.Header)
 	gate := newGate(ctx, w.loop.refusedOn)
+	gate.server = server
 	resp, failure := d.send(req, gate)
 	if failure != nil {
 		return failure
@@ -207,7 +215,7 @@
 	}
 	attempt.FirstOnConnection = gate.first.Load()
 	info := d.protocol().ReadResponse(attempt, resp)
-	info.updateServer(server)
+	w.recordWithdrawal(&info, resp.StatusCode)
 	conn := gate.owner.Load()
 	if conn != nil && (info.Mismatched || info.Refused && !info.Identified) {
 		conn.retire(gate)
@@ -223,7 +231,7 @@
 		if conn != nil {
 			w.loop.refusedOn = append(w.loop.refusedOn, conn)
 		}
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeBackendRefused, "the backend server refused the request").WithRetryAfter(refusedRetryAfter)
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeBackendRefused, "the backend server refused the request").WithRetryAfter(max(refusedRetryAfter, d.Router.UntilResume(x.Service.Name)))
 	case info.Failed && w.loop.mayRepeat():
 		return w.loop.saveFailedResponse(resp)
 	}
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -19,6 +19,7 @@
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/internal/check"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/retry"
@@ -209,6 +210,8 @@
 func (nopObserver) ResponseDiscarded(*filters.Exchange, *backend.Server, DiscardedResponse)       {}
 func (nopObserver) AnswerLost(*filters.Exchange, string, bool, time.Duration)                     {}
 func (nopObserver) PartRefused(*filters.Exchange, quarantine.PartID)                              {}
+func (nopObserver) ServerWithdrew(*filters.Exchange, *backend.Server, Withdrawal)                 {}
+func (nopObserver) HeaderIgnored(*filters.Exchange, *backend.Server, *check.FieldError)           {}
 func (nopObserver) EjectionChanged(routing.Ejection)                                              {}
 
 // newServerDispatcher returns a dispatcher with a backend server for each handler.
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
 )
 
 // Errors of a write that a gate rejects.
@@ -16,6 +18,7 @@
 	errResent         = errors.New("dispatch: request must not be sent on a second connection")
 	errDeadlinePassed = errors.New("dispatch: deadline passed before the request was sent")
 	errRetiredConn    = errors.New("dispatch: connection must not carry this request")
+	errServerWithdrew = errors.New("dispatch: backend server withdrew before the request was sent")
 )
 
 // DialFunc opens a connection.
@@ -72,6 +75,7 @@
 // none to be sent once it is closed.
 type gate struct {
 	deadline time.Time
+	server   *backend.Server             // must accept requests when the first byte is sent; nil for none
 	avoid    []*guardedConn              // connections on which an earlier attempt of the request was refused
 	owner    atomic.Pointer[guardedConn] // the connection that may have sent bytes
 	sent     atomic.Bool
@@ -112,9 +116,13 @@
 	}
 	// A process that was suspended must not send a request after its deadline,
 	// when the caller no longer waits for the response.
-	if time.Now().After(g.deadline) {
+	now := time.Now()
+	if now.After(g.deadline) {
 		return errDeadlinePassed
 	}
+	if g.server != nil && !g.server.MayReceive(now) {
+		return errServerWithdrew
+	}
 	if c.retired.Load() || slices.Contains(g.avoid, c) {
 		return errRetiredConn
 	}
--- a/dispatch/protocol.go
+++ b/dispatch/protocol.go
@@ -6,6 +6,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/internal/check"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/relay"
 )
@@ -47,26 +48,69 @@
 	Draining      bool // the server accepts no more requests
 	AddressReused bool // another process uses the server's address
 	Failed        bool // the server ran the request and failed
-	Load          *backend.Load
+	// Pause is the time for which the server wants no requests of this instance.
+	Pause time.Duration
+	// Ignored are the headers whose values, or parts of them, cannot be used.
+	Ignored []*check.FieldError
+	Load    *backend.Load
+}
+
+// WithdrawalCause is why a backend server receives no more requests, for a time or
+// for good.
+type WithdrawalCause string
+
+// The causes of withdrawals.
+const (
+	CauseLeaving       WithdrawalCause = "leaving"        // the server has announced that it leaves
+	CauseAddressReused WithdrawalCause = "address_reused" // another process uses its address
+	CausePause         WithdrawalCause = "pause"          // the server has asked for a pause
+)
+
+// Withdrawal describes a response after which its backend server receives no more
+// requests, for a time or for good.
+type Withdrawal struct {
+	Cause   WithdrawalCause
+	Status  int
+	Refused bool          // the response states that the server did not run the request
+	Asked   time.Duration // pause that the server has asked for
+	Until   time.Time     // end of the pause; zero: until another process takes the server's place
+	Elapsed time.Duration // since the start of the attempt
 }
 
 // updateServer applies the information about the server to it, unless the
-// response belongs to another attempt.
-func (info *ResponseInfo) updateServer(server *backend.Server) {
+// response belongs to another attempt. It returns the withdrawals that are new.
+func (info *ResponseInfo) updateServer(now time.Time, server *backend.Server) []Withdrawal {
 	if info.Mismatched {
-		return
+		return nil
+	}
+	var withdrawals []Withdrawal
+	switch {
+	case info.AddressReused && server.SetDraining():
+		withdrawals = append(withdrawals, Withdrawal{Cause: CauseAddressReused})
+	case info.Draining && server.SetDraining():
+		withdrawals = append(withdrawals, Withdrawal{Cause: CauseLeaving})
 	}
-	if info.Draining || info.AddressReused {
-		server.SetDraining()
+	if until, moved := server.Pause(now, info.Pause); moved {
+		withdrawals = append(withdrawals, Withdrawal{Cause: CausePause, Asked: info.Pause, Until: until})
 	}
 	if info.Load != nil {
 		server.SetLoad(*info.Load)
 	}
+	return withdrawals
 }
 
-// refusedHeader is set by a backend server that refuses a request before
-// running it.
-const refusedHeader = "Fuchsia-Refused"
+// Headers of responses of backend servers.
+const (
+	// refusedHeader is set by a backend server that refuses a request before running
+	// it. Its value is refusedBusy, or another one if the server accepts no more
+	// requests.
+	refusedHeader = "Fuchsia-Refused"
+	// leavingHeader announces that the server accepts no more requests.
+	leavingHeader = "Fuchsia-Leaving"
+	// refusedBusy is the value of refusedHeader of a server that may accept later
+	// requests.
+	refusedBusy = "busy"
+)
 
 // defaultProtocol is the gateway's own Protocol.
 type defaultProtocol struct{}
@@ -82,8 +126,10 @@
 // ReadResponse implements Protocol.
 func (defaultProtocol) ReadResponse(attempt Attempt, resp *http.Response) ResponseInfo {
 	echoedID := resp.Header.Get(relay.AttemptHeader)
-	info := ResponseInfo{Identified: echoedID == attempt.ID, Refused: resp.Header.Get(refusedHeader) != ""}
-	info.Draining = info.Refused
+	refused := resp.Header.Get(refusedHeader)
+	info := ResponseInfo{Identified: echoedID == attempt.ID, Refused: refused != ""}
 	info.Mismatched = !info.Identified && (echoedID != "" || info.Refused && !attempt.FirstOnConnection)
+	info.ReadWithdrawal(resp, leavingHeader)
+	info.Draining = info.Draining || info.Refused && refused != refusedBusy
 	return info
 }
--- a/dispatch/protocol_test.go
+++ b/dispatch/protocol_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -27,7 +28,7 @@
 				}
 				server := backend.NewServer(backend.Info{ID: "engine-1", State: backend.StateLive})
 				info := defaultProtocol{}.ReadResponse(Attempt{ID: "attempt-1", FirstOnConnection: first}, resp)
-				info.updateServer(server)
+				info.updateServer(time.Now(), server)
 				mismatched := echoedID == "attempt-2" || echoedID == "" && refused && !first
 				comment := qt.Commentf("refused: %t, echoed id %q, first on connection: %t", refused, echoedID, first)
 				c.Check(info.Mismatched, qt.Equals, mismatched, comment)
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -103,9 +103,9 @@
 // usable reports whether the trial may use a server. A server that has failed or
 // does not report its load may be the one that crashed.
 func (s *suspectTracker) usable(server *backend.Server) bool {
-	health := server.Health()
-	return server.Accepts() && !health.Ejected() && health.ConsecutiveFailures() == 0 &&
-		server.ReportAge(time.Now()) <= maxLoadReportAge && !s.loop.req.Tried[server.ID]
+	health, now := server.Health(), time.Now()
+	return server.MayReceive(now) && !health.Ejected() && health.ConsecutiveFailures() == 0 &&
+		server.ReportAge(now) <= maxLoadReportAge && !s.loop.req.Tried[server.ID]
 }
 
 // recordCrash records that the request was in flight on a server that crashed,
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -110,6 +110,9 @@
 		i.queue.SetCapacity(service, admission.Capacity{
 			Slots: total, Free: free, Fraction: 1 / float64(members), Members: members,
 		})
+		if !i.registry.MayReceive(service.Name, time.Now()) {
+			i.queue.ReleaseWaiting(service)
+		}
 	}
 }
 
@@ -126,6 +129,7 @@
 
 func (i *Instance) expire(context.Context) {
 	i.servers.expire()
+	i.registry.EndPauses(time.Now(), i.observer.ServerResumed)
 	snapshot := i.table.Current()
 	if snapshot == nil {
 		return
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -106,12 +106,7 @@
 	if !x.Work.MayRunIn(i.settings.Region) {
 		return false
 	}
-	for _, server := range i.registry.Servers(x.Service.Name) {
-		if server.Accepts() {
-			return true
-		}
-	}
-	return false
+	return i.registry.MayReceive(x.Service.Name, time.Now())
 }
 
 // closeConnections closes the connection after the response while the instance
@@ -137,7 +132,7 @@
 	i.ejector = &routing.Ejector{Registry: i.registry}
 	return &routing.Router{
 		Region: i.settings.Region, Registry: i.registry, Regions: regionPeers{i},
-		Filters:         []routing.Filter{routing.AcceptingFilter{}},
+		Filters:         []routing.Filter{routing.AcceptingFilter{}, routing.PauseFilter{}},
 		Health:          []routing.Filter{routing.HealthyFilter{}, routing.UntriedFilter{}},
 		Warmup:          &routing.Warmup{Instances: i.warmupInstances},
 		Scorer:          routing.FirstTokenScorer{Zone: i.settings.Zone, ByRank: true},
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -43,7 +43,7 @@
 func newRouter(registry *backend.Registry, seed uint64) *Router {
 	return &Router{
 		Region: "cairo", Registry: registry,
-		Filters: []Filter{AcceptingFilter{}, UntriedFilter{}},
+		Filters: []Filter{AcceptingFilter{}, PauseFilter{}, UntriedFilter{}},
 		Health:  []Filter{HealthyFilter{}, StaleReportFilter{MaxAge: 3 * time.Second}},
 		Scorer:  FirstTokenScorer{Zone: "a"},
 		Prefix:  NewPrefixIndex(0),
@@ -76,3 +76,28 @@
 		})
 	}
 }
+
+// BenchmarkDecideWithWithdrawnServers measures a decision if a third of the servers
+// has withdrawn: one in six leaves, and one in six pauses.
+func BenchmarkDecideWithWithdrawnServers(b *testing.B) {
+	for _, servers := range []int{12, 1200} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			router := newRouter(newRegistry(servers, 16), 1)
+			for i, server := range router.Registry.Servers(testService.Name) {
+				switch i % 6 {
+				case 0:
+					server.SetDraining()
+				case 1:
+					server.Pause(start, time.Minute)
+				}
+			}
+			req := &Request{Service: testService, Work: testWork, PromptTokens: 2000, Prefix: prefixOf(1, 32)}
+			b.ReportAllocs()
+			for b.Loop() {
+				if router.Decide(req).Server == nil {
+					b.Fatal("Decide returned no server")
+				}
+			}
+		})
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -76,6 +76,7 @@
 	ReasonProbe              Reason = "probe"                // health probe of an ejected server
 	ReasonNoHealthy          Reason = "no_healthy_server"    // every permitted server is unhealthy; one is used anyway
 	ReasonNoServer           Reason = "no_backend_server"    // no server is permitted to run the request
+	ReasonPaused             Reason = "servers_paused"       // all servers that accept requests have asked for a pause
 	ReasonNoSlot             Reason = "no_slot"              // no slot becomes free in time, in this region or another
 	ReasonRegionNotPermitted Reason = "region_not_permitted" // the service or work is not permitted in this region
 	ReasonWaitTooLong        Reason = "wait_too_long"        // pending prompts take too much of the target, and no other region is sooner
@@ -96,7 +97,9 @@
 	// FetchFrom is a server from whose cache Server may fetch a longer part of the
 	// prompt than Server has cached itself. Nil for none.
 	FetchFrom *backend.Server
-	Spill     SpillReason // why the request was or was not forwarded, if another region was considered
+	// RetryAfter is the time until the first paused server resumes; set with ReasonPaused.
+	RetryAfter time.Duration
+	Spill      SpillReason // why the request was or was not forwarded, if another region was considered
 }
 
 // UncachedTokens returns the prompt tokens that Server has to compute.
@@ -338,7 +341,7 @@
 		reason = ReasonNoHealthy
 	}
 	if s.count == 0 {
-		return Decision{Reason: ReasonNoServer}
+		return noServer(now, group.Servers)
 	}
 	if probe := s.takeProbe(now, req); probe != nil {
 		return Decision{Server: probe, Reason: ReasonProbe, Candidates: s.count, Cost: r.Scorer.Score(req, probe, 0)}
@@ -407,10 +410,12 @@
 	return time.Duration(r.ExpectedReuses * float64(prefillTime(tokens, rate)))
 }
 
-// ReserveWarmup consumes one request of the chosen server's warm-up limit. It
-// reports false if the limit is exhausted: the caller must call Decide again.
-func (r *Router) ReserveWarmup(req *Request, server *backend.Server) bool {
-	return r.Warmup == nil || r.Warmup.Take(r.now(), req, server)
+// Reserve consumes one request of the limits of the chosen server, which apply while
+// it warms up and after a pause. It reports false if one of them is exhausted: the
+// caller must call Decide again.
+func (r *Router) Reserve(req *Request, server *backend.Server) bool {
+	now := r.now()
+	return takeResume(now, server) && (r.Warmup == nil || r.Warmup.Take(now, req, server))
 }
 
 // publishedDigests returns the digests of the shared blocks whose placement is
--- a/standin/hosting/server.go
+++ b/standin/hosting/server.go
@@ -140,6 +140,21 @@
 	return true
 }
 
+// Pausing returns an Override that refuses requests with the given Retry-After.
+func Pausing(retryAfter string) Override {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		w.Header().Set("Retry-After", retryAfter)
+		return Reject(w, r)
+	}
+}
+
+// Leaving is an Override that announces that the server leaves, and serves the
+// request.
+func Leaving(w http.ResponseWriter, _ *http.Request) bool {
+	w.Header().Set("Server-Leaving", "1")
+	return false
+}
+
 // TruncateAfter returns an Override that aborts the connection after a number
 // of events, in the middle of the next one.
 func TruncateAfter(events int) Override {
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -20,6 +20,8 @@
 type Observer struct {
 	Log     *log.Logger
 	Metrics *Metrics
+
+	ignoredHeaders lineLimiter
 }
 
 // Begin implements gateway.Observer.
--- a/telemetry/routing.go
+++ b/telemetry/routing.go
@@ -27,11 +27,15 @@
 	lostAnswers  metric.Int64Counter
 	parts        metric.Int64Counter
 	partRefusals metric.Int64Counter
+
+	withdrawals    metric.Int64Counter
+	resumed        metric.Int64Counter
+	ignoredHeaders metric.Int64Counter
 }
 
 func newRoutingMetrics(meter metric.Meter) (routingMetrics, error) {
 	var m routingMetrics
-	var errs [8]error
+	var errs [11]error
 	m.decisions, errs[0] = meter.Int64Counter("fuchsia.routing.decisions", metric.WithDescription("Routing decisions by service, reason and spill."))
 	m.cost, errs[1] = meter.Float64Histogram("fuchsia.routing.cost", metric.WithUnit("s"),
 		metric.WithDescription("Expected time to first token of the chosen backend server or region."), metric.WithExplicitBucketBoundaries(latencyBoundsSeconds...))
@@ -41,6 +45,9 @@
 	m.lostAnswers, errs[5] = meter.Int64Counter("fuchsia.lost_answers", metric.WithDescription("Answers of backend servers that were lost before their end, by whether the server had crashed."))
 	m.parts, errs[6] = meter.Int64Counter("fuchsia.parts", metric.WithDescription("Parts of prompts that became suspect, cleared or quarantined."))
 	m.partRefusals, errs[7] = meter.Int64Counter("fuchsia.part_refusals", metric.WithDescription("Requests refused because of a part of their prompts, at admission or before an attempt."))
+	m.withdrawals, errs[8] = meter.Int64Counter("fuchsia.server_withdrawals", metric.WithDescription("Responses after which a backend server receives no more requests, for a time or for good, by cause."))
+	m.resumed, errs[9] = meter.Int64Counter("fuchsia.servers_resumed", metric.WithDescription("Pauses of backend servers that have ended."))
+	m.ignoredHeaders, errs[10] = meter.Int64Counter("fuchsia.ignored_headers", metric.WithDescription("Headers of backend servers whose values cannot be used."))
 	for _, err := range errs {
 		if err != nil {
 			return m, errors.Wrap(err, "create routing instrument")
