Let stand-ins of backend servers announce leaving and ask for pauses

Nothing in the project spoke what a backend server says when it leaves or wants a pause, so the own interface had no test of it with processes.

standin/withdraw wraps the stand-ins of engines and plain services. The script withdraw.txt runs two instances, three engines and 20 callers: one engine leaves amid the load while the list still has it as live, one pauses for a second of every 2.5 s, and at the end all of them pause.

Served again after a pause is shown by the pauses before, and by TestPausingServer in package hosted.

--- a/cmd/fuchsia-standin/main.go
+++ b/cmd/fuchsia-standin/main.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiastack/fuchsiastack/standin/kv"
 	"github.com/fuchsiastack/fuchsiastack/standin/plain"
 	"github.com/fuchsiastack/fuchsiastack/standin/platform"
+	"github.com/fuchsiastack/fuchsiastack/standin/withdraw"
 )
 
 func main() { climain.Run(command()) }
@@ -60,6 +61,9 @@
 		&cli.StringFlag{Name: "zone", Required: true},
 		&cli.StringFlag{Name: "platform-url", Usage: "base URL of the platform to register with", Required: true},
 		&cli.StringFlag{Name: "crash-on", Usage: "word in a request body that crashes the server"},
+		&cli.DurationFlag{Name: "leave-after", Usage: "time after which responses announce that the server leaves; 0 for never"},
+		&cli.DurationFlag{Name: "pause-for", Usage: "pause that the server asks for in each period of pause-every; 0 for none"},
+		&cli.DurationFlag{Name: "pause-every", Usage: "time between the starts of two pauses; 0 for a single one"},
 	}
 }
 
@@ -78,11 +82,21 @@
 		PrefillPerToken: cmd.Duration("prefill"),
 		DecodePerToken:  cmd.Duration("decode"),
 	})
-	return serve(ctx, cmd, crashOn(cmd.String("crash-on"), e), register)
+	return serveServer(ctx, cmd, e)
 }
 
 func runPlain(ctx context.Context, cmd *cli.Command) error {
-	return serve(ctx, cmd, crashOn(cmd.String("crash-on"), plain.New(cmd.Duration("delay"))), register)
+	return serveServer(ctx, cmd, plain.New(cmd.Duration("delay")))
+}
+
+// serveServer serves a backend server that may crash and withdraw.
+func serveServer(ctx context.Context, cmd *cli.Command, handler http.Handler) error {
+	server := withdraw.New(crashOn(cmd.String("crash-on"), handler))
+	if after := cmd.Duration("leave-after"); after > 0 {
+		time.AfterFunc(after, server.Announce)
+	}
+	server.Pause(cmd.Duration("pause-for"), cmd.Duration("pause-every"))
+	return serve(ctx, cmd, server, register)
 }
 
 // serve listens, calls onListen if it is not nil, prints "listening HOST:PORT"
--- a/scenario/script_test.go
+++ b/scenario/script_test.go
@@ -36,7 +36,7 @@
 			commands := map[string]func(*testscript.TestScript, bool, []string){
 				"publish": s.publish, "daemon": s.startDaemon, "engine": s.startEngine, "plain": s.startPlain,
 				"signal": s.signal, "await-exit": s.awaitExit, "restart": s.restart, "store-faults": s.setFaults, "set-state": s.setState,
-				"leave": s.leave, "start-load": s.startLoad, "end-load": s.endLoad, "sleep": s.sleep, "no-requests": s.checkNoRequests,
+				"leave": s.leave, "withdraw": s.withdraw, "withdrawn": s.checkWithdrawn, "start-load": s.startLoad, "end-load": s.endLoad, "sleep": s.sleep, "no-requests": s.checkNoRequests,
 				"start-orders": s.startOrders, "end-orders": s.endOrders, "check-residency": s.checkResidency, "check-hop-headers": s.checkHopHeaders,
 			}
 			maps.Copy(commands, s.configCommands())
@@ -170,6 +170,26 @@
 	sendJSON(ts, http.MethodPost, "http://"+s.processes[args[0]].addr+"/standin/leave", nil)
 }
 
+// withdraw implements "withdraw NAME ORDER": it sends an order to a backend server
+// that makes it announce its leaving or pause.
+func (s *script) withdraw(ts *testscript.TestScript, _ bool, args []string) {
+	sendJSON(ts, http.MethodPost, "http://"+s.processes[args[0]].addr+"/standin/"+args[1], nil)
+}
+
+// checkWithdrawn implements "withdrawn NAME COUNT LIMIT": it fails if the backend
+// server has received more than LIMIT requests after it had withdrawn. COUNT is
+// since_announcement or refused.
+func (s *script) checkWithdrawn(ts *testscript.TestScript, _ bool, args []string) {
+	counts := make(map[string]int)
+	if !getJSON("http://"+s.processes[args[0]].addr+"/standin/withdrawal", &counts) {
+		ts.Fatalf("%s returned no counts", args[0])
+	}
+	ts.Logf("%s: %v", args[0], counts)
+	if count, ok := counts[args[1]]; !ok || count == 0 || count > parseInt(ts, args[2]) {
+		ts.Fatalf("%s counts %d requests as %s, want 1 to %s", args[0], count, args[1], args[2])
+	}
+}
+
 // sleep implements "sleep DURATION".
 func (s *script) sleep(ts *testscript.TestScript, _ bool, args []string) {
 	time.Sleep(parseDuration(ts, args[0]))
