--- a/backend/warmup.go
+++ b/backend/warmup.go
@@ -5,22 +5,23 @@
 	"time"
 )
 
-// warmupLimiter is a token bucket that limits the requests which this instance
-// sends to a server with cold caches.
-type warmupLimiter struct {
+// requestLimiter is a token bucket that limits the requests which this instance
+// sends to a server.
+type requestLimiter struct {
 	mu         sync.Mutex
 	selected   bool      // this instance may use the server
 	available  float64   // requests that may be sent now
 	refilledAt time.Time // zero if not selected yet
 }
 
-// WarmupLimit is the share of this instance in the request rate that a server with
-// cold caches may receive.
-type WarmupLimit struct {
+// RequestLimit is the share of this instance in the request rate that a server may
+// receive.
+type RequestLimit struct {
 	Rate  float64 // requests per second
 	Burst float64 // requests
 	// Since is when this instance may first have been selected for the server. The
-	// burst accrues from then on, as other instances may have just used theirs.
+	// burst accrues from then on, as other instances may have just used theirs. If it
+	// is zero, the burst is available at once.
 	Since time.Time
 }
 
@@ -38,24 +39,14 @@
 func (s *Server) Cold(now time.Time) bool { return now.UnixNano() < s.coldUntil.Load() }
 
 // WarmupAllows reports whether one more request may be sent to a cold server.
-func (s *Server) WarmupAllows(now time.Time, limit WarmupLimit) bool {
-	s.warmup.mu.Lock()
-	defer s.warmup.mu.Unlock()
-	s.warmup.refill(now, limit)
-	return s.warmup.available >= 1
+func (s *Server) WarmupAllows(now time.Time, limit RequestLimit) bool {
+	return s.warmup.allows(now, limit)
 }
 
 // ReserveWarmup counts one request against the limit and returns true, or
 // returns false if the limit is reached.
-func (s *Server) ReserveWarmup(now time.Time, limit WarmupLimit) bool {
-	s.warmup.mu.Lock()
-	defer s.warmup.mu.Unlock()
-	s.warmup.refill(now, limit)
-	if s.warmup.available < 1 {
-		return false
-	}
-	s.warmup.available--
-	return true
+func (s *Server) ReserveWarmup(now time.Time, limit RequestLimit) bool {
+	return s.warmup.reserve(now, limit)
 }
 
 // ForbidWarmup records that this instance must not use the server while its caches
@@ -66,7 +57,28 @@
 	s.warmup.selected = false
 }
 
-func (l *warmupLimiter) refill(now time.Time, limit WarmupLimit) {
+// allows reports whether one more request may be sent.
+func (l *requestLimiter) allows(now time.Time, limit RequestLimit) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now, limit)
+	return l.available >= 1
+}
+
+// reserve counts one request and returns true, or returns false if the limit is
+// reached.
+func (l *requestLimiter) reserve(now time.Time, limit RequestLimit) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now, limit)
+	if l.available < 1 {
+		return false
+	}
+	l.available--
+	return true
+}
+
+func (l *requestLimiter) refill(now time.Time, limit RequestLimit) {
 	if !l.selected {
 		l.selected, l.available = true, 0
 		if limit.Since.After(l.refilledAt) {
--- a/routing/warmup.go
+++ b/routing/warmup.go
@@ -36,7 +36,7 @@
 
 // localLimit returns this instance's share of a cold server's limit. limited is false
 // if no limit applies.
-func (w Warmup) localLimit(now time.Time, req *Request, server *backend.Server) (limit backend.WarmupLimit, limited bool) {
+func (w Warmup) localLimit(now time.Time, req *Request, server *backend.Server) (limit backend.RequestLimit, limited bool) {
 	if req.Service == nil || req.Service.Warmup.Rate <= 0 || !server.Cold(now) {
 		return limit, false
 	}
@@ -49,5 +49,5 @@
 	// partitioned instances may select a different instance for the server.
 	shares := float64(selection.Count + 1)
 	total := req.Service.Warmup
-	return backend.WarmupLimit{Rate: total.Rate / shares, Burst: total.Burst / shares, Since: selection.Since}, true
+	return backend.RequestLimit{Rate: total.Rate / shares, Burst: total.Burst / shares, Since: selection.Since}, true
 }
