Tell older revisions apart from regions that do not answer

Cause: the report named each region without an instance on the revision so.

Change: "no answer" names regions where no instance returned its revision; the others that are not confirmed are "older revision in region". When a revision counts as accepted is unchanged.

TestOlderRevisionIsNotReportedAsNoAnswer, before: got: "lagging: alex, delta; no answer from region: alex, delta, giza" want: "lagging: alex, delta; no answer from region: delta, giza; older revision in region: alex" After: passes.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -76,6 +76,7 @@
 	InForce            []string // ids of instances that have it or a newer one in force
 	Lagging            []string // ids of instances that have an older one or did not return theirs
 	UnconfirmedRegions []string // configured regions without an instance in InForce
+	SilentRegions      []string // those of them where no instance returned its revision
 	DirectoryError     error    // set if the directory could not be read; then the lists are empty
 }
 
@@ -96,8 +97,12 @@
 	if len(r.Lagging) > 0 {
 		parts = append(parts, "lagging: "+strings.Join(r.Lagging, ", "))
 	}
-	if len(r.UnconfirmedRegions) > 0 {
-		parts = append(parts, "no answer from region: "+strings.Join(r.UnconfirmedRegions, ", "))
+	if len(r.SilentRegions) > 0 {
+		parts = append(parts, "no answer from region: "+strings.Join(r.SilentRegions, ", "))
+	}
+	older := slices.DeleteFunc(slices.Clone(r.UnconfirmedRegions), func(region string) bool { return slices.Contains(r.SilentRegions, region) })
+	if len(older) > 0 {
+		parts = append(parts, "older revision in region: "+strings.Join(older, ", "))
 	}
 	if len(parts) == 0 {
 		return "no instance is listed"
@@ -114,10 +119,11 @@
 		report.DirectoryError = err
 		return report
 	}
-	inForce := p.probeAll(ctx, instances, revision)
-	confirmed := make(map[string]bool)
+	probes := p.probeAll(ctx, instances)
+	answered, confirmed := make(map[string]bool), make(map[string]bool)
 	for i, instance := range instances {
-		if !inForce[i] {
+		answered[instance.Region] = answered[instance.Region] || probes[i].answered
+		if !probes[i].answered || probes[i].revision < revision {
 			report.Lagging = append(report.Lagging, instance.ID)
 			continue
 		}
@@ -128,27 +134,35 @@
 		if !confirmed[region] {
 			report.UnconfirmedRegions = append(report.UnconfirmedRegions, region)
 		}
+		if !answered[region] {
+			report.SilentRegions = append(report.SilentRegions, region)
+		}
 	}
 	return report
 }
 
-// probeAll reports for each instance whether it has revision or a newer one in
-// force. Failed queries count as false.
-func (p *Publisher) probeAll(ctx context.Context, instances []listing.Instance, revision uint64) []bool {
-	inForce := make([]bool, len(instances))
+// probeResult is the revision that an instance has in force, if it answered.
+type probeResult struct {
+	answered bool
+	revision uint64
+}
+
+// probeAll queries each instance for the revision that it has in force.
+func (p *Publisher) probeAll(ctx context.Context, instances []listing.Instance) []probeResult {
+	results := make([]probeResult, len(instances))
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentProbes)
 	for i, instance := range instances {
 		group.Go(func() error {
 			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
-			got, err := p.Prober.Revision(probeCtx, instance)
-			inForce[i] = err == nil && got >= revision
+			revision, err := p.Prober.Revision(probeCtx, instance)
+			results[i] = probeResult{answered: err == nil, revision: revision}
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return inForce
+	return results
 }
 
 // Await calls Check repeatedly until the revision is accepted, wait has passed or
