Do not eject an instance because its caller cancels

A caller that cancels a request avoided the instance that served it for 10 s and asked for a new list of instances. A caller that cancels often, such as one that abandons drafts, so left healthy instances one after another, and lost its connections and its zone.

Cause: entry.Client ejected the instance of each request that ended with an error of the transport, also if the caller had canceled it.

Ruled out: broken streams; a resume is not tried once the context has ended.

Change: an error after the caller's cancellation ejects nothing. A deadline that passes still ejects, as the instance may hang.

TestCanceledRequestDoesNotEjectInstance, before: canceled: got: []string{"a", "b"} want: []string{"a", "a"} After: go test -race ./entry passes.

--- a/entry/client_test.go
+++ b/entry/client_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -285,3 +286,60 @@
 		}
 	})
 }
+
+// slowTransport simulates two instances that respond after ten seconds.
+type slowTransport struct {
+	unavailableTransport
+	hosts []string // that received requests
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *slowTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.URL.Path != entry.Path {
+		s.hosts = append(s.hosts, req.URL.Host)
+		select {
+		case <-req.Context().Done():
+			return nil, req.Context().Err()
+		case <-time.After(10 * time.Second):
+		}
+	}
+	return s.unavailableTransport.RoundTrip(req)
+}
+
+// TestCanceledRequestDoesNotEjectInstance guards against callers that leave healthy
+// instances, one after another, because they cancel requests. A request whose deadline
+// passes still ejects its instance, which may hang.
+func TestCanceledRequestDoesNotEjectInstance(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		start func(context.Context) (context.Context, context.CancelFunc)
+		next  string
+	}{
+		{"canceled", func(ctx context.Context) (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(ctx)
+			time.AfterFunc(time.Second, cancel)
+			return ctx, cancel
+		}, "a"},
+		{"deadline passed", func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return context.WithTimeout(ctx, time.Second)
+		}, "b"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				transport := &slowTransport{}
+				client := &http.Client{Transport: &entry.Client{Bootstrap: []string{"http://a"}, Transport: transport}}
+				ctx, cancel := test.start(t.Context())
+				defer cancel()
+				req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://entry.invalid/v1/models", http.NoBody)
+				c.Assert(err, qt.IsNil)
+				_, err = client.Do(req)
+				c.Assert(err, qt.IsNotNil)
+				resp, err := client.Get("http://entry.invalid/v1/models")
+				c.Assert(err, qt.IsNil)
+				_ = resp.Body.Close()
+				c.Assert(transport.hosts, qt.DeepEquals, []string{"a", test.next})
+			})
+		})
+	}
+}
--- a/entry/roundtrip.go
+++ b/entry/roundtrip.go
@@ -38,6 +38,9 @@
 		var resp *http.Response
 		var bodyRead bool
 		resp, bodyRead, err = t.attempt(next)
+		if err != nil && errors.Is(t.req.Context().Err(), context.Canceled) {
+			return nil, err // a cancellation by the caller is no evidence about the instance
+		}
 		if err != nil {
 			t.client.eject(next, ejectDuration)
 			if t.attempts >= maxAttempts || !neverConnected(err) || !t.canResend() {
