Log how many log lines were dropped

Under a burst of log lines the writer drops those that do not fit into its buffer, and counts them, but nothing reported the count: an operator who follows a request id to its cause could not know that lines were missing.

Change: a flush writes one line, log_lines_dropped, with the number since the last one, where the gap is.

TestDroppedLinesAreReported, before: the report is missing (asyncwriter_test.go:23: value is not true). After: go test ./telemetry passes.

--- a/telemetry/asyncwriter.go
+++ b/telemetry/asyncwriter.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
 const (
@@ -17,13 +19,14 @@
 
 // AsyncWriter is an io.Writer for log lines that does not wait for the
 // underlying writer. Run writes the pending lines in batches. A line that does
-// not fit into the buffer is dropped and counted.
+// not fit into the buffer is dropped and counted, and Flush logs how many were.
 type AsyncWriter struct {
 	next io.Writer
 
-	mu      sync.Mutex
-	pending []byte
-	dropped uint64
+	mu       sync.Mutex
+	pending  []byte
+	dropped  uint64
+	reported uint64 // part of dropped that has been logged
 }
 
 // NewAsyncWriter returns an AsyncWriter that writes to next. Nothing is written
@@ -66,14 +69,18 @@
 	}
 }
 
-// Flush writes the pending lines to the underlying writer. Write errors are
-// ignored.
+// Flush writes the pending lines to the underlying writer, and a line with the
+// number of lines dropped since the last call, if any. Write errors are ignored.
 func (w *AsyncWriter) Flush() {
 	w.mu.Lock()
-	pending := w.pending
-	w.pending = nil
+	pending, dropped := w.pending, w.dropped-w.reported
+	w.pending, w.reported = nil, w.dropped
 	w.mu.Unlock()
 	if len(pending) > 0 {
 		_, _ = w.next.Write(pending)
 	}
+	if dropped > 0 {
+		logger := log.Logger{Writer: &log.IOWriter{Writer: w.next}}
+		logger.Warn().Str("event", "log_lines_dropped").Uint64("lines", dropped).Int("buffer_bytes", maxPendingBytes).Msg("")
+	}
 }
