End a stream at an end marker that has an id

A server that numbers its end marker, "id: 2, data: [DONE]", had its complete streams reported as truncated: the marker was passed on as an ordinary event, and the end of the response was then one without a marker. Callers saw a failure, or a resume after the marker.

Cause: the sequencer looked for the marker only among events without an id.

Change: a marker with an id ends the stream when it is delivered, in the order of its id; also if it arrives before earlier events.

TestEndMarkerWithOffsetEndsStream, before: stream_test.go:78: got non-nil error e"EOF" stream_test.go:79: value is not true: stream "id: 0 ... id: 2\ndata: [DONE]" After: go test -race ./stream ./relay ./entry passes.

--- a/stream/sequencer.go
+++ b/stream/sequencer.go
@@ -19,7 +19,8 @@
 	next         int64 // lowest offset that has not been delivered
 	pending      map[int64][]byte
 	pendingBytes int
-	endMarker    []byte // buffered while an event is missing
+	endMarker    []byte // without an offset, buffered while an event is missing
+	endOffset    *int64 // offset of a buffered end marker that has one
 	hasOffsets   bool   // an event with an offset has been received
 	unnumbered   bool   // an event without an offset has been delivered
 	monotonic    bool   // offsets increase, but not always by one
@@ -59,7 +60,7 @@
 // DropPending drops the buffered events. It is called before the stream is
 // resumed after LastOffset.
 func (s *Sequencer) DropPending() {
-	s.pending, s.pendingBytes, s.endMarker = nil, 0, nil
+	s.pending, s.pendingBytes, s.endMarker, s.endOffset = nil, 0, nil, nil
 }
 
 // Add processes e and calls deliver for each event that can be delivered now.
@@ -82,8 +83,8 @@
 	}
 	s.countStep(e)
 	s.next = e.Offset + 1
-	if err := deliver(e.Raw); err != nil {
-		return false, err
+	if err := deliver(e.Raw); err != nil || e.Done {
+		return err == nil, err
 	}
 	return s.deliverPending(deliver)
 }
@@ -113,6 +114,9 @@
 	}
 	s.pending[e.Offset] = append([]byte(nil), e.Raw...)
 	s.pendingBytes += len(e.Raw)
+	if e.Done {
+		s.endOffset = &e.Offset
+	}
 	return nil
 }
 
@@ -126,9 +130,10 @@
 		}
 		delete(s.pending, s.next)
 		s.pendingBytes -= len(raw)
+		ended := s.endOffset != nil && *s.endOffset == s.next
 		s.next++
-		if err := deliver(raw); err != nil {
-			return false, err
+		if err := deliver(raw); err != nil || ended {
+			return ended && err == nil, err
 		}
 	}
 	if len(s.pending) > 0 || s.endMarker == nil {
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -64,6 +64,23 @@
 	})
 }
 
+// TestEndMarkerWithOffsetEndsStream guards against a complete stream that is reported as
+// truncated because its end marker has an id.
+func TestEndMarkerWithOffsetEndsStream(t *testing.T) {
+	const end = "id: 2\ndata: [DONE]\n\n"
+	complete := event(0) + event(1) + end
+	for text, sequencer := range map[string]*stream.Sequencer{
+		complete:                  stream.NewSequencer(0),
+		event(0) + end + event(1): stream.NewSequencer(0), // out of order
+		complete + ": \n\n":       stream.NewMonotonic(-1),
+	} {
+		got, ended, err := read(text, sequencer)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, ended, qt.IsTrue, qt.Commentf("stream %q", text))
+		qt.Check(t, got, qt.Equals, complete)
+	}
+}
+
 func TestMissingEventIsNotSkipped(t *testing.T) {
 	s := stream.NewSequencer(0)
 	got, ended, err := read(event(0)+event(2)+"data: [DONE]\n\n", s)
