Say that a route's timeout above one minute is cut

Operators could not know from any page why such requests end after a minute.

What callers get is unchanged; whether the cut is wanted is for the operators to decide.

TestTimeoutIsAtMostOneMinute passes; with the limit at two minutes it fails.

--- a/filters/match.go
+++ b/filters/match.go
@@ -23,8 +23,8 @@
 	Reader HeaderReader
 }
 
-// maxTimeout is the longest timeout of a request. It applies if neither the
-// caller nor the route sets a timeout.
+// maxTimeout is the longest timeout of a request. It applies if neither the caller
+// nor the route sets a shorter one; a longer timeout of a route is cut to it.
 const maxTimeout = time.Minute
 
 // Name implements Filter.
--- a/filters/match_test.go
+++ b/filters/match_test.go
@@ -41,3 +41,19 @@
 	c.Assert(x.FirstEventDeadline.Sub(x.Received), qt.Equals, 6*time.Second)
 	c.Assert(x.Deadline.Sub(x.Received), qt.Equals, 12*time.Second)
 }
+
+// TestTimeoutIsAtMostOneMinute guards against a change of what callers wait for: it is
+// the shortest of the caller's timeout, that of the route, and one minute, which also
+// cuts a longer timeout of a route.
+func TestTimeoutIsAtMostOneMinute(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ caller, route, want time.Duration }{
+		{0, 0, time.Minute},
+		{0, 2 * time.Minute, time.Minute},
+		{2 * time.Minute, 3 * time.Minute, time.Minute},
+		{0, 12 * time.Second, 12 * time.Second},
+		{5 * time.Second, 2 * time.Minute, 5 * time.Second},
+	} {
+		c.Check(shortestTimeout(test.caller, test.route), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
