Check the sum of the shares in use while members are restarted

TestSumStaysWithinLimitWhileMembersAreReplaced counts the units that a member owes, because it passed on units of a member that ended, as negative. Nobody uses a negative share, but the receivers use what was passed on, so that a limit may be exceeded by more than that test shows.

TestUsedSumStaysWithinLimitWhileMembersAreReplaced counts them as none, with the same seeds and the same bound as the first form of the test. The other test stays as it is.

--- a/share/replace_test.go
+++ b/share/replace_test.go
@@ -33,6 +33,18 @@
 	return total
 }
 
+// usedSum returns the sum of the fractions that the members that run may use. One that
+// owes units uses none.
+func (n *network) usedSum() float64 {
+	total := 0.0
+	for i, t := range n.tables {
+		if !n.stopped[i] {
+			total += max(t.Fraction(limitKey), 0)
+		}
+	}
+	return total
+}
+
 // TestReplacedMemberIsCountedOnce guards against the refusal of callers within their
 // limits while instances are restarted: for SettleTime a replaced member was counted
 // next to its successor, which left each of three members a quarter of a limit.
@@ -82,6 +94,17 @@
 // exceed the limit by the floor of each new member.
 func TestSumStaysWithinLimitWhileMembersAreReplaced(t *testing.T) {
 	t.Parallel()
+	checkSumWhileMembersAreReplaced(t, (*network).runningSum)
+}
+
+// TestUsedSumStaysWithinLimitWhileMembersAreReplaced guards against the same when a
+// member owes units: it uses none, but those to which it passed them on use them.
+func TestUsedSumStaysWithinLimitWhileMembersAreReplaced(t *testing.T) {
+	t.Parallel()
+	checkSumWhileMembersAreReplaced(t, (*network).usedSum)
+}
+
+func checkSumWhileMembersAreReplaced(t *testing.T, sum func(*network) float64) {
 	for atOnce := 1; atOnce <= 2; atOnce++ {
 		t.Run(fmt.Sprint(atOnce), func(t *testing.T) {
 			t.Parallel()
@@ -93,7 +116,7 @@
 				n.loss, n.maxDelay = 0.2, time.Second
 				n.runRounds(c, 8, 1)
 				for range 12 {
-					highest = max(highest, n.replaceRandomMembers(c, seed, atOnce))
+					highest = max(highest, n.replaceRandomMembers(c, sum, seed, atOnce))
 				}
 			}
 			t.Logf("highest sum of the fractions: %.4f", highest)
@@ -103,7 +126,7 @@
 
 // replaceRandomMembers restarts random members while demand changes, and returns the
 // highest sum of the fractions.
-func (n *network) replaceRandomMembers(c *qt.C, seed uint64, count int) float64 {
+func (n *network) replaceRandomMembers(c *qt.C, sumOf func(*network) float64, seed uint64, count int) float64 {
 	const rounds = 10
 	var replacements []*replacement
 	for _, member := range n.random.Perm(len(n.tables))[:count] {
@@ -116,7 +139,7 @@
 		}
 		n.tables[n.random.IntN(len(n.tables))].SetDemand(limitKey, NewDemand(float64(n.random.IntN(1000))/1000))
 		n.round()
-		sum := n.runningSum()
+		sum := sumOf(n)
 		highest = max(highest, sum)
 		if bound := 1 + 0.25*float64(count)/float64(len(n.tables)); sum > bound+tolerance {
 			c.Fatalf("seed %d, round %d: the fractions add up to %.4f, bound %.4f", seed, round, sum, bound)
