Await the requests of a test before its server pauses

Cause: the test pauses the server as soon as 8 of 20 requests hold a slot. A request that holds one and has not been written yet is held back by the check before the first byte, as it should be, so that fewer than 8 arrive; the code is right, the test began too early.

Change: the pause begins when all requests that hold a slot have reached the server. What is demanded of the others is the same.

--- a/hosted/withdrawal_test.go
+++ b/hosted/withdrawal_test.go
@@ -231,9 +231,9 @@
 			responses <- n.send(req)
 		}()
 	}
-	f.eventually("requests wait", func() bool {
+	f.eventually("some requests wait, and the others have reached the server", func() bool {
 		stats := n.queue.StatsOf(n.table.Current().Services["orders"])
-		return stats.Waiting() > 0 && stats.Waiting()+stats.Running == 20
+		return stats.Waiting() > 0 && stats.Waiting()+stats.Running == 20 && len(server.Arrivals()) == stats.Running
 	})
 	stats := n.queue.StatsOf(n.table.Current().Services["orders"])
 	waiting := stats.Waiting()
