Estimate requests without an output limit apart

Callers may omit the token counts. Beside others of its kind that send them, a request without an output limit was expected to end after one token of theirs, so that a draining instance took it whatever its length and cut it; its own time in turn counted as that of a single token, so that requests with a limit were refused: 4 s became 100 times 3 s.

Cause: times per token of the limit and times in total were kept in one list. Ruled out: kinds without any token counts (plain services), whose times are all in total.

Now a kind with an output limit and the same kind without one are estimated apart.

TestRequestsWithoutOutputLimit failed before: value is not false got: bool(true)

--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -130,3 +130,23 @@
 	}
 	c.Assert(durations.Kinds() <= 300, qt.IsTrue, qt.Commentf("%d kinds", durations.Kinds()))
 }
+
+// TestRequestsWithoutOutputLimit guards against a request without an output limit that
+// is expected to end after the time of a single token, and is cut, and against requests
+// with a limit that are refused because the others took long.
+func TestRequestsWithoutOutputLimit(t *testing.T) {
+	c := qt.New(t)
+	var durations drain.Durations
+	record(&durations, "drafts", tenOfOneSecond...)
+	_, _, ok := durations.Estimate(at(0), "drafts", 0, 0.5)
+	c.Assert(ok, qt.IsFalse)
+	for range 20 {
+		run := durations.Begin(at(-4), "drafts", 0)
+		run.FirstByte(at(-3))
+		run.End(at(0), true)
+	}
+	unlimited, _, _ := durations.Estimate(at(0), "drafts", 0, 0.5)
+	c.Assert(unlimited, qt.Equals, 4*time.Second)
+	limited, _, _ := durations.Estimate(at(0), "drafts", 100, 0.5)
+	c.Assert(limited, qt.Equals, time.Second)
+}
--- a/drain/durations.go
+++ b/drain/durations.go
@@ -19,13 +19,22 @@
 )
 
 // Durations records how long requests take, by kind. Requests of one kind wait for
-// similar times, and then take similar times for each token of their output limit.
-// It is safe for concurrent use.
+// similar times, and then take similar times for each token of their output limit, or
+// in total if they have none. It is safe for concurrent use.
 type Durations struct {
 	mu    sync.Mutex
-	kinds map[string]*kind
+	kinds map[kindKey]*kind
 }
 
+// kindKey identifies a kind. The times per token of requests with an output limit say
+// nothing about requests without one.
+type kindKey struct {
+	name    string
+	limited bool
+}
+
+func newKindKey(name string, outputTokens int) kindKey { return kindKey{name, outputTokens > 0} }
+
 // kind holds the recent requests of one kind.
 type kind struct {
 	samples [sampleCount]sample // the most recent ones; at is zero for unused elements
@@ -54,14 +63,15 @@
 func (d *Durations) Begin(now time.Time, name string, outputTokens int) *Run {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	k := d.kinds[name]
+	key := newKindKey(name, outputTokens)
+	k := d.kinds[key]
 	if k == nil {
 		d.dropIdle(now)
 		k = &kind{running: make(map[*Run]struct{})}
 		if d.kinds == nil {
-			d.kinds = make(map[string]*kind)
+			d.kinds = make(map[kindKey]*kind)
 		}
-		d.kinds[name] = k
+		d.kinds[key] = k
 	}
 	run := &Run{durations: d, kind: k, began: now, tokens: max(outputTokens, 1)}
 	k.running[run] = struct{}{}
@@ -74,9 +84,9 @@
 	if len(d.kinds) < maxIdleKinds {
 		return
 	}
-	for name, k := range d.kinds {
+	for key, k := range d.kinds {
 		if len(k.running) == 0 && !slices.ContainsFunc(k.samples[:], func(s sample) bool { return s.recent(now) }) {
-			delete(d.kinds, name)
+			delete(d.kinds, key)
 		}
 	}
 }
@@ -119,7 +129,7 @@
 func (d *Durations) Estimate(now time.Time, name string, outputTokens int, fraction float64) (estimate time.Duration, samples int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	k := d.kinds[name]
+	k := d.kinds[newKindKey(name, outputTokens)]
 	if k == nil {
 		return 0, 0, false
 	}
