Close connections with every response that starts during the drain

A request that arrived before SIGTERM and was answered after it left its connection open, and so did every request of another instance. The server closes idle connections as soon as the last such request has ended, so that a caller who uses its connection again at once meets the close: it sees a closed connection and no answer, and must not repeat an unsafe request. Forwarded unsafe requests end as may-have-run.

Cause: the header was set by whether the instance drained when the request arrived, and for callers only. Ruled out: requests that arrive while it drains (their responses had the header); connections idle for longer (callers have 3.5 s to learn of the drain, other instances close theirs after 2.5 s).

Now it is decided when the response starts, and on the port for other instances too. Streams that had started before SIGTERM keep their header; their connections are closed when they end, as before.

Tests, which also cover the gate of forwarded requests and of further attempts with the real wiring. All failed before, on the connection only: TestResponsesOfDrainingInstanceCloseConnections: value is not true, got: bool(false) TestFurtherAttemptWhileDraining, TestDrainingInstanceRefusesForwardedRequests: the same, in checkRefused

--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
 )
 
@@ -182,3 +183,87 @@
 	f.Assert(got.err, qt.IsNotNil)
 	<-n.done
 }
+
+// awaitThen is an override that waits until closed is closed and then calls respond.
+func awaitThen(closed <-chan struct{}, respond hosting.Override) hosting.Override {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		<-closed
+		return respond(w, r)
+	}
+}
+
+// TestResponsesOfDrainingInstanceCloseConnections guards against callers that send a
+// further request on a connection just as the instance closes it, if the previous one
+// arrived before the drain.
+func TestResponsesOfDrainingInstanceCloseConnections(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("orders", "unsafe", "orders"))
+	server := f.startServer("orders", "cairo-a", 0)
+	draining := make(chan struct{})
+	server.SetOverride(awaitThen(draining, func(http.ResponseWriter, *http.Request) bool { return false }))
+	n := f.startDrainable(4*time.Second, 1)
+	early := make(chan response, 1)
+	go func() { early <- n.send(n.request("POST", "/orders/", "early", "x")) }()
+	f.eventually("in flight", func() bool { return len(server.Arrivals()) == 1 })
+	n.stop()
+	f.eventually("draining", func() bool { return n.draining.Load() })
+	close(draining)
+	got := <-early
+	f.Assert(got.err, qt.IsNil)
+	f.Assert(got.status, qt.Equals, http.StatusOK)
+	f.Assert(got.closes, qt.IsTrue)
+}
+
+// TestFurtherAttemptWhileDraining guards against a request that arrived before the drain
+// and that a further attempt starts at another server when it cannot end.
+func TestFurtherAttemptWhileDraining(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newStreamRoute("drafts"))
+	servers := []*hosting.Server{f.startServer("drafts", "cairo-a", 2), f.startServer("drafts", "cairo-a", 2)}
+	draining := make(chan struct{})
+	for _, server := range servers {
+		server.SetOverride(awaitThen(draining, hosting.Reject))
+	}
+	n := f.startDrainable(4*time.Second, 2)
+	f.start(f.settings("cairo"))
+	f.eventually("both instances are live", func() bool { return len(n.roster.InRegion("cairo")) == 2 })
+	arrivals := func() int { return len(servers[0].Arrivals()) + len(servers[1].Arrivals()) }
+	early := make(chan response, 1)
+	go func() { early <- n.send(n.longRequest("/drafts/", "early")) }()
+	f.eventually("in flight", func() bool { return arrivals() == 1 })
+	n.stop()
+	f.eventually("draining", func() bool { return n.draining.Load() })
+	close(draining)
+	got := <-early
+	f.Assert(f.checkRefused(got, "none"), qt.Equals, drainRetryAfter)
+	f.Assert(arrivals(), qt.Equals, 1)
+}
+
+// TestDrainingInstanceRefusesForwardedRequests guards against requests that an instance
+// takes from another region although it must exit before they end.
+func TestDrainingInstanceRefusesForwardedRequests(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newStreamRoute("drafts"))
+	server := f.startServer("drafts", "cairo-a", 2)
+	n := f.startDrainable(4*time.Second, 1)
+	f.start(f.settings("cairo"))
+	f.eventually("both instances are live", func() bool { return len(n.roster.InRegion("cairo")) == 2 })
+	forward := func(id string) response {
+		req := n.longRequest("/drafts/", id)
+		req.URL.Host = n.settings.PeerAddr
+		for name, value := range map[string]string{
+			filters.HopOriginHeader: "entry-alex-0", filters.HopRegionHeader: "alex", filters.HopDeadlineHeader: "60000",
+			filters.HopServiceHeader: "drafts", filters.HopWorkHeader: "drafts", filters.HopStreamHeader: "true",
+		} {
+			req.Header.Set(name, value)
+		}
+		return n.send(req)
+	}
+	f.Assert(forward("before").status, qt.Equals, http.StatusOK)
+	n.stop()
+	f.eventually("draining", func() bool { return n.draining.Load() })
+	f.checkRefused(forward("refused"), "refused", server)
+}
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
@@ -57,7 +58,7 @@
 	directory := http.NewServeMux()
 	directory.HandleFunc(platform.DirectoryPattern, i.serveDirectory)
 	return &handlers{
-		callers: i.countNoticedRequests(i.closeConnections(callers)), peers: i.newPeerHandler(i.countNoticedRequests(forwarded)), ready: ready, directory: directory,
+		callers: i.countNoticedRequests(i.closeConnections(callers)), peers: i.closeConnections(i.newPeerHandler(i.countNoticedRequests(forwarded))), ready: ready, directory: directory,
 	}
 }
 
@@ -111,19 +112,52 @@
 	return i.registry.MayReceive(x.Service.Name, time.Now())
 }
 
-// closeConnections closes the connection after the response while the instance
-// drains, and always after a request with a chunked body. If such a request also
-// had a Content-Length, which net/http does not report, the bytes after the body
-// may have been meant as a part of it (request smuggling).
+// closeConnections closes the connection after each response that starts while the
+// instance drains, so that no request is sent on it when the server closes it, and
+// always after a request with a chunked body. If such a request also had a
+// Content-Length, which net/http does not report, the bytes after the body may have
+// been meant as a part of it (request smuggling).
 func (i *Instance) closeConnections(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if i.draining.Load() || len(r.TransferEncoding) > 0 {
+		if len(r.TransferEncoding) > 0 {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, draining: &i.draining}, r)
 	})
 }
 
+// closingWriter adds "Connection: close" to a response that starts while the
+// instance drains.
+type closingWriter struct {
+	http.ResponseWriter
+	draining *atomic.Bool
+	started  bool
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.start()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	w.start()
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *closingWriter) start() {
+	if !w.started && w.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.started = true
+}
+
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !i.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
