Test that a draining instance decides by what it has observed

The decision by observed times was tested in package drain only: without the filter that measures requests, without the end of a measurement, or without the first byte, all drain tests of package hosted passed, as requests of unknown length and late ones are refused as well.

TestDrainingInstanceRefusesByObservedTimes fails with each of the three mutations (--- FAIL each; the request that must be refused is taken, or the one that must be taken is refused). No change of the code.

--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -267,3 +267,23 @@
 	f.eventually("draining", func() bool { return n.draining.Load() })
 	f.checkRefused(forward("refused"), "refused", server)
 }
+
+// TestDrainingInstanceRefusesByObservedTimes guards against a draining instance that
+// takes requests although all others of their kind took longer than it has left, or that
+// refuses requests with a small output limit because of those with a large one.
+func TestDrainingInstanceRefusesByObservedTimes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newStreamRoute("drafts"))
+	server := f.startServer("drafts", "cairo-a", 2)
+	server.SetOverride(streamFor(4 * time.Second))
+	n := f.startDrainable(4*time.Second, 1) // exits after 3.5 s
+	n.sendMany(8, "/drafts/")
+	server.SetOverride(nil)
+	n.stop()
+	f.eventually("draining", func() bool { return n.draining.Load() })
+	f.checkRefused(n.send(n.longRequest("/drafts/", "long")), "long", server)
+	short := n.longRequest("/drafts/", "short")
+	short.Header.Set("Tokens", "10,1")
+	f.Assert(n.send(short).status, qt.Equals, http.StatusOK)
+}
