Heed an announcement in a response that is too large

Operators would see requests still sent to a server that has announced its leaving, if each response that said so exceeded the size limit.

The announced length was checked before the header was interpreted, so that neither Fuchsia-Leaving or Server-Leaving nor a pause nor the load in such a response had an effect. The header is now interpreted first. Ruled out: a change for responses of other requests; updateServer leaves them out as before, and the connection of a response whose body is not read is closed either way.

TestTooLargeResponseAnnouncesLeaving failed before (Accepts: value is not false, withdrawal_test.go:215) and passes; go test ./dispatch passes.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -214,12 +214,12 @@
 	}
 	w.onHeader(resp)
 	defer resp.Body.Close()
-	if resp.ContentLength > d.maxResponseBytes() && req.Method != http.MethodHead {
-		return outcome.Fail(outcome.CodeBackendFailed, errors.Wrapf(errTooLarge, "read response of %s: Content-Length %d, limit %d", server.ID, resp.ContentLength, d.maxResponseBytes()), "the answer is too large")
-	}
 	attempt.FirstOnConnection = gate.first.Load()
 	info := d.protocol().ReadResponse(attempt, resp)
 	w.recordWithdrawal(&info, resp.StatusCode)
+	if resp.ContentLength > d.maxResponseBytes() && req.Method != http.MethodHead {
+		return outcome.Fail(outcome.CodeBackendFailed, errors.Wrapf(errTooLarge, "read response of %s: Content-Length %d, limit %d", server.ID, resp.ContentLength, d.maxResponseBytes()), "the answer is too large")
+	}
 	conn := gate.owner.Load()
 	if conn != nil && (info.Mismatched || info.Refused && !info.Identified) {
 		conn.retire(gate)
--- a/dispatch/withdrawal_test.go
+++ b/dispatch/withdrawal_test.go
@@ -200,6 +200,22 @@
 	}
 }
 
+// TestTooLargeResponseAnnouncesLeaving guards against an announcement that is missed
+// because the response that carries it exceeds the size limit.
+func TestTooLargeResponseAnnouncesLeaving(t *testing.T) {
+	c := qt.New(t)
+	i, observer := newWithdrawalDispatcher(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Fuchsia-Attempt", r.Header.Get("Fuchsia-Attempt"))
+		w.Header().Set(leavingHeader, "1")
+		_, _ = w.Write([]byte("too large"))
+	})
+	i.MaxResponseBytes = 1
+	_, err := i.send("order", deskService)
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(i.registry.Servers("desk")[0].Accepts(), qt.IsFalse)
+	c.Assert(observer.withdrawals, qt.HasLen, 1)
+}
+
 // TestResponseToEarlierRequestWithdrawsNothing guards against a server that is lost,
 // or paused again, because of a response that belongs to an earlier request.
 func TestResponseToEarlierRequestWithdrawsNothing(t *testing.T) {
