Keep a server that refuses a load query because it is busy

A server that answered a query for its load with Fuchsia-Refused: busy was marked as leaving, for good and, by the load digests, at all instances of the region. An announcement in a list or a repeated Fuchsia-Leaving header was missed there.

Ruled out: the hosting platform, which has no load queries.

TestBusyLoadReportIsNoLeaving failed before (Fuchsia-Refused: busy: got true, want false; Fuchsia-Leaving: 0, 1: got false, want true; loads_test.go:37) and passes.

--- a/daemon/loads.go
+++ b/daemon/loads.go
@@ -10,14 +10,13 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/load"
 )
 
 const (
 	loadTimeout        = time.Second
 	maxLoadReportBytes = 16 << 10
-	refusedHeader      = "Fuchsia-Refused"
-	leavingHeader      = "Fuchsia-Leaving"
 )
 
 // newLoadTracker returns the controller that tracks the load of backend servers.
@@ -53,7 +52,7 @@
 		return report, false, err
 	}
 	defer resp.Body.Close()
-	draining = resp.Header.Get(refusedHeader) != "" || resp.Header.Get(leavingHeader) == "1"
+	draining = dispatch.AnnouncesLeaving(resp)
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadReportBytes)).Decode(&report); err != nil {
 		return report, draining, errors.Wrapf(err, "decode load report of %s", server.Addr)
 	}
--- a/dispatch/protocol.go
+++ b/dispatch/protocol.go
@@ -130,6 +130,18 @@
 	info := ResponseInfo{Identified: echoedID == attempt.ID, Refused: refused != ""}
 	info.Mismatched = !info.Identified && (echoedID != "" || info.Refused && !attempt.FirstOnConnection)
 	info.ReadWithdrawal(resp, leavingHeader)
-	info.Draining = info.Draining || info.Refused && refused != refusedBusy
+	info.Draining = info.Draining || refusesAll(refused)
 	return info
 }
+
+// AnnouncesLeaving reports whether a response of a backend server that speaks the
+// gateway's own protocol states that the server accepts no more requests.
+func AnnouncesLeaving(resp *http.Response) bool {
+	var info ResponseInfo
+	info.ReadWithdrawal(resp, leavingHeader)
+	return info.Draining || refusesAll(resp.Header.Get(refusedHeader))
+}
+
+// refusesAll reports whether a value of refusedHeader, or "" for none, states that
+// the server accepts no more requests.
+func refusesAll(refused string) bool { return refused != "" && refused != refusedBusy }
