Fail a soak whose number of seeds cannot be read

FUCHSIA_PAUSE_SEEDS with an unreadable value, or 0, ran no seed of TestNoFalseRemoval and passed. The test now fails and names the variable and its value.

Measured: abc, 0 and -3 fail with "is not a number of seeds above 0"; 1 and no value pass. Before, abc passed without running a seed.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -64,15 +64,24 @@
 	})
 }
 
+// pauseSeeds returns the number of seeds of TestNoFalseRemoval.
+func pauseSeeds(t *testing.T) uint64 {
+	text := os.Getenv(pauseSeedsEnv)
+	if text == "" {
+		return ciPauseSeeds
+	}
+	seeds, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || seeds == 0 {
+		t.Fatalf("%s=%s is not a number of seeds above 0", pauseSeedsEnv, text)
+	}
+	return seeds
+}
+
 // TestNoFalseRemoval drops 1% of the messages and pauses instances for 2 s.
 // Every view must contain every running instance at all times. The environment
 // variable FUCHSIA_PAUSE_SEEDS changes the number of seeds.
 func TestNoFalseRemoval(t *testing.T) {
-	seeds := ciPauseSeeds
-	if text := os.Getenv(pauseSeedsEnv); text != "" {
-		seeds, _ = strconv.Atoi(text)
-	}
-	for seed := range uint64(seeds) {
+	for seed := range pauseSeeds(t) {
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			l := testlink.NewSeeded(seed)
