Keep the end of the drain notice once

The end of the time in which callers may still come by old directory responses stood twice: as wall time in noticeEnd and as the flag noticeOver, which the drain set when it woke. A step of the clock during a drain changed the Retry-After of refusals, though within directoryTTL.

Change: one pointer to the time, with its monotonic reading; nil before the drain.

Measured: go test ./hosted -run Drain passes.

--- a/hosted/drain.go
+++ b/hosted/drain.go
@@ -54,7 +54,8 @@
 	grace := i.settings.Bounds.GracePeriod
 	exit := start.Add(max(grace-shutdownReserve, time.Duration(float64(grace)*minGraceFraction)))
 	notice := min(drainNoticeTime, grace/2)
-	i.noticeEnd.Store(start.Add(notice).UnixNano())
+	noticeEnd := start.Add(notice)
+	i.noticeEnd.Store(&noticeEnd)
 	i.gate.Close(start.Add(min(lateAfter, notice)), exit)
 	i.draining.Store(true)
 	i.log.Info().Str("event", "draining").Int64("in_flight", i.guard.Usage().InFlight).Dur("time_left", time.Until(exit)).Msg("")
@@ -63,8 +64,7 @@
 		i.log.Warn().Str("event", "leave_failed").Err(err).Msg("")
 	}
 	cancel()
-	time.Sleep(time.Until(start.Add(notice)))
-	i.noticeOver.Store(true)
+	time.Sleep(time.Until(noticeEnd))
 	i.awaitNoticedRequests(exit)
 	cut := time.AfterFunc(time.Until(exit), i.endRequests)
 	defer cut.Stop()
@@ -94,7 +94,7 @@
 // drainNoticeTime.
 func (i *Instance) countNoticedRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !i.noticeOver.Load() {
+		if end := i.noticeEnd.Load(); end == nil || time.Now().Before(*end) {
 			i.noticedRequests.Add(1)
 			defer i.noticedRequests.Add(-1)
 		}
@@ -148,7 +148,7 @@
 	if ready > 0 {
 		return drainRetryAfter
 	}
-	if left := time.Unix(0, i.noticeEnd.Load()).Sub(now); left > 0 {
+	if left := i.noticeEnd.Load().Sub(now); left > 0 {
 		return min(max(left, drainRetryAfter), directoryTTL)
 	}
 	return directoryTTL
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -100,9 +100,8 @@
 
 	gate            drain.Gate
 	draining        atomic.Bool
-	noticeEnd       atomic.Int64 // of the drain, in Unix nanoseconds
-	noticeOver      atomic.Bool  // drainNoticeTime has passed
-	noticedRequests atomic.Int64 // see countNoticedRequests
+	noticeEnd       atomic.Pointer[time.Time] // of the drain; nil before it
+	noticedRequests atomic.Int64              // see countNoticedRequests
 	requests        context.Context
 	cancelRequests  context.CancelCauseFunc // ends requests
 
