Name kinds of requests without building a string for each

The drain gate is asked for each request and each attempt, also while the instance does not drain, and built the name of the kind from service and work each time.

Change: a kind is a struct of both.

Measured: BenchmarkDrainFilter (new), three runs each: 1,157 to 1,222 ns, 624 B and 4 allocations before, 991 to 1,077 ns, 592 B and 3 allocations now; most of it is the exchange itself. go test ./drain passes.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -34,8 +34,8 @@
 
 // Request is a request that an instance may take while it drains.
 type Request struct {
-	Kind         string // see Durations
-	OutputTokens int    // limit of the output; 0 if unknown
+	Kind         Kind
+	OutputTokens int // limit of the output; 0 if unknown
 	Received     time.Time
 	Deadline     time.Time
 }
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -10,7 +10,10 @@
 	"github.com/fuchsiastack/fuchsiastack/drain"
 )
 
-var start = time.Unix(1e9, 0)
+var (
+	start  = time.Unix(1e9, 0)
+	drafts = drain.Kind{Service: "desk", Work: "drafts"}
+)
 
 func at(seconds float64) time.Time {
 	return start.Add(time.Duration(seconds * float64(time.Second)))
@@ -18,7 +21,7 @@
 
 // record records requests of a kind with an output limit of 100 tokens that ended at
 // the start after the given times, half of them before the first byte.
-func record(d *drain.Durations, kind string, seconds ...float64) {
+func record(d *drain.Durations, kind drain.Kind, seconds ...float64) {
 	for _, s := range seconds {
 		run := d.Begin(at(-s), kind, 100)
 		run.FirstByte(at(-s / 2))
@@ -53,8 +56,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			var gate drain.Gate
-			record(&gate.Durations, "drafts", append([]float64{2, 2}, tenOfOneSecond...)...)
-			request := drain.Request{Kind: "drafts", OutputTokens: test.tokens, Received: at(test.received), Deadline: at(test.deadline)}
+			record(&gate.Durations, drafts, append([]float64{2, 2}, tenOfOneSecond...)...)
+			request := drain.Request{Kind: drafts, OutputTokens: test.tokens, Received: at(test.received), Deadline: at(test.deadline)}
 			c.Assert(gate.Decide(at(test.received), request, ready(false)).Take, qt.IsTrue) // not draining
 			gate.Close(at(3), at(7))
 			decision := gate.Decide(at(test.received), request, ready(!test.alone))
@@ -69,9 +72,9 @@
 func TestGateWithoutSamples(t *testing.T) {
 	c := qt.New(t)
 	var gate drain.Gate
-	record(&gate.Durations, "drafts", 1, 1)
+	record(&gate.Durations, drafts, 1, 1)
 	gate.Close(at(3), at(7))
-	request := drain.Request{Kind: "drafts", OutputTokens: 100, Received: at(0), Deadline: at(30)}
+	request := drain.Request{Kind: drafts, OutputTokens: 100, Received: at(0), Deadline: at(30)}
 	decision := gate.Decide(at(0), request, ready(true))
 	c.Assert(decision.Basis, qt.Equals, drain.BasisUnknown)
 	c.Assert(decision.Take, qt.IsFalse)
@@ -83,9 +86,9 @@
 func TestWaitingRequestIsJudgedAgain(t *testing.T) {
 	c := qt.New(t)
 	var gate drain.Gate
-	record(&gate.Durations, "drafts", tenOfOneSecond...)
+	record(&gate.Durations, drafts, tenOfOneSecond...)
 	gate.Close(at(3), at(7))
-	request := drain.Request{Kind: "drafts", OutputTokens: 100, Received: at(2.9), Deadline: at(30)}
+	request := drain.Request{Kind: drafts, OutputTokens: 100, Received: at(2.9), Deadline: at(30)}
 	c.Assert(gate.Decide(at(2.9), request, ready(true)).Take, qt.IsTrue)
 	c.Assert(gate.Decide(at(5.9), request, ready(true)).Take, qt.IsTrue)
 	c.Assert(gate.Decide(at(6.1), request, ready(true)).Take, qt.IsFalse)
@@ -96,15 +99,15 @@
 func TestSlowRequestsInProgressCount(t *testing.T) {
 	c := qt.New(t)
 	var durations drain.Durations
-	record(&durations, "drafts", tenOfOneSecond...)
-	before, _, _ := durations.Estimate(at(0), "drafts", 100, 0.5)
+	record(&durations, drafts, tenOfOneSecond...)
+	before, _, _ := durations.Estimate(at(0), drafts, 100, 0.5)
 	c.Assert(before, qt.Equals, time.Second)
 	for range 15 {
-		durations.Begin(at(0), "drafts", 100).FirstByte(at(0.5))
+		durations.Begin(at(0), drafts, 100).FirstByte(at(0.5))
 	}
-	soon, _, _ := durations.Estimate(at(0.6), "drafts", 100, 0.5)
+	soon, _, _ := durations.Estimate(at(0.6), drafts, 100, 0.5)
 	c.Assert(soon, qt.Equals, before)
-	after, _, _ := durations.Estimate(at(4), "drafts", 100, 0.5)
+	after, _, _ := durations.Estimate(at(4), drafts, 100, 0.5)
 	c.Assert(after, qt.Equals, 4*time.Second)
 }
 
@@ -112,10 +115,10 @@
 func TestOldRequestsDoNotCount(t *testing.T) {
 	c := qt.New(t)
 	var durations drain.Durations
-	record(&durations, "drafts", tenOfOneSecond...)
-	_, _, ok := durations.Estimate(at(29), "drafts", 100, 0.5)
+	record(&durations, drafts, tenOfOneSecond...)
+	_, _, ok := durations.Estimate(at(29), drafts, 100, 0.5)
 	c.Assert(ok, qt.IsTrue)
-	_, _, ok = durations.Estimate(at(31), "drafts", 100, 0.5)
+	_, _, ok = durations.Estimate(at(31), drafts, 100, 0.5)
 	c.Assert(ok, qt.IsFalse)
 }
 
@@ -125,7 +128,7 @@
 	c := qt.New(t)
 	var durations drain.Durations
 	for k := range 10000 {
-		run := durations.Begin(at(float64(k)), fmt.Sprint("kind-", k), 1)
+		run := durations.Begin(at(float64(k)), drain.Kind{Work: fmt.Sprint("kind-", k)}, 1)
 		run.End(at(float64(k)), true)
 	}
 	c.Assert(durations.Kinds() <= 300, qt.IsTrue, qt.Commentf("%d kinds", durations.Kinds()))
@@ -137,16 +140,16 @@
 func TestRequestsWithoutOutputLimit(t *testing.T) {
 	c := qt.New(t)
 	var durations drain.Durations
-	record(&durations, "drafts", tenOfOneSecond...)
-	_, _, ok := durations.Estimate(at(0), "drafts", 0, 0.5)
+	record(&durations, drafts, tenOfOneSecond...)
+	_, _, ok := durations.Estimate(at(0), drafts, 0, 0.5)
 	c.Assert(ok, qt.IsFalse)
 	for range 20 {
-		run := durations.Begin(at(-4), "drafts", 0)
+		run := durations.Begin(at(-4), drafts, 0)
 		run.FirstByte(at(-3))
 		run.End(at(0), true)
 	}
-	unlimited, _, _ := durations.Estimate(at(0), "drafts", 0, 0.5)
+	unlimited, _, _ := durations.Estimate(at(0), drafts, 0, 0.5)
 	c.Assert(unlimited, qt.Equals, 4*time.Second)
-	limited, _, _ := durations.Estimate(at(0), "drafts", 100, 0.5)
+	limited, _, _ := durations.Estimate(at(0), drafts, 100, 0.5)
 	c.Assert(limited, qt.Equals, time.Second)
 }
--- a/drain/durations.go
+++ b/drain/durations.go
@@ -26,14 +26,17 @@
 	kinds map[kindKey]*kind
 }
 
+// Kind names requests that take similar times.
+type Kind struct{ Service, Work string }
+
 // kindKey identifies a kind. The times per token of requests with an output limit say
 // nothing about requests without one.
 type kindKey struct {
-	name    string
+	Kind
 	limited bool
 }
 
-func newKindKey(name string, outputTokens int) kindKey { return kindKey{name, outputTokens > 0} }
+func newKindKey(name Kind, outputTokens int) kindKey { return kindKey{name, outputTokens > 0} }
 
 // kind holds the recent requests of one kind.
 type kind struct {
@@ -60,7 +63,7 @@
 
 // Begin records that a request has arrived. outputTokens is the limit of its output,
 // 0 if unknown. The caller must call End.
-func (d *Durations) Begin(now time.Time, name string, outputTokens int) *Run {
+func (d *Durations) Begin(now time.Time, name Kind, outputTokens int) *Run {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := newKindKey(name, outputTokens)
@@ -126,7 +129,7 @@
 // Estimate returns the time that the given fraction of the requests of a kind with a
 // limit of output tokens does not exceed, and the number of requests that it rests
 // on. ok is false if there are too few.
-func (d *Durations) Estimate(now time.Time, name string, outputTokens int, fraction float64) (estimate time.Duration, samples int, ok bool) {
+func (d *Durations) Estimate(now time.Time, name Kind, outputTokens int, fraction float64) (estimate time.Duration, samples int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	k := d.kinds[newKindKey(name, outputTokens)]
--- a/hosted/drain.go
+++ b/hosted/drain.go
@@ -123,7 +123,9 @@
 }
 
 // durationKind returns the kind of requests that take similar times.
-func durationKind(x *filters.Exchange) string { return x.Service.Name + "/" + x.Work.Name }
+func durationKind(x *filters.Exchange) drain.Kind {
+	return drain.Kind{Service: x.Service.Name, Work: x.Work.Name}
+}
 
 // refuseWhileDraining returns the refusal of a request that would not end before the
 // instance exits, or nil.
--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -10,7 +10,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
 )
 
@@ -287,3 +289,15 @@
 	short.Header.Set("Tokens", "10,1")
 	f.Assert(n.send(short).status, qt.Equals, http.StatusOK)
 }
+
+func BenchmarkDrainFilter(b *testing.B) {
+	filter := drainFilter{&Instance{}}
+	service := &catalog.Service{Name: "drafting-desk"}
+	b.ReportAllocs()
+	for b.Loop() {
+		x := &filters.Exchange{Service: service, Work: catalog.Work{Name: "grade-enquiry"}, MaxOutputTokens: 100}
+		if err := filter.Handle(x, func(*filters.Exchange) *outcome.Error { return nil }); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
