End the measurement of a request whose handler panics

A panic below the drain filter, which net/http recovers, left the request in progress for ever, so that the time that requests of its kind are expected to take grew without end and a draining instance refused them.

Change: the measurement ends in any case; such a request is no sample.

Measured: TestRequestThatPanicsIsMeasuredNoLonger failed before (the estimate exceeds 10 s after 20 s) and passes.

--- a/hosted/drain.go
+++ b/hosted/drain.go
@@ -115,10 +115,12 @@
 		return refusal
 	}
 	run := f.instance.gate.Durations.Begin(x.Received, durationKind(x), x.MaxOutputTokens)
+	counts := false
+	defer func() { run.End(time.Now(), counts) }()
 	x.Writer = &firstByteWriter{ResponseWriter: x.Writer, run: run}
 	err := next(x)
 	served := err == nil && x.Status < http.StatusBadRequest
-	run.End(time.Now(), served || err != nil && err.Code == outcome.CodeDeadline)
+	counts = served || err != nil && err.Code == outcome.CodeDeadline
 	return err
 }
 
--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/drain"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
@@ -290,6 +291,27 @@
 	f.Assert(n.send(short).status, qt.Equals, http.StatusOK)
 }
 
+// TestRequestThatPanicsIsMeasuredNoLonger guards against an estimate that grows without
+// end because requests whose handler panicked count as in progress.
+func TestRequestThatPanicsIsMeasuredNoLonger(t *testing.T) {
+	c := qt.New(t)
+	filter := drainFilter{&Instance{}}
+	now := time.Now()
+	handle := func(next filters.Handler) {
+		defer func() { _ = recover() }()
+		_ = filter.Handle(&filters.Exchange{
+			Service: &catalog.Service{Name: "desk"}, Work: catalog.Work{Name: "orders"}, Received: now,
+		}, next)
+	}
+	for range 10 {
+		handle(func(*filters.Exchange) *outcome.Error { return nil })
+		handle(func(*filters.Exchange) *outcome.Error { panic("invariant") })
+	}
+	estimate, _, ok := filter.instance.gate.Durations.Estimate(now.Add(20*time.Second), drain.Kind{Service: "desk", Work: "orders"}, 0, 0.9)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(estimate < 10*time.Second, qt.IsTrue, qt.Commentf("%v", estimate))
+}
+
 func BenchmarkDrainFilter(b *testing.B) {
 	filter := drainFilter{&Instance{}}
 	service := &catalog.Service{Name: "drafting-desk"}
