Share the set-ups of drain tests; test that forwarded requests are measured

The read-through found the wait for the instances of a region three times in hosted/drain_test.go, and two ways to record requests in drain/drain_test.go; each stands once. A review had found that the tests pass without the drain filter in the chain for other instances: attempts are refused by another call, but the requests are not measured.

Measured: with that filter off TestForwardedRequestsAreMeasured fails (0 samples, want 8); with it go test ./hosted -run 'Drain|Forwarded' and ./drain pass. Nothing that the other tests demand has changed.

--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,11 +20,14 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-// record records requests of a kind with an output limit of 100 tokens that ended at
-// the start after the given times, half of them before the first byte.
-func record(d *drain.Durations, kind drain.Kind, seconds ...float64) {
+// record records drafts with an output limit of 100 tokens that ended at the start after
+// the given times, half of them before the first byte.
+func record(d *drain.Durations, seconds ...float64) { recordLimited(d, 100, seconds...) }
+
+// recordLimited is record with another output limit, 0 for none.
+func recordLimited(d *drain.Durations, outputTokens int, seconds ...float64) {
 	for _, s := range seconds {
-		run := d.Begin(at(-s), kind, 100)
+		run := d.Begin(at(-s), drafts, outputTokens)
 		run.FirstByte(at(-s / 2))
 		run.End(at(0), true)
 	}
@@ -56,7 +60,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			var gate drain.Gate
-			record(&gate.Durations, drafts, append([]float64{2, 2}, tenOfOneSecond...)...)
+			record(&gate.Durations, append([]float64{2, 2}, tenOfOneSecond...)...)
 			request := drain.Request{Kind: drafts, OutputTokens: test.tokens, Received: at(test.received), Deadline: at(test.deadline)}
 			c.Assert(gate.Decide(at(test.received), request, ready(false)).Take, qt.IsTrue) // not draining
 			gate.Close(at(3), at(7))
@@ -72,7 +76,7 @@
 func TestGateWithoutSamples(t *testing.T) {
 	c := qt.New(t)
 	var gate drain.Gate
-	record(&gate.Durations, drafts, 1, 1)
+	record(&gate.Durations, 1, 1)
 	gate.Close(at(3), at(7))
 	request := drain.Request{Kind: drafts, OutputTokens: 100, Received: at(0), Deadline: at(30)}
 	decision := gate.Decide(at(0), request, ready(true))
@@ -86,7 +90,7 @@
 func TestWaitingRequestIsJudgedAgain(t *testing.T) {
 	c := qt.New(t)
 	var gate drain.Gate
-	record(&gate.Durations, drafts, tenOfOneSecond...)
+	record(&gate.Durations, tenOfOneSecond...)
 	gate.Close(at(3), at(7))
 	request := drain.Request{Kind: drafts, OutputTokens: 100, Received: at(2.9), Deadline: at(30)}
 	c.Assert(gate.Decide(at(2.9), request, ready(true)).Take, qt.IsTrue)
@@ -99,7 +103,7 @@
 func TestSlowRequestsInProgressCount(t *testing.T) {
 	c := qt.New(t)
 	var durations drain.Durations
-	record(&durations, drafts, tenOfOneSecond...)
+	record(&durations, tenOfOneSecond...)
 	before, _, _ := durations.Estimate(at(0), drafts, 100, 0.5)
 	c.Assert(before, qt.Equals, time.Second)
 	for range 15 {
@@ -115,7 +119,7 @@
 func TestOldRequestsDoNotCount(t *testing.T) {
 	c := qt.New(t)
 	var durations drain.Durations
-	record(&durations, drafts, tenOfOneSecond...)
+	record(&durations, tenOfOneSecond...)
 	_, _, ok := durations.Estimate(at(29), drafts, 100, 0.5)
 	c.Assert(ok, qt.IsTrue)
 	_, _, ok = durations.Estimate(at(31), drafts, 100, 0.5)
@@ -140,14 +144,10 @@
 func TestRequestsWithoutOutputLimit(t *testing.T) {
 	c := qt.New(t)
 	var durations drain.Durations
-	record(&durations, drafts, tenOfOneSecond...)
+	record(&durations, tenOfOneSecond...)
 	_, _, ok := durations.Estimate(at(0), drafts, 0, 0.5)
 	c.Assert(ok, qt.IsFalse)
-	for range 20 {
-		run := durations.Begin(at(-4), drafts, 0)
-		run.FirstByte(at(-3))
-		run.End(at(0), true)
-	}
+	recordLimited(&durations, 0, slices.Repeat([]float64{4}, 20)...)
 	unlimited, _, _ := durations.Estimate(at(0), drafts, 0, 0.5)
 	c.Assert(unlimited, qt.Equals, 4*time.Second)
 	limited, _, _ := durations.Estimate(at(0), drafts, 100, 0.5)
--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -48,6 +48,13 @@
 	return f.start(settings).waitForServers(servers)
 }
 
+// awaitRegion waits until the instance knows count live instances of its region.
+func (n *testInstance) awaitRegion(count int) {
+	n.f.eventually("the instances of the region are live", func() bool {
+		return len(n.roster.InRegion(n.settings.Region)) == count
+	})
+}
+
 // sendMany sends count requests at once and checks that all are served.
 func (n *testInstance) sendMany(count int, target string) {
 	var group sync.WaitGroup
@@ -102,9 +109,8 @@
 	}
 	const grace = 6 * time.Second // exits after 5.3 s
 	first, second := f.startDrainable(grace, 4), f.startDrainable(grace, 4)
-	f.eventually("both instances are live", func() bool {
-		return len(first.roster.InRegion("cairo")) == 2 && len(second.roster.InRegion("cairo")) == 2
-	})
+	first.awaitRegion(2)
+	second.awaitRegion(2)
 	var group sync.WaitGroup
 	for _, n := range []*testInstance{first, second} {
 		group.Go(func() { n.sendMany(10, "/drafts/") })
@@ -152,7 +158,7 @@
 	server := f.startServer("drafts", "cairo-a", 2)
 	n := f.startDrainable(4*time.Second, 1)
 	other := f.start(f.settings("cairo")).waitForServers(1)
-	f.eventually("both instances are live", func() bool { return len(n.roster.InRegion("cairo")) == 2 })
+	n.awaitRegion(2)
 	n.stop()
 	f.eventually("draining", func() bool { return n.draining.Load() })
 	// Nothing is known of the times of such requests.
@@ -231,7 +237,7 @@
 	}
 	n := f.startDrainable(4*time.Second, 2)
 	f.start(f.settings("cairo"))
-	f.eventually("both instances are live", func() bool { return len(n.roster.InRegion("cairo")) == 2 })
+	n.awaitRegion(2)
 	arrivals := func() int { return len(servers[0].Arrivals()) + len(servers[1].Arrivals()) }
 	early := make(chan response, 1)
 	go func() { early <- n.send(n.longRequest("/drafts/", "early")) }()
@@ -244,6 +250,19 @@
 	f.Assert(arrivals(), qt.Equals, 1)
 }
 
+// forward sends a stream request to the instance as one of another region does.
+func (n *testInstance) forward(id string) response {
+	req := n.longRequest("/drafts/", id)
+	req.URL.Host = n.settings.PeerAddr
+	for name, value := range map[string]string{
+		filters.HopOriginHeader: "entry-alex-0", filters.HopRegionHeader: "alex", filters.HopDeadlineHeader: "60000",
+		filters.HopServiceHeader: "drafts", filters.HopWorkHeader: "drafts", filters.HopStreamHeader: "true",
+	} {
+		req.Header.Set(name, value)
+	}
+	return n.send(req)
+}
+
 // TestDrainingInstanceRefusesForwardedRequests guards against requests that an instance
 // takes from another region although it must exit before they end.
 func TestDrainingInstanceRefusesForwardedRequests(t *testing.T) {
@@ -253,22 +272,28 @@
 	server := f.startServer("drafts", "cairo-a", 2)
 	n := f.startDrainable(4*time.Second, 1)
 	f.start(f.settings("cairo"))
-	f.eventually("both instances are live", func() bool { return len(n.roster.InRegion("cairo")) == 2 })
-	forward := func(id string) response {
-		req := n.longRequest("/drafts/", id)
-		req.URL.Host = n.settings.PeerAddr
-		for name, value := range map[string]string{
-			filters.HopOriginHeader: "entry-alex-0", filters.HopRegionHeader: "alex", filters.HopDeadlineHeader: "60000",
-			filters.HopServiceHeader: "drafts", filters.HopWorkHeader: "drafts", filters.HopStreamHeader: "true",
-		} {
-			req.Header.Set(name, value)
-		}
-		return n.send(req)
-	}
-	f.Assert(forward("before").status, qt.Equals, http.StatusOK)
+	n.awaitRegion(2)
+	f.Assert(n.forward("before").status, qt.Equals, http.StatusOK)
 	n.stop()
 	f.eventually("draining", func() bool { return n.draining.Load() })
-	f.checkRefused(forward("refused"), "refused", server)
+	f.checkRefused(n.forward("refused"), "refused", server)
+}
+
+// TestForwardedRequestsAreMeasured guards against a draining instance that knows nothing
+// of requests which it has served for other regions only.
+func TestForwardedRequestsAreMeasured(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newStreamRoute("drafts"))
+	f.startServer("drafts", "cairo-a", 2)
+	n := f.startDrainable(4*time.Second, 1)
+	for k := range 8 {
+		f.Assert(n.forward(fmt.Sprint("id-", k)).status, qt.Equals, http.StatusOK)
+	}
+	f.eventually("all are measured", func() bool {
+		_, samples, _ := n.gate.Durations.Estimate(time.Now(), drain.Kind{Service: "drafts", Work: "drafts"}, 100, 0.5)
+		return samples == 8
+	})
 }
 
 // TestDrainingInstanceRefusesByObservedTimes guards against a draining instance that
