Refuse a request under examination at once if no server accepts requests

A request that has crashed a server waits for an idle one to be tried alone. If all servers of its service had asked for a pause or left, it waited on until its deadline, or until a pause ended, although it was known that it could not be served.

Change: it is refused at once, not run, with the time until the first server resumes, as other requests are.

Measured: TestSuspectIsRefusedWhileServersPause failed before (it waited for the pause and ended as may-have-run) and passes; it is refused after 0 s of virtual time with Retry-After 10 s and tried again after that.

--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -93,6 +93,10 @@
 			cost := r.Router.Scorer.Score(r.req, server, 0)
 			return routing.Decision{Server: server, Reason: ReasonSuspect, Candidates: 1, Cost: cost}, nil
 		}
+		if !r.Router.Registry.MayReceive(r.x.Service.Name, now) {
+			s.endTrial(quarantine.TrialNotRun)
+			return routing.Decision{}, s.refuse(http.StatusServiceUnavailable, "no backend server accepts this request now", max(r.Router.UntilResume(r.x.Service.Name), time.Second))
+		}
 		if !sleep(r.ctx, isolationPollInterval) {
 			s.endTrial(quarantine.TrialNotRun)
 			return routing.Decision{}, s.refuse(http.StatusServiceUnavailable, "no backend server became idle for this request", time.Second)
--- a/dispatch/withdrawal_test.go
+++ b/dispatch/withdrawal_test.go
@@ -288,3 +288,24 @@
 	c.Assert(observer.ignored, qt.HasLen, 3)
 	c.Assert(observer.ignored[0].Error(), qt.Equals, `field Fuchsia-Leaving: value "maybe": is neither 0 nor 1`)
 }
+
+// TestSuspectIsRefusedWhileServersPause guards against a request under examination that
+// waits until its deadline although no server accepts requests.
+func TestSuspectIsRefusedWhileServersPause(t *testing.T) {
+	inVirtualTime(t, 1, 3, func(c *qt.C, e *fakeEngines, all []*testInstance) {
+		_, _ = all[0].send("poison", nonRepeatable) // makes the request a suspect
+		for _, server := range all[0].registry.All() {
+			server.Pause(time.Now(), 10*time.Second)
+		}
+		start := time.Now()
+		_, err := all[0].send("poison", nonRepeatable)
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(err.Outcome, qt.Equals, outcome.NotRun)
+		c.Assert(err.RetryAfter, qt.Equals, 10*time.Second)
+		c.Assert(time.Since(start), qt.Equals, time.Duration(0))
+		c.Assert(e.crashCount, qt.Equals, 1)
+		time.Sleep(err.RetryAfter)
+		_, _ = all[0].send("poison", nonRepeatable)
+		c.Assert(e.crashCount, qt.Equals, 2)
+	})
+}
