Give the test of observed times more samples than it needs

TestDrainingInstanceRefusesByObservedTimes sends 8 requests, the least that an estimate needs. The end of a request is recorded just after its response, so that the last one may be missing when the drain begins; the test would then see a decision without an estimate. It sends 10 now. No failure was seen; what is demanded is the same.

--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -306,7 +306,7 @@
 	server := f.startServer("drafts", "cairo-a", 2)
 	server.SetOverride(streamFor(4 * time.Second))
 	n := f.startDrainable(4*time.Second, 1) // exits after 3.5 s
-	n.sendMany(8, "/drafts/")
+	n.sendMany(10, "/drafts/")
 	server.SetOverride(nil)
 	n.stop()
 	f.eventually("draining", func() bool { return n.draining.Load() })
