Share the changes of entries in the model of withdrawals

Four actions of TestWithdrawalOutlastsRecords drew an id, looked up its entry, changed it and published the list; that stands once now.

--- a/backend/withdrawal_test.go
+++ b/backend/withdrawal_test.go
@@ -56,6 +56,15 @@
 			}
 			return nil
 		}
+		// change returns an action that changes one of the entries and publishes the list.
+		change := func(entries map[string]Info, f func(t *rapid.T, info Info)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				if info, ok := entries[id.Draw(t, "id")]; ok {
+					f(t, info)
+					publish()
+				}
+			}
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"announce": func(t *rapid.T) {
 				if s := server(t); s != nil {
@@ -84,40 +93,24 @@
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
 			},
-			"record": func(t *rapid.T) {
-				name := id.Draw(t, "id")
-				if info, ok := listed[name]; ok {
-					info.State = rapid.SampledFrom([]string{StateLive, StateDraining}).Draw(t, "state")
-					info.Slots = rapid.IntRange(0, 4).Draw(t, "slots")
-					listed[name] = info
-					publish()
-				}
-			},
-			"lose": func(t *rapid.T) {
-				name := id.Draw(t, "id")
-				if info, ok := listed[name]; ok {
-					departed[name] = info
-					delete(listed, name)
-					publish()
-				}
-			},
-			"return": func(t *rapid.T) {
-				name := id.Draw(t, "id")
-				if info, ok := departed[name]; ok {
-					listed[name] = info
-					delete(departed, name)
-					publish()
-				}
-			},
-			"restart": func(t *rapid.T) {
-				name := id.Draw(t, "id")
-				if info, ok := listed[name]; ok {
-					info.Started++
-					info.State = StateLive
-					listed[name] = info
-					publish()
-				}
-			},
+			"record": change(listed, func(t *rapid.T, info Info) {
+				info.State = rapid.SampledFrom([]string{StateLive, StateDraining}).Draw(t, "state")
+				info.Slots = rapid.IntRange(0, 4).Draw(t, "slots")
+				listed[info.ID] = info
+			}),
+			"lose": change(listed, func(_ *rapid.T, info Info) {
+				departed[info.ID] = info
+				delete(listed, info.ID)
+			}),
+			"return": change(departed, func(_ *rapid.T, info Info) {
+				listed[info.ID] = info
+				delete(departed, info.ID)
+			}),
+			"restart": change(listed, func(_ *rapid.T, info Info) {
+				info.Started++
+				info.State = StateLive
+				listed[info.ID] = info
+			}),
 			"": func(t *rapid.T) {
 				for _, s := range registry.Servers("desk") {
 					model := process(listed[s.ID])
