Await the samples of a test instead of sending more requests

Change: 8 requests again, and a wait until all 8 are measured, shared with TestForwardedRequestsAreMeasured.

--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -250,6 +250,15 @@
 	f.Assert(arrivals(), qt.Equals, 1)
 }
 
+// awaitMeasured waits until the instance has measured count drafts. The end of a request
+// is recorded just after its response.
+func (n *testInstance) awaitMeasured(count int) {
+	n.f.eventually("the drafts are measured", func() bool {
+		_, samples, _ := n.gate.Durations.Estimate(time.Now(), drain.Kind{Service: "drafts", Work: "drafts"}, 100, 0.5)
+		return samples == count
+	})
+}
+
 // forward sends a stream request to the instance as one of another region does.
 func (n *testInstance) forward(id string) response {
 	req := n.longRequest("/drafts/", id)
@@ -290,10 +299,7 @@
 	for k := range 8 {
 		f.Assert(n.forward(fmt.Sprint("id-", k)).status, qt.Equals, http.StatusOK)
 	}
-	f.eventually("all are measured", func() bool {
-		_, samples, _ := n.gate.Durations.Estimate(time.Now(), drain.Kind{Service: "drafts", Work: "drafts"}, 100, 0.5)
-		return samples == 8
-	})
+	n.awaitMeasured(8)
 }
 
 // TestDrainingInstanceRefusesByObservedTimes guards against a draining instance that
@@ -306,7 +312,8 @@
 	server := f.startServer("drafts", "cairo-a", 2)
 	server.SetOverride(streamFor(4 * time.Second))
 	n := f.startDrainable(4*time.Second, 1) // exits after 3.5 s
-	n.sendMany(10, "/drafts/")
+	n.sendMany(8, "/drafts/")
+	n.awaitMeasured(8)
 	server.SetOverride(nil)
 	n.stop()
 	f.eventually("draining", func() bool { return n.draining.Load() })
