Lend only own units of a limit, and return borrowed ones to their lenders

Cause: a member lent on what it had borrowed. Once its lender was forgotten, it owed units (it held fewer than 0 and used none) that a third member used, so that the fractions in use added up to more than the limit. Forget also deducted all units ever sent to the departed member, returned ones included. Change: a member lends at most its equal share; what else it has to spare goes back to the lenders, which lend it anew. Only what is lent net is deducted.

--- a/share/divide.go
+++ b/share/divide.go
@@ -143,17 +143,29 @@
 }
 
 // transferSurplus sends units that this member holds beyond its target to a peer
-// that holds fewer than its own. If the total surplus covers the total deficit,
-// each member with a surplus covers the peer's deficit in proportion to its
-// surplus. Otherwise each surplus is divided among the peers in proportion to
-// their deficits. A new member transfers nothing for SettleTime: until all members
-// count it, their shares already add up to the limit without its units.
+// that holds fewer than its own, or returns borrowed units to the peer that lent
+// them. A new member transfers nothing for SettleTime: until all members count it,
+// their shares already add up to the limit without its units.
 func (t *Table) transferSurplus(now time.Time, key Key, s *limitState, id memberID) {
 	recipient := s.peers[id]
-	ownUnits := s.heldUnits(now)
-	if now.Sub(t.started) < t.config.SettleTime || ownUnits <= t.floor() || now.Sub(recipient.lastTransfer) < transferInterval {
+	if now.Sub(t.started) < t.config.SettleTime || now.Sub(recipient.lastTransfer) < transferInterval {
 		return
 	}
+	units := t.transferUnits(now, s, id)
+	if units < minTransferUnits {
+		return
+	}
+	recipient.sentUnits += uint64(units)
+	recipient.heldUnits += units
+	recipient.lastTransfer = now
+	t.markChanged(key, s)
+}
+
+// transferUnits returns how many units to transfer to a peer. If the total surplus
+// covers the total deficit, each member with a surplus covers the peer's deficit in
+// proportion to its surplus. Otherwise each surplus is divided among the peers in
+// proportion to their deficits.
+func (t *Table) transferUnits(now time.Time, s *limitState, id memberID) int64 {
 	allocations, peerIndex := t.allocations(now, s, id)
 	members := t.count(now)
 	divide(allocations, s.demand.Reserve, members, t.config.Floor/float64(members))
@@ -163,18 +175,19 @@
 		deficit += max(a.targetUnits-a.heldUnits, 0)
 	}
 	ownSurplus := allocations[0].heldUnits - allocations[0].targetUnits
-	peerDeficit := allocations[peerIndex].targetUnits - allocations[peerIndex].heldUnits
-	if ownSurplus < minTransferUnits || peerDeficit < minTransferUnits {
-		return
+	if ownSurplus < minTransferUnits || deficit < minTransferUnits {
+		return 0
 	}
-	units := min(int64(ownSurplus*peerDeficit/max(surplus, deficit)), ownUnits-t.floor())
-	if units <= 0 {
-		return
+	peerDeficit := allocations[peerIndex].targetUnits - allocations[peerIndex].heldUnits
+	lendable := max(s.ownUnits(now), 0)
+	borrowed := max(s.peers[id].borrowed(), 0)
+	aboveFloor := s.heldUnits(now) - t.floor()
+	if peerDeficit >= minTransferUnits {
+		return min(int64(ownSurplus*peerDeficit/max(surplus, deficit)), borrowed+lendable, aboveFloor)
 	}
-	recipient.sentUnits += uint64(units)
-	recipient.heldUnits += units
-	recipient.lastTransfer = now
-	t.markChanged(key, s)
+	// The lender may lend the returned units to the members with a deficit.
+	needed := ownSurplus * deficit / max(surplus, deficit)
+	return min(int64(needed)-lendable, borrowed, aboveFloor)
 }
 
 // allocations returns the demand and the held units of each member, this one
--- a/share/replace_test.go
+++ b/share/replace_test.go
@@ -97,8 +97,9 @@
 	checkSumWhileMembersAreReplaced(t, (*network).runningSum)
 }
 
-// TestUsedSumStaysWithinLimitWhileMembersAreReplaced guards against the same when a
-// member owes units: it uses none, but those to which it passed them on use them.
+// TestUsedSumStaysWithinLimitWhileMembersAreReplaced guards against the same where
+// owed units would hide it: a member that owes units uses none, but those to which it
+// passed them on use them.
 func TestUsedSumStaysWithinLimitWhileMembersAreReplaced(t *testing.T) {
 	t.Parallel()
 	checkSumWhileMembersAreReplaced(t, (*network).usedSum)
@@ -185,3 +186,31 @@
 		}
 	}
 }
+
+// TestMemberOwesNothingAfterItsLenderDeparts guards against a limit that is exceeded
+// because a member lends on what it has borrowed: once its lender departs, it owes
+// units that a third member uses.
+func TestMemberOwesNothingAfterItsLenderDeparts(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	n := newNetwork(8)
+	demandOnlyAt := func(member int) {
+		for i := range n.tables {
+			n.tables[i].SetDemand(limitKey, NewDemand(0))
+		}
+		n.tables[member].SetDemand(limitKey, NewDemand(1))
+		n.runRounds(c, 20, 1)
+	}
+	demandOnlyAt(0)
+	demandOnlyAt(1)
+	demandOnlyAt(2)
+	for lender := 3; lender < len(n.tables); lender++ {
+		n.stop(lender)
+		for i := range 3 {
+			n.tables[i].Forget(n.names[lender])
+			held := n.tables[i].Share(limitKey).HeldUnits
+			c.Check(held >= 0, qt.IsTrue, qt.Commentf("member %d holds %d units after %d of its lenders departed", i, held, lender-2))
+		}
+	}
+	c.Check(n.usedSum() <= 1+tolerance, qt.IsTrue)
+}
--- a/share/share.go
+++ b/share/share.go
@@ -15,10 +15,14 @@
 // lost, delayed and duplicated messages never create units. The units held by
 // members with the same view of the membership therefore never exceed the limit.
 //
+// A member lends only units of its own equal share, and returns units that it has
+// borrowed to the peers that lent them. Whichever peers depart, it therefore never
+// owes units, and no third member uses units of a departed one.
+//
 // While the views differ, the shares add up to at most the limit times the
 // number of running members divided by the smallest number of members that one
 // of them counts. For SettleTime after Forget, a departed member is still
-// counted, and the units transferred to it stay deducted. A later incarnation of
+// counted, and the units lent to it stay deducted. A later incarnation of
 // it takes its place in the count at once and uses the floor, which a member never
 // transfers. For SettleTime after its start, a new member uses at most the floor
 // and transfers nothing. Therefore, if all members receive a membership change
@@ -183,7 +187,11 @@
 	return p.levels
 }
 
-// deduction is the number of units that were transferred to a forgotten member.
+// borrowed returns the units received from the peer and not returned to it; less
+// than 0 if this member has lent units to the peer.
+func (p *peerState) borrowed() int64 { return int64(p.receivedUnits) - int64(p.sentUnits) }
+
+// deduction is the number of units that were lent to a forgotten member.
 // They stay subtracted until all members have forgotten it.
 type deduction struct {
 	units int64
@@ -348,22 +356,30 @@
 	return s
 }
 
-// heldUnits returns the units that this instance holds. It may be negative after
-// Forget of a peer that sent units.
+// heldUnits returns the units that this instance holds.
 func (s *limitState) heldUnits(now time.Time) int64 {
-	held := int64(UnitsPerMember)
+	held := s.ownUnits(now)
 	for _, p := range s.peers {
-		held += int64(p.receivedUnits) - int64(p.sentUnits)
+		held += max(p.borrowed(), 0)
+	}
+	return held
+}
+
+// ownUnits returns the units of this instance's equal share that are not lent.
+func (s *limitState) ownUnits(now time.Time) int64 {
+	own := int64(UnitsPerMember)
+	for _, p := range s.peers {
+		own += min(p.borrowed(), 0)
 	}
 	kept := s.deductions[:0]
 	for _, deducted := range s.deductions {
 		if now.Before(deducted.until) {
-			held -= deducted.units
+			own -= deducted.units
 			kept = append(kept, deducted)
 		}
 	}
 	s.deductions = kept
-	return held
+	return own
 }
 
 func (s *limitState) peer(id memberID) *peerState {
@@ -375,8 +391,8 @@
 	return p
 }
 
-// Forget implements exchange.Topic. Units received from the member are lost at
-// once; units sent to it return after SettleTime.
+// Forget implements exchange.Topic. Units borrowed from the member are lost at
+// once; units lent to it return after SettleTime.
 func (t *Table) Forget(instance string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -393,7 +409,7 @@
 }
 
 // retireIncarnation removes an incarnation from all limits, converts the units
-// sent to it into deductions and ignores its later states.
+// lent to it into deductions and ignores its later states.
 func (t *Table) retireIncarnation(now time.Time, id memberID, incarnation uint64) {
 	for entry, until := range t.tombstones {
 		if now.After(until) {
@@ -406,8 +422,8 @@
 		if p == nil {
 			continue
 		}
-		if p.sentUnits > 0 {
-			s.deductions = append(s.deductions, deduction{units: int64(p.sentUnits), until: now.Add(t.config.SettleTime)})
+		if lent := -p.borrowed(); lent > 0 {
+			s.deductions = append(s.deductions, deduction{units: lent, until: now.Add(t.config.SettleTime)})
 		}
 		delete(s.peers, id)
 	}
