Use how long work takes on a backend server now

Change: the slowdown adds to the expected time to first token, to waits in summaries and so to early refusal and spilling. It counts less with its age, as it lasts for half a second on the deployment seen; instances of a region tell each other. Times measured under it are converted before they teach a rate, a latency or outlier detection. Not done: the stand-ins and the digest of the own deployment do not carry it.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -39,8 +39,9 @@
 	Job
 	server         *Server
 	startedAt      time.Time
-	uncontended    bool // at the start, no prefill was pending on the server and a slot was free
-	firstTokenSeen bool // the first token has been received
+	slowdown       Slowdown // last one reported before the start
+	uncontended    bool     // at the start, no prefill was pending on the server and a slot was free
+	firstTokenSeen bool     // the first token has been received
 	ended          bool
 }
 
@@ -50,7 +51,7 @@
 	load := s.Load()
 	occupied := s.Occupied()
 	a := &Attempt{
-		server: s, startedAt: now, Job: job,
+		server: s, startedAt: now, slowdown: s.LastSlowdown().Slowdown, Job: job,
 		uncontended: s.PendingPrefill(catalog.Batch) == 0 && (occupied == 0 || occupied < load.Slots),
 	}
 	s.inFlight.Add(1)
@@ -61,14 +62,20 @@
 // FirstToken records that the first token of the response was received, and adds
 // the time to first token to the server's health. If the request did not have to
 // queue, the time also updates the estimate of the prefill rate (long prompts) or
-// of the base latency (short prompts).
+// of the base latency (short prompts). A time under a slowdown is converted to the
+// usual one. If the slowdown changed meanwhile, the time updates no estimate, as it is
+// not known how much of it was slow.
 func (a *Attempt) FirstToken(now time.Time) {
 	if a.firstTokenSeen || a.ended {
 		return
 	}
 	a.firstTokenSeen = true
 	a.server.localPrefill[a.Rank].Add(-int64(a.UncachedTokens))
-	elapsed := now.Sub(a.startedAt).Seconds()
+	slowdown, steady := steadySlowdown(a.slowdown, a.server.LastSlowdown().Slowdown)
+	if !steady {
+		return
+	}
+	elapsed := now.Sub(a.startedAt).Seconds() / float64(slowdown)
 	a.server.health.addLatency(elapsed, a.UncachedTokens)
 	if elapsed <= 0 || !a.uncontended {
 		return
--- a/backend/server.go
+++ b/backend/server.go
@@ -34,7 +34,8 @@
 	Running    int       `json:"running"` // sequences in the batch
 	Waiting    int       `json:"waiting"` // sequences in the server's queue
 	Slots      int       `json:"slots"`   // maximum number of sequences in the batch
-	ReceivedAt time.Time `json:"-"`       // when the report was received, by this or another instance
+	Slowdown   Slowdown  `json:"slowdown,omitempty"`
+	ReceivedAt time.Time `json:"-"` // when the report was received, by this or another instance
 
 	// AgeAllowance is subtracted from the age of the report. It makes up for the
 	// propagation delay of reports that are received through another instance.
@@ -57,6 +58,7 @@
 	localPrefill  tokensByRank // uncached prompt tokens sent by this instance, before the first token
 	peerPrefill   tokensByRank // the same of the other instances, as of their latest updates
 	report        atomic.Pointer[report]
+	slowdown      atomic.Pointer[SlowdownReport] // the newest one; nil if there was none
 	draining      atomic.Bool
 	pause         atomic.Pointer[pause] // the last one; nil if there was none
 	resume        requestLimiter        // after a pause
@@ -143,6 +145,7 @@
 
 // SetLoad records a load report and updates the moving averages.
 func (s *Server) SetLoad(l Load) {
+	s.RecordSlowdown(SlowdownReport{l.Slowdown, l.ReceivedAt})
 	local := s.inFlight.Load()
 	total := float64(l.Running + l.Waiting)
 	next := &report{Load: l, inFlight: local, baseline: local, smoothedTotal: total, smoothedLocal: float64(local)}
--- a/backend/validate.go
+++ b/backend/validate.go
@@ -30,7 +30,10 @@
 	if err := checkCount("waiting", l.Waiting); err != nil {
 		return err
 	}
-	return checkCount("slots", l.Slots)
+	if err := checkCount("slots", l.Slots); err != nil {
+		return err
+	}
+	return l.Slowdown.Validate()
 }
 
 func checkCount(name string, count int) error {
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -18,6 +18,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
@@ -50,6 +51,11 @@
 	// maxPrefillServers limits the backend servers whose pending prompt tokens are
 	// reported to those with the most, which other instances should avoid.
 	maxPrefillServers = 32
+	// maxSlowdownAge is the age above which a slowdown is not reported to other
+	// instances: it has most likely ended.
+	maxSlowdownAge = 400 * time.Millisecond
+	// maxSlowServers limits the backend servers whose slowdowns are reported.
+	maxSlowServers = 32
 	// placementBytes is the encoded size of a placement: two 64-bit integers.
 	placementBytes = 16
 )
@@ -128,6 +134,7 @@
 // its region.
 type dispatchReport struct {
 	Prefill    prefill    `json:"prefill,omitempty"`
+	Slowdowns  slowdowns  `json:"slowdowns,omitempty"`
 	Placements placements `json:"placements,omitempty"` // since the previous query
 	Next       uint64     `json:"next"`                 // first placement of the next query
 }
@@ -168,6 +175,49 @@
 // backend server and rank.
 type prefill map[string][catalog.RankCount]int
 
+// slowdowns holds the recent slowdowns of backend servers, by id.
+type slowdowns map[string]slowdown
+
+// slowdown is what a backend server reported of its slowdown.
+type slowdown struct {
+	Factor backend.Slowdown `json:"factor"`
+	AgeMS  int64            `json:"age-ms"`
+}
+
+// recentSlowdowns returns the slowdowns that were reported recently. A server that
+// works as usual is left out, since a slowdown that is not confirmed ends by itself.
+func recentSlowdowns(now time.Time, servers []*backend.Server) slowdowns {
+	var recent slowdowns
+	for _, server := range servers {
+		last := server.LastSlowdown()
+		age := now.Sub(last.ReceivedAt)
+		if last.Slowdown == 0 || last.Slowdown == 1 || age > maxSlowdownAge || len(recent) == maxSlowServers {
+			continue
+		}
+		if recent == nil {
+			recent = make(slowdowns)
+		}
+		recent[server.ID] = slowdown{last.Slowdown, age.Milliseconds()}
+	}
+	return recent
+}
+
+// record records the slowdowns that another instance has reported in response to a
+// query sent at the given time.
+func (s slowdowns) record(sent time.Time, servers []*backend.Server) {
+	if len(s) == 0 {
+		return
+	}
+	for _, server := range servers {
+		report, reported := s[server.ID]
+		if reported && report.AgeMS >= 0 && report.Factor.Validate() == nil {
+			server.RecordSlowdown(backend.SlowdownReport{
+				Slowdown: report.Factor, ReceivedAt: sent.Add(-time.Duration(report.AgeMS) * time.Millisecond),
+			})
+		}
+	}
+}
+
 // newPeerHandler returns the handler for other instances. It passes the requests
 // that they forward to forwarded and serves their queries itself.
 func (i *Instance) newPeerHandler(forwarded http.Handler) http.Handler {
@@ -220,6 +270,7 @@
 			response.Dispatched.Placements, response.Dispatched.Next = i.router.Prefix.PlacementsSince(first)
 			if r.URL.Query().Has("prefill") {
 				response.Dispatched.Prefill = i.ownPrefill()
+				response.Dispatched.Slowdowns = recentSlowdowns(time.Now(), i.registry.All())
 			}
 		}
 	}
--- a/hosted/reports.go
+++ b/hosted/reports.go
@@ -141,6 +141,7 @@
 		query.Set("prefill", "1")
 	}
 	var response stateResponse
+	sent := time.Now()
 	err := p.instance.queryPeer(ctx, peerQuery{addr, statePath, query, p.stallTimeout}, &response)
 	if err == nil {
 		p.mergeParts(id, &response)
@@ -158,6 +159,7 @@
 		delete(p.reports, id) // a new process, whose placements are numbered from 0
 		return
 	}
+	response.Dispatched.Slowdowns.record(sent, p.instance.registry.All())
 	p.record(time.Now(), response.Dispatched.Placements)
 	p.reports[id] = &peerReport{started: response.Started, nextPlacement: response.Dispatched.Next, prefill: response.Dispatched.Prefill}
 }
--- a/routing/plugins.go
+++ b/routing/plugins.go
@@ -51,8 +51,9 @@
 
 // FirstTokenScorer estimates the time to first token: the wait for a slot, the
 // base latency, the prefill of prompts that are already pending on the server and
-// of the uncached part of the request's prompt, and the round trip to another
-// zone. Prefill rates and base latencies are learned per server.
+// of the uncached part of the request's prompt, what the server's slowdown adds, and
+// the round trip to another zone. Prefill rates and base latencies are learned per
+// server.
 type FirstTokenScorer struct {
 	Zone        string        // availability zone of this instance
 	ZoneLatency time.Duration // one way, to another zone; 0 stands for 500 µs
@@ -80,6 +81,7 @@
 func (s FirstTokenScorer) Score(req *Request, server *backend.Server, cached int) time.Duration {
 	tokens := s.tokensAhead(req.Work.Rank, server) + max(0, req.PromptTokens-cached)
 	cost := slotWait(server, req.Occupied(server)) + req.BaseLatency(server) + prefillTime(tokens, req.PrefillRate(server))
+	cost += server.Delay(req.scratch.now, cost)
 	if server.Zone != s.Zone {
 		cost += 2 * s.zoneLatency()
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -99,7 +99,13 @@
 	FetchFrom *backend.Server
 	// RetryAfter is the time until the first paused server resumes; set with ReasonPaused.
 	RetryAfter time.Duration
-	Spill      SpillReason // why the request was or was not forwarded, if another region was considered
+	// Slowdown is the last one that Server reported; 0 if it has reported none.
+	Slowdown    backend.Slowdown
+	SlowdownAge time.Duration
+	// SlowCandidates is the number of candidates that are expected to take longer than
+	// usual.
+	SlowCandidates int
+	Spill          SpillReason // why the request was or was not forwarded, if another region was considered
 }
 
 // UncachedTokens returns the prompt tokens that Server has to compute.
@@ -373,6 +379,13 @@
 		picker = LeastCost{}
 	}
 	best := candidates[picker.Pick(req, candidates, random)]
+	slow := 0
+	for i := range candidates {
+		if candidates[i].Server.Delay(s.now, candidates[i].Cost) > 0 {
+			slow++
+		}
+	}
+	slowdown := best.Server.LastSlowdown()
 	s.sharers = 0
 	best.Cost = r.Scorer.Score(req, best.Server, best.CachedTokens) + best.fetchTime
 	if best.CachedTokens > 0 && reason == ReasonLeastCost {
@@ -381,7 +394,8 @@
 	return Decision{
 		Server: best.Server, Reason: reason, Candidates: len(candidates),
 		Cost: best.Cost, CachedTokens: best.CachedTokens, FetchFrom: best.FetchFrom,
-		Wait: best.Cost - req.BaseLatency(best.Server) - best.ownPrefillTime(req),
+		Wait:     best.Cost - req.BaseLatency(best.Server) - best.ownPrefillTime(req),
+		Slowdown: slowdown.Slowdown, SlowdownAge: slowdown.Age(s.now), SlowCandidates: slow,
 	}
 }
 
--- a/routing/sim_test.go
+++ b/routing/sim_test.go
@@ -35,6 +35,7 @@
 	rate          float64       // prefill, tokens per second
 	decode        time.Duration // time from the first token to the last
 	failing       bool          // refuses connections
+	slowdown      backend.Slowdown
 	running       int
 	queue         []func()
 	prefillDoneAt time.Time // when the pending prefills are finished
@@ -197,7 +198,7 @@
 	if e.prefillDoneAt.After(began) {
 		began = e.prefillDoneAt
 	}
-	e.prefillDoneAt = began.Add(time.Duration(float64(uncached) / e.rate * float64(time.Second)))
+	e.prefillDoneAt = began.Add(time.Duration(float64(uncached) / e.rate * float64(max(e.slowdown, 1)) * float64(time.Second)))
 	s.after(e.prefillDoneAt.Sub(s.now), func() {
 		attempt.FirstToken(s.now)
 		s.firstTokenTimes = append(s.firstTokenTimes, s.now.Sub(req.Received))
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -95,7 +95,7 @@
 		summary.FreeSlots += max(0, slots-server.Occupied())
 		rates = append(rates, server.PrefillRate())
 		holds = append(holds, server.HoldTime())
-		if w := serverWait(server); summary.Servers == 1 || w < wait {
+		if w := serverWait(now, server); summary.Servers == 1 || w < wait {
 			wait = w
 		}
 	}
@@ -112,6 +112,7 @@
 	return summary
 }
 
-func serverWait(server *backend.Server) time.Duration {
-	return slotWait(server, float64(server.Occupied())) + prefillTime(server.PendingPrefill(catalog.Batch), server.PrefillRate())
+func serverWait(now time.Time, server *backend.Server) time.Duration {
+	wait := slotWait(server, float64(server.Occupied())) + prefillTime(server.PendingPrefill(catalog.Batch), server.PrefillRate())
+	return wait + server.Delay(now, wait)
 }
