Keep the view of live instances until it changes

An entry that had not changed was decoded again with each change of another instance, and pending prompts were summed by server and neighbor. Change: the roster keeps the view until a change, or for 50 ms while liveness depends on the age of probes. Entries are decoded once a revision. Sums visit what was reported only.

--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -452,15 +452,9 @@
 
 // Reachable implements routing.Regions.
 func (p regionPeers) Reachable() []string {
-	var regions []string
-	seen := map[string]bool{p.instance.settings.Region: true}
-	for _, other := range p.instance.roster.Live() {
-		if !seen[other.Region] {
-			seen[other.Region] = true
-			regions = append(regions, other.Region)
-		}
-	}
-	return regions
+	return slices.DeleteFunc(slices.Clone(p.instance.roster.Regions()), func(region string) bool {
+		return region == p.instance.settings.Region
+	})
 }
 
 // share returns this instance's fraction of the resources that the instances of
--- a/hosted/reports.go
+++ b/hosted/reports.go
@@ -209,13 +209,19 @@
 func (p *reportPoller) applyPrefill() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, server := range p.instance.registry.All() {
-		for rank := range catalog.RankCount {
-			total := 0
-			for _, report := range p.reports {
-				total += report.prefill[server.ID][rank]
+	totals := make(prefill)
+	for _, report := range p.reports {
+		for server, tokens := range report.prefill {
+			total := totals[server]
+			for rank := range total {
+				total[rank] += tokens[rank]
 			}
-			server.SetPeerPrefill(catalog.Rank(rank), total)
+			totals[server] = total
+		}
+	}
+	for _, server := range p.instance.registry.All() {
+		for rank, tokens := range totals[server.ID] {
+			server.SetPeerPrefill(catalog.Rank(rank), tokens)
 		}
 	}
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -33,6 +34,9 @@
 	// livenessTTL is how long a successful probe counts as evidence that an
 	// instance is live.
 	livenessTTL = 2500 * time.Millisecond
+	// viewTTL is how long a view is used while the liveness of instances depends on
+	// the age of their probes. It is short compared with livenessTTL.
+	viewTTL = 50 * time.Millisecond
 )
 
 // Instance is an entry instance, one that serves callers.
@@ -109,6 +113,7 @@
 
 	mu           sync.Mutex
 	members      map[string]*member
+	view         *view             // of the live instances; nil after a change
 	unreadable   map[string]uint64 // revisions of the entries that cannot be used, by key
 	lease        store.LeaseID
 	renewedAt    time.Time // when lease was last granted or renewed
@@ -119,12 +124,22 @@
 // member is the state of an instance, as last listed or probed.
 type member struct {
 	Instance
+	version     uint64    // of its key, as last listed
 	listed      bool      // its key is in the store
 	probedAt    time.Time // start of the last probe
 	aliveAt     time.Time // last successful probe
 	probeFailed bool      // the last probe failed
 }
 
+// view is the live instances at a time.
+type view struct {
+	live       []Instance // sorted by id
+	byRegion   map[string][]Instance
+	regions    []string // those of live, sorted
+	storeDown  bool
+	validUntil time.Time // zero: until a change
+}
+
 // Update sets which instances are listed. entries are all entries below Prefix. An
 // instance that is no longer listed is kept until its probes fail.
 func (r *Roster) Update(entries []store.Entry) {
@@ -133,10 +148,16 @@
 	if r.members == nil {
 		r.members = make(map[string]*member)
 	}
+	r.view = nil
 	listed := make(map[string]bool)
 	unreadable := make(map[string]uint64)
 	for _, e := range entries {
-		instance, err := decodeInstance(strings.TrimPrefix(e.Key, r.Prefix), e.Value)
+		id := strings.TrimPrefix(e.Key, r.Prefix)
+		if m := r.members[id]; m != nil && m.version == e.Version {
+			listed[id], m.listed = true, true
+			continue
+		}
+		instance, err := decodeInstance(id, e.Value)
 		if err != nil {
 			unreadable[e.Key] = e.Version
 			if r.unreadable[e.Key] != e.Version {
@@ -147,11 +168,11 @@
 		listed[instance.ID] = true
 		m := r.members[instance.ID]
 		if m == nil || m.Instance != instance {
-			r.members[instance.ID] = &member{Instance: instance, listed: true}
+			r.members[instance.ID] = &member{Instance: instance, version: e.Version, listed: true}
 			r.Observer.InstanceSeen(instance, true)
 			continue
 		}
-		m.listed = true
+		m.listed, m.version = true, e.Version
 	}
 	for id, m := range r.members {
 		if !listed[id] {
@@ -249,6 +270,7 @@
 func (r *Roster) Deregister(ctx context.Context) error {
 	r.mu.Lock()
 	r.deregistered = true
+	r.view = nil
 	lease := r.lease
 	r.mu.Unlock()
 	if lease == "" {
@@ -268,6 +290,7 @@
 			continue
 		}
 		m.probedAt = time.Now()
+		r.view = nil
 		instance := m.Instance
 		group.Go(func() { r.probe(ctx, instance) })
 	}
@@ -287,6 +310,7 @@
 	if m == nil || m.Instance != instance {
 		return
 	}
+	r.view = nil
 	if err == nil {
 		m.aliveAt, m.probeFailed = time.Now(), false
 		return
@@ -319,25 +343,52 @@
 }
 
 // Live returns the instances that count as ready for requests, sorted by id. It
-// includes this instance unless Deregister has been called.
-func (r *Roster) Live() []Instance {
+// includes this instance unless Deregister has been called. The result must not be
+// modified.
+func (r *Roster) Live() []Instance { return r.current().live }
+
+// InRegion returns the live instances of a region, sorted by id. The result must not
+// be modified.
+func (r *Roster) InRegion(region string) []Instance { return r.current().byRegion[region] }
+
+// Regions returns the regions that have a live instance, sorted. The result must not be
+// modified.
+func (r *Roster) Regions() []string { return r.current().regions }
+
+// current returns the view of the live instances. It is kept until a change, because
+// several of them are needed for each request.
+func (r *Roster) current() *view {
 	storeDown := r.StoreOutage() > 0
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var live []Instance
+	v := r.view
+	if v == nil || v.storeDown != storeDown || !v.validUntil.IsZero() && time.Now().After(v.validUntil) {
+		v = r.newView(storeDown)
+		r.view = v
+	}
+	return v
+}
+
+// newView returns the view of the live instances now. r.mu is held.
+func (r *Roster) newView(storeDown bool) *view {
+	v := &view{byRegion: make(map[string][]Instance), storeDown: storeDown}
+	probed := storeDown
 	for _, m := range r.members {
+		probed = probed || !m.listed
 		if m.ID != r.Self.ID && r.live(m, storeDown) {
-			live = append(live, m.Instance)
+			v.live = append(v.live, m.Instance)
 		}
 	}
 	if !r.deregistered {
-		live = append(live, r.Self)
+		v.live = append(v.live, r.Self)
 	}
-	slices.SortFunc(live, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return live
-}
-
-// InRegion returns the live instances of a region, sorted by id.
-func (r *Roster) InRegion(region string) []Instance {
-	return slices.DeleteFunc(r.Live(), func(i Instance) bool { return i.Region != region })
+	if probed {
+		v.validUntil = time.Now().Add(viewTTL)
+	}
+	slices.SortFunc(v.live, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	for _, instance := range v.live {
+		v.byRegion[instance.Region] = append(v.byRegion[instance.Region], instance)
+	}
+	v.regions = slices.Sorted(maps.Keys(v.byRegion))
+	return v
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -260,3 +260,59 @@
 	c.Assert(r.Live(), qt.HasLen, 2)
 	c.Assert(r.members["other"].listed, qt.IsTrue)
 }
+
+// TestViewFollowsChanges guards against a view of the live instances that outlives a
+// change: each one must show at once, and the end of the time for which a probe counts
+// within viewTTL.
+func TestViewFollowsChanges(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		outage, alive := time.Duration(0), true
+		r := &Roster{
+			Self: Instance{ID: "a", Region: "cairo", Zone: "cairo-a", CallerAddr: "10.0.0.1:1", PeerAddr: "10.0.0.1:2"}, Prefix: "i/", Observer: noopObserver{},
+			StoreOutage: func() time.Duration { return outage }, Leases: &leases{},
+			Probe: func(context.Context, Instance) error {
+				if !alive {
+					return errors.New("no response")
+				}
+				return nil
+			},
+		}
+		entry := func(id, region string, version uint64) store.Entry {
+			value, err := json.Marshal(Instance{ID: id, Region: region, Zone: region + "-a", CallerAddr: "10.0.0.2:1", PeerAddr: "10.0.0.2:2"})
+			c.Assert(err, qt.IsNil)
+			return store.Entry{Key: "i/" + id, Value: value, Version: version}
+		}
+		live := func() string {
+			text := ""
+			for _, region := range r.Regions() {
+				for _, instance := range r.InRegion(region) {
+					text += region + ":" + instance.ID + " "
+				}
+			}
+			return text
+		}
+		r.Update([]store.Entry{entry("b", "cairo", 1), entry("c", "alex", 2)})
+		c.Check(live(), qt.Equals, "alex:c cairo:a cairo:b ")
+		r.Update([]store.Entry{entry("b", "delta", 3), entry("c", "alex", 2)})
+		c.Check(live(), qt.Equals, "alex:c cairo:a delta:b ")
+		alive = false
+		r.Update([]store.Entry{entry("c", "alex", 2)})
+		c.Check(live(), qt.Equals, "alex:c cairo:a ")
+		outage = time.Second
+		c.Check(live(), qt.Equals, "alex:c cairo:a ")
+		alive = true
+		r.probeUnlisted(t.Context())
+		alive = false
+		time.Sleep(probeInterval)
+		r.probeUnlisted(t.Context())
+		c.Check(live(), qt.Equals, "alex:c cairo:a delta:b ", qt.Commentf("both have responded before"))
+		time.Sleep(livenessTTL)
+		c.Check(live(), qt.Equals, "cairo:a ")
+		outage = 0
+		c.Check(live(), qt.Equals, "alex:c cairo:a ")
+		c.Assert(r.Deregister(t.Context()), qt.IsNil)
+		c.Check(live(), qt.Equals, "alex:c ")
+	})
+}
