Follow an announced pause beyond an hour

Cause: a pause was cut to one hour, so that a server that asked for three hours got a third request within them, against the rule. The bound was meant for a timestamp in place of a duration. Change: what a server asks for counts, up to 30 days; a number above 1e9 is a Unix time in seconds or milliseconds.

--- a/backend/withdrawal.go
+++ b/backend/withdrawal.go
@@ -6,10 +6,9 @@
 	"time"
 )
 
-// MaxPause is the longest pause that a server obtains with one response. A pause
-// that it announces by mistake, such as a timestamp in place of a duration, ends
-// after this time. A server that still wants a pause then asks for the next one.
-const MaxPause = time.Hour
+// MaxPause is the longest pause that a server obtains with one response. It is far
+// longer than an instance runs between two releases.
+const MaxPause = 30 * 24 * time.Hour
 
 // pause is the time for which a server has asked this instance for no requests.
 type pause struct {
--- a/dispatch/withdrawal.go
+++ b/dispatch/withdrawal.go
@@ -51,11 +51,7 @@
 // is compared with the one of the response, which is of the same clock.
 func (info *ResponseInfo) readRetryAfter(value, date string) {
 	if at, err := http.ParseTime(value); err == nil {
-		now, err := http.ParseTime(date)
-		if err != nil {
-			now = time.Now()
-		}
-		info.Pause = max(info.Pause, at.Sub(now))
+		info.Pause = max(info.Pause, at.Sub(responseTime(date)))
 		return
 	}
 	for _, element := range elements([]string{value}) {
@@ -64,10 +60,30 @@
 			info.ignore(retryAfterHeader, element, err)
 			continue
 		}
+		if pause >= minUnixTime && pause < math.MaxInt64 {
+			pause = time.Unix(0, 0).Add(pause).Sub(responseTime(date))
+		}
 		info.Pause = max(info.Pause, pause)
 	}
 }
 
+// Retry-After values of more than three decades are a Unix time in place of a
+// duration: in seconds, or in milliseconds if it would be in the far future.
+const (
+	minUnixTime       = 1e9 * time.Second
+	minUnixTimeMillis = 1e12 // in seconds, more than a time.Duration holds
+)
+
+// responseTime returns the time in the Date header of a response, or now if it has
+// none.
+func responseTime(date string) time.Time {
+	at, err := http.ParseTime(date)
+	if err != nil {
+		return time.Now()
+	}
+	return at
+}
+
 // parseSeconds parses a decimal number of seconds without sign and exponent. One
 // that exceeds a time.Duration becomes the longest one.
 func parseSeconds(text string) (time.Duration, error) {
@@ -78,6 +94,9 @@
 	if err != nil && !errors.Is(err, strconv.ErrRange) {
 		return 0, errNotPause
 	}
+	if seconds >= minUnixTimeMillis {
+		seconds /= 1000
+	}
 	if seconds >= math.MaxInt64/float64(time.Second) {
 		return math.MaxInt64, nil
 	}
