Relay the store's changes from one instance of each zone

Change: one instance a zone follows the store, the others follow it and return to the store when it is silent, lags or does not follow the store. A copy knows after which revision it has all removals, and sends all entries to one that asks for an older one: before, a server removed before a peer was started stayed forever at an instance that pulled from it while the store was away.

--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -27,7 +27,6 @@
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/routing"
-	"github.com/fuchsiastack/fuchsiastack/store"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
@@ -112,13 +111,6 @@
 	}
 }
 
-// changesResponse holds the changes of the store after a revision, and the
-// revision up to which they are complete.
-type changesResponse struct {
-	Changes  []store.Change `json:"changes"`
-	Revision uint64         `json:"revision"`
-}
-
 // stateResponse is the state that an instance reports of itself and its region.
 type stateResponse struct {
 	ID         string                  `json:"id"`
@@ -233,16 +225,6 @@
 	})
 }
 
-func (i *Instance) serveChanges(w http.ResponseWriter, r *http.Request) {
-	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
-	if err != nil {
-		http.Error(w, "since: want a revision", http.StatusBadRequest)
-		return
-	}
-	changes, revision := i.mirror.Since(since)
-	i.writeJSON(w, changesResponse{changes, revision})
-}
-
 func (i *Instance) serveState(w http.ResponseWriter, r *http.Request) {
 	response := stateResponse{ID: i.settings.Instance, Started: i.roster.Self.Started, Ready: i.ready()}
 	if r.URL.Query().Has("summaries") {
@@ -428,10 +410,10 @@
 	var peers []mirror.Peer
 	for _, addr := range addrs {
 		if addr != i.settings.PeerAddr {
-			peers = append(peers, func(ctx context.Context, since uint64) ([]store.Change, uint64, error) {
+			peers = append(peers, func(ctx context.Context, since uint64) (mirror.Update, error) {
 				var response changesResponse
 				err := i.queryPeer(ctx, peerQuery{addr, changesPath, url.Values{"since": {strconv.FormatUint(since, 10)}}, remoteStallTimeout}, &response)
-				return response.Changes, response.Revision, err
+				return response.update(), err
 			})
 		}
 	}
--- /dev/null
+++ b/hosted/relay_test.go
@@ -0,0 +1,86 @@
+package hosted
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/membership"
+)
+
+// TestStoreIsFollowedByFewInstances checks that few instances of a zone follow the store
+// and the others follow them, that all have a change soon, and that watchers that shut
+// down delay a change by no more than the bound of a silent relay.
+func TestStoreIsFollowedByFewInstances(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("stock", "safe", "orders"))
+	f.startServer("orders", "cairo-a", 0)
+	instances := make(map[string]*testInstance)
+	var ids []string
+	for range 6 {
+		n := f.start(f.settings("cairo"))
+		instances[n.settings.Instance] = n
+		ids = append(ids, n.settings.Instance)
+	}
+	for _, n := range instances {
+		f.eventually("all instances known", func() bool { return len(n.roster.Live()) == len(ids) })
+	}
+	// Followers begin to rely on a relay at the latest when the time after a failure
+	// is over.
+	time.Sleep(9 * time.Second)
+	const calm = 6 * time.Second
+	before := f.store.WatchCalls()
+	time.Sleep(calm)
+	calls := f.store.WatchCalls() - before
+	watcherCalls := watchersPerZone * int(calm/(2*time.Second)+1)
+	f.Check(calls <= watcherCalls, qt.IsTrue, qt.Commentf("%d calls of %d instances, %d of the watchers", calls, len(ids), watcherCalls))
+
+	inForce := func(version uint64, except []string) time.Duration {
+		start := time.Now()
+		for id, n := range instances {
+			if !slices.Contains(except, id) {
+				f.eventually("configuration in force", func() bool { return n.revision() == version })
+			}
+		}
+		return time.Since(start)
+	}
+	f.configure(2, newRoute("stock", "safe", "orders"))
+	took := inForce(2, nil)
+	f.Check(took < time.Second, qt.IsTrue, qt.Commentf("%v", took))
+
+	watchers := membership.Rendezvous(ids, watcherKey, watchersPerZone)
+	for _, id := range watchers {
+		instances[id].stop()
+	}
+	f.configure(3, newRoute("stock", "safe", "orders"))
+	took = inForce(3, watchers)
+	f.Check(took < 2400*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+}
+
+// TestChangesQueryIsChecked guards against a query for changes with bad parameters that is
+// taken for another one.
+func TestChangesQueryIsChecked(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("stock", "safe", "orders"))
+	n := f.start(f.settings("cairo"))
+	for query, want := range map[string]int{
+		"":                               http.StatusBadRequest,
+		"?since=-1":                      http.StatusBadRequest,
+		"?since=x":                       http.StatusBadRequest,
+		"?since=0":                       http.StatusOK,
+		"?since=0&wait-ms=x":             http.StatusBadRequest,
+		"?since=0&wait-ms=-5":            http.StatusBadRequest,
+		"?since=0&wait-ms=1e3":           http.StatusBadRequest,
+		"?since=0&wait-ms=99999999999":   http.StatusBadRequest,
+		"?since=0&wait-ms=10":            http.StatusOK,
+		"?since=9999999999&wait-ms=10":   http.StatusOK,
+		"?since=0&wait-ms=10&unknown=10": http.StatusOK,
+	} {
+		f.Check(n.status(n.settings.PeerAddr, changesPath+query), qt.Equals, want, qt.Commentf("%s", query))
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,6 +1,7 @@
 // Package mirror keeps an in-memory copy of some key prefixes of the platform's
-// key-value service. The copy applies the service's changes. While the service is
-// unavailable, it applies changes fetched from the copies of other instances.
+// key-value service. A few instances follow the service itself and relay its changes
+// to the others, which return to the service when their relay fails. While the service
+// is unavailable, a copy applies changes fetched from the copies of other instances.
 // All changes are ordered by revision: a key is never set back to an older
 // revision, whatever the source of a change.
 package mirror
@@ -35,10 +36,18 @@
 	maxTombstones = 8192
 )
 
-// Peer fetches from another instance the changes after a revision, and the
-// revision up to which these are complete. It aborts early if no response data
-// arrives.
-type Peer func(ctx context.Context, since uint64) ([]store.Change, uint64, error)
+// Peer fetches from another instance the changes after a revision. It aborts early
+// if no response data arrives.
+type Peer func(ctx context.Context, since uint64) (Update, error)
+
+// Update holds the changes of a copy after a revision.
+type Update struct {
+	Changes  []store.Change
+	Revision uint64 // the changes are complete up to it
+	// Full means that Changes are all entries of the copy, because it does not know
+	// all removals after the requested revision. A key that is missing was removed.
+	Full bool
+}
 
 // Observer is notified when the service becomes unavailable and when it is
 // available again.
@@ -65,19 +74,38 @@
 	// for none.
 	Changed  func(keys []string)
 	Observer Observer // nil for none
+	// Relay returns the instance to follow, or nil to follow the service itself. A
+	// nil Relay means to follow the service always.
+	Relay func() Relay
+	// Random is the source of the times after which a failed relay is tried again;
+	// nil for the global generator of math/rand/v2.
+	Random func(n time.Duration) time.Duration
 
-	mu          sync.Mutex
-	entries     map[string]store.Entry
-	tombstones  map[string]uint64 // revision of the removal by key
-	revision    uint64            // all changes up to it have been applied
-	outageStart time.Time         // when the service became unavailable; zero: it is available
+	mu         sync.Mutex
+	entries    map[string]store.Entry
+	tombstones map[string]uint64 // revision of the removal by key
+	revision   uint64            // all changes up to it have been applied
+	// completeSince is the revision after which all removals are known. Earlier ones
+	// are missing from tombstones if the copy began, or was listed anew, after them.
+	completeSince uint64
+	outageStart   time.Time     // when the service became unavailable; zero: it is available
+	confirmedAt   time.Time     // when the service itself confirmed the copy; zero: it is not followed
+	advanced      chan struct{} // closed when revision or confirmedAt changes; nil if nobody waits
 }
 
 // Run keeps the copy up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
+	var directUntil time.Time
 	for listed := false; ctx.Err() == nil; {
+		if relay := m.relay(); listed && relay != nil && !time.Now().Before(directUntil) {
+			if m.followRelay(ctx, relay) {
+				continue
+			}
+			directUntil = time.Now().Add(directTime + m.random(directTime))
+		}
 		err := m.step(ctx, &listed)
 		if err == nil {
+			m.confirm()
 			m.sourceAvailable()
 			continue
 		}
@@ -85,6 +113,7 @@
 			listed = false
 			continue
 		}
+		m.unconfirm()
 		if ctx.Err() != nil {
 			return
 		}
@@ -103,11 +132,7 @@
 		*listed = true
 		return nil
 	}
-	wait := m.Wait
-	if wait <= 0 {
-		wait = defaultWait
-	}
-	changes, revision, err := m.Feed.Changes(ctx, "", m.Revision(), wait)
+	changes, revision, err := m.Feed.Changes(ctx, "", m.Revision(), m.wait())
 	if err != nil {
 		return err
 	}
@@ -145,10 +170,19 @@
 			after = page.Entries[len(page.Entries)-1].Key
 		}
 	}
-	m.Apply(m.missingKeys(present, firstRevision), firstRevision)
+	m.replaceUpTo(present, firstRevision)
 	return nil
 }
 
+// replaceUpTo removes every key that is not in present, the keys of a listing that is
+// complete at revision.
+func (m *Mirror) replaceUpTo(present map[string]bool, revision uint64) {
+	m.Apply(m.missingKeys(present, revision), revision)
+	m.mu.Lock()
+	m.completeSince = max(m.completeSince, revision)
+	m.mu.Unlock()
+}
+
 // missingKeys returns a removal for every key that is not in present and whose
 // revision in the copy is not after the given one, that of the listing's first
 // page.
@@ -169,8 +203,25 @@
 func (m *Mirror) Apply(changes []store.Change, revision uint64) {
 	m.apply(changes)
 	m.mu.Lock()
-	m.revision = max(m.revision, revision)
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	if revision > m.revision {
+		m.revision = revision
+		m.wake()
+	}
+}
+
+// Merge applies an update of another instance.
+func (m *Mirror) Merge(update Update) {
+	if !update.Full {
+		m.Apply(update.Changes, update.Revision)
+		return
+	}
+	present := make(map[string]bool, len(update.Changes))
+	for _, change := range update.Changes {
+		present[change.Key] = !change.Removed
+	}
+	m.apply(update.Changes)
+	m.replaceUpTo(present, update.Revision)
 }
 
 func (m *Mirror) apply(changes []store.Change) {
@@ -215,10 +266,11 @@
 // evictTombstones deletes arbitrary tombstones until fewer than maxTombstones are
 // left. m.mu is held.
 func (m *Mirror) evictTombstones() {
-	for key := range m.tombstones {
+	for key, version := range m.tombstones {
 		if len(m.tombstones) < maxTombstones {
 			return
 		}
+		m.completeSince = max(m.completeSince, version)
 		delete(m.tombstones, key)
 	}
 }
@@ -262,11 +314,19 @@
 	return found
 }
 
-// Since returns the changes after a revision, and the revision up to which these
-// are complete. Removals whose tombstones have been evicted are missing.
-func (m *Mirror) Since(revision uint64) ([]store.Change, uint64) {
+// Since returns the changes after a revision.
+func (m *Mirror) Since(revision uint64) Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.since(revision)
+}
+
+// since implements Since. m.mu is held.
+func (m *Mirror) since(revision uint64) Update {
+	full := revision < m.completeSince
+	if full {
+		revision = 0
+	}
 	var changes []store.Change
 	for _, e := range m.entries {
 		if e.Version > revision {
@@ -274,11 +334,11 @@
 		}
 	}
 	for key, version := range m.tombstones {
-		if version > revision {
+		if version > revision && !full {
 			changes = append(changes, store.Change{Entry: store.Entry{Key: key, Version: version}, Removed: true})
 		}
 	}
-	return changes, m.revision
+	return Update{Changes: changes, Revision: m.revision, Full: full}
 }
 
 // Outage returns for how long the service has been unavailable; 0 if it is
@@ -325,8 +385,8 @@
 			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
 			// The error is dropped: the provider of Peers detects failed instances.
-			if changes, revision, err := peer(ctx, m.Revision()); err == nil {
-				m.Apply(changes, revision)
+			if update, err := peer(ctx, m.Revision()); err == nil {
+				m.Merge(update)
 			}
 		})
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -158,10 +158,7 @@
 		downFeed := newFeed()
 		downFeed.down = true
 		other := &Mirror{Feed: downFeed, Prefixes: []string{"a/"}, Peers: func() []Peer {
-			return []Peer{func(_ context.Context, since uint64) ([]store.Change, uint64, error) {
-				changes, revision := m.Since(since)
-				return changes, revision, nil
-			}}
+			return []Peer{func(_ context.Context, since uint64) (Update, error) { return m.Since(since), nil }}
 		}}
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -26,6 +26,7 @@
 	leases          map[uint64]*lease // nil for an ended lease, so that its id is not reused
 	down            bool
 	changed         chan struct{} // closed and replaced at each change
+	watchCalls      int
 }
 
 type item struct {
@@ -74,6 +75,13 @@
 	s.notifyWatchers()
 }
 
+// WatchCalls returns the number of watch calls so far.
+func (s *Store) WatchCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchCalls
+}
+
 func (s *Store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,6 +175,9 @@
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	waitMS, _ := strconv.Atoi(query.Get("wait-ms"))
 	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
+	s.mu.Lock()
+	s.watchCalls++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		if s.down {
