Exchange reports between instances through collectors

Cause: each instance asked three others of its region each 100 ms and three of other regions each 500 ms, whatever it served: 36 calls a second and as many answers. With 65 instances in a region each was asked once in 2.2 s, so that what it had sent was stale when an 800 ms target was decided. Change: about one instance in 16 is a collector, chosen by rendezvous hashing. The others post their reports to one and receive what all others know; the collectors exchange the sums of their cells. Package collector has no I/O. In the model of 65 instances every one knows the work of all others after three exchanges (TestWorkOfAllInstancesArrives). The test of a thin link now has 20 members and 41 remote instances on one collector, each with all placements, instead of queries at the rate of one neighbor in turn.

--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -46,8 +46,7 @@
 	group.Go(func() error { loop.Every(ctx, summaryInterval, i.fetchSummaries); return nil })
 	group.Go(func() error { loop.Every(ctx, trafficInterval, i.traffic.LogSummary); return nil })
 	group.Go(func() error { i.logReloadSignals(ctx); return nil })
-	group.Go(func() error { i.pollNeighbors(ctx); return nil })
-	group.Go(func() error { i.pollRemote(ctx); return nil })
+	group.Go(func() error { i.exchanger.run(ctx); return nil })
 }
 
 // registerWhenReady waits until the instance is ready and then runs the roster,
--- a/hosted/disconnect_test.go
+++ b/hosted/disconnect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,7 +11,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fuchsiastack/fuchsiastack/routing"
+	"github.com/fuchsiastack/fuchsiastack/collector"
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
+	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
 	"github.com/fuchsiastack/fuchsiastack/standin/thinlink"
 )
@@ -55,7 +58,7 @@
 
 	link.TakeMaxDelay()
 	f.pollFromInstances(n, link)
-	time.Sleep(time.Second) // each instance of the region queries n every 0.7 s
+	time.Sleep(time.Second) // several exchanges of each instance
 	disconnect()
 	select {
 	case <-canceled:
@@ -67,8 +70,8 @@
 	}
 }
 
-// pollFromInstances polls n over its link as 20 instances of its region and 41 of
-// other regions do, as often as each of them queries one instance.
+// pollFromInstances sends n, over its link, what 20 instances of its region and 41 of
+// other regions send to a collector that all of them have chosen.
 func (f *fleet) pollFromInstances(n *testInstance, link *thinlink.Link) {
 	addr, err := link.Inbound(n.settings.PeerAddr)
 	f.Assert(err, qt.IsNil)
@@ -76,18 +79,21 @@
 	f.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
 	f.Cleanup(stop)
-	startPollers := func(count int, interval, stallTimeout time.Duration, prefill bool) {
-		for range count {
-			poller := &reportPoller{
-				instance: querier, interval: interval * time.Duration(count) / peersPerPoll, stallTimeout: stallTimeout, prefill: prefill,
-				addrs:  func() map[string]string { return map[string]string{n.settings.Instance: addr} },
-				record: func(time.Time, []routing.Placement) {}, reports: make(map[string]*peerReport),
-			}
-			go poller.run(ctx)
+	startSenders := func(role collector.Source, region string, count int, interval, stallTimeout time.Duration) {
+		for k := range count {
+			sender := roster.Instance{ID: fmt.Sprintf("%s-%d", role, k), Started: 1, Region: region, Zone: region + "-a", CallerAddr: "127.0.0.1:1", PeerAddr: "127.0.0.1:2"}
+			value, err := json.Marshal(sender)
+			f.Assert(err, qt.IsNil)
+			f.store.Put(instanceKeyPrefix+sender.ID, string(value))
+			go loop.Every(ctx, interval, func(ctx context.Context) {
+				var response exchangeResponse
+				_ = querier.post(ctx, addr+exchangePath, stallTimeout, exchangeRequest{ID: sender.ID, Started: 1, Role: role}, &response)
+			})
 		}
 	}
-	startPollers(20, neighborInterval, neighborStallTimeout, true)
-	startPollers(41, remoteInterval, remoteStallTimeout, false)
+	startSenders(collector.Member, "cairo", 20, exchangeInterval, exchangeStallTimeout)
+	startSenders(collector.Remote, "alex", 41, remoteExchangeInterval, remoteStallTimeout)
+	f.eventually("senders known", func() bool { return len(n.roster.InRegion("cairo")) == 21 })
 }
 
 // TestForwardedRequestIsCanceledWhenCloseIsLost guards against a backend server
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -93,6 +93,7 @@
 	ejector      *routing.Ejector
 	summaries    *routing.SummaryTable
 	reportBudget *byteBudget
+	exchanger    *exchanger
 	retry        *retry.Policy
 	parts        *quarantine.Parts
 	peers        *http.Client
@@ -176,6 +177,7 @@
 	}
 	i.roster.StoreOutage = i.mirror.Outage
 	i.router = i.newRouter()
+	i.exchanger = newExchanger(i)
 	return i, nil
 }
 
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -19,7 +19,6 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
-	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/internal/progress"
@@ -36,8 +35,8 @@
 	statePath   = "/fuchsia/state"
 )
 
-// Limits of the responses that contain a dispatchReport. On a link with little
-// bandwidth, requests and connection closes wait behind such responses.
+// Limits of the responses that contain placements or evidence against parts. On a link
+// with little bandwidth, requests and connection closes wait behind such responses.
 const (
 	// reportLinkFraction is the fraction of the link rate that such responses may
 	// use.
@@ -47,9 +46,6 @@
 	reportBurst = time.Second
 	// defaultLinkBytesPerSecond is used if the link rate is unknown.
 	defaultLinkBytesPerSecond = 10e6 / 8
-	// maxPrefillServers limits the backend servers whose pending prompt tokens are
-	// reported to those with the most, which other instances should avoid.
-	maxPrefillServers = 32
 	// maxSlowdownAge is the age above which a slowdown is not reported to other
 	// instances: it has most likely ended.
 	maxSlowdownAge = 400 * time.Millisecond
@@ -113,22 +109,12 @@
 
 // stateResponse is the state that an instance reports of itself and its region.
 type stateResponse struct {
-	ID         string                  `json:"id"`
-	Started    int64                   `json:"started"`
-	Ready      bool                    `json:"ready"`
-	Summaries  []routing.RegionSummary `json:"summaries,omitempty"`
-	Usage      map[string]float64      `json:"usage,omitempty"` // recent requests of callers by route, for routes with homes
-	Dispatched *dispatchReport         `json:"work,omitempty"`
-	Parts      *quarantine.PartReport  `json:"parts,omitempty"`
-}
-
-// dispatchReport describes what an instance has sent to the backend servers of
-// its region.
-type dispatchReport struct {
-	Prefill    prefill    `json:"prefill,omitempty"`
-	Slowdowns  slowdowns  `json:"slowdowns,omitempty"`
-	Placements placements `json:"placements,omitempty"` // since the previous query
-	Next       uint64     `json:"next"`                 // first placement of the next query
+	ID        string                  `json:"id"`
+	Started   int64                   `json:"started"`
+	Ready     bool                    `json:"ready"`
+	Summaries []routing.RegionSummary `json:"summaries,omitempty"`
+	Usage     map[string]float64      `json:"usage,omitempty"` // recent requests of callers by route, for routes with homes
+	Parts     *quarantine.PartReport  `json:"parts,omitempty"`
 }
 
 // placements are encoded in JSON as one base64 string of their integers in
@@ -163,10 +149,6 @@
 	return nil
 }
 
-// prefill holds the prompt tokens that were sent but are not yet computed, by
-// backend server and rank.
-type prefill map[string][catalog.RankCount]int
-
 // slowdowns holds the recent slowdowns of backend servers, by id.
 type slowdowns map[string]slowdown
 
@@ -216,6 +198,7 @@
 	queries := http.NewServeMux()
 	queries.HandleFunc("GET "+changesPath, i.serveChanges)
 	queries.HandleFunc("GET "+statePath, i.serveState)
+	queries.HandleFunc("POST "+exchangePath, i.exchanger.serveExchange)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(filters.HopOriginHeader) != "" {
 			forwarded.ServeHTTP(w, r)
@@ -241,59 +224,14 @@
 		}
 		response.Parts = i.parts.Report(time.Now(), version)
 	}
-	if since := r.URL.Query().Get("placements"); since != "" {
-		first, err := strconv.ParseUint(since, 10, 64)
-		if err != nil {
-			http.Error(w, "placements: want a number", http.StatusBadRequest)
-			return
-		}
-		if i.reportBudget.available() {
-			response.Dispatched = &dispatchReport{}
-			response.Dispatched.Placements, response.Dispatched.Next = i.router.Prefix.PlacementsSince(first)
-			if r.URL.Query().Has("prefill") {
-				response.Dispatched.Prefill = i.ownPrefill()
-				response.Dispatched.Slowdowns = recentSlowdowns(time.Now(), i.registry.All())
-			}
-		}
-	}
 	size := i.writeJSON(w, response)
-	if response.Dispatched != nil || response.Parts != nil {
+	if response.Parts != nil {
 		i.reportBudget.spend(size)
 	}
 }
 
-// ownPrefill returns the prompt tokens that this instance has sent to backend
-// servers and that are not yet computed, for the maxPrefillServers servers with
-// the most.
-func (i *Instance) ownPrefill() prefill {
-	type serverPrefill struct {
-		server string
-		tokens [catalog.RankCount]int
-		total  int
-	}
-	var all []serverPrefill
-	for _, server := range i.registry.All() {
-		pending := serverPrefill{server: server.ID}
-		for rank := range pending.tokens {
-			pending.tokens[rank] = server.LocalPrefill(catalog.Rank(rank))
-			pending.total += pending.tokens[rank]
-		}
-		if pending.total > 0 {
-			all = append(all, pending)
-		}
-	}
-	if len(all) > maxPrefillServers {
-		slices.SortFunc(all, func(a, b serverPrefill) int { return b.total - a.total })
-		all = all[:maxPrefillServers]
-	}
-	own := make(prefill, len(all))
-	for _, pending := range all {
-		own[pending.server] = pending.tokens
-	}
-	return own
-}
-
-// byteBudget limits the bytes of responses that contain a dispatchReport.
+// byteBudget limits the bytes of responses that contain placements or evidence against
+// parts.
 type byteBudget struct {
 	rate float64 // bytes per second
 
@@ -352,9 +290,15 @@
 }
 
 func (i *Instance) doQuery(ctx context.Context, q peerQuery, result any) error {
-	ctx, timer := progress.WithTimeout(ctx, q.stallTimeout)
+	return i.do(ctx, http.MethodGet, q.addr+q.path+"?"+q.params.Encode(), q.stallTimeout, http.NoBody, result)
+}
+
+// do sends a message to another instance at target, a host:port with a path, and
+// decodes the response into result.
+func (i *Instance) do(ctx context.Context, method, target string, stallTimeout time.Duration, message io.Reader, result any) error {
+	ctx, timer := progress.WithTimeout(ctx, stallTimeout)
 	defer timer.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+q.addr+q.path+"?"+q.params.Encode(), http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+target, message)
 	if err != nil {
 		return err
 	}
@@ -365,10 +309,10 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(timer.Reader(resp.Body), maxPeerResponseBytes))
 	if err != nil {
-		return errors.Wrapf(err, "read response of http://%s%s", q.addr, q.path)
+		return errors.Wrapf(err, "read response of http://%s", target)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("query http://%s%s: status %d", q.addr, q.path, resp.StatusCode)
+		return errors.Errorf("%s http://%s: status %d", method, target, resp.StatusCode)
 	}
 	return json.Unmarshal(body, result)
 }
