Receive summaries of other regions through collectors

Cause: each instance fetched the summary of each other region twice a second: four calls across regions a second and instance. A summary came from any instance of the region, which did not count all prompts that wait at its servers. Change: collectors ask one collector of each other region and pass the summaries on with their age. The usage of routes is still asked of every instance in turn, each 2 s. Log lines are written 50 ms after the first one in place of each 50 ms.

--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -28,9 +28,9 @@
 	// expireInterval is short compared with the time that a server is kept after
 	// its entry was removed.
 	expireInterval = 250 * time.Millisecond
-	// summaryInterval is the time between two fetches of the summaries of other
-	// regions, and so about their greatest age: a few round trips.
-	summaryInterval = 500 * time.Millisecond
+	// usageInterval is the time between two fetches of the usage of routes from other
+	// regions. It is short compared with usageHalfLife.
+	usageInterval = 2 * time.Second
 	// trafficInterval is short compared with the time in which a link becomes
 	// saturated or a caller times out.
 	trafficInterval = time.Second
@@ -43,7 +43,7 @@
 	group.Go(func() error { i.registerWhenReady(ctx); return nil })
 	group.Go(func() error { loop.Every(ctx, slotsInterval, i.updateSlots); return nil })
 	group.Go(func() error { loop.Every(ctx, expireInterval, i.expire); return nil })
-	group.Go(func() error { loop.Every(ctx, summaryInterval, i.fetchSummaries); return nil })
+	group.Go(func() error { loop.Every(ctx, usageInterval, i.fetchUsage); return nil })
 	group.Go(func() error { loop.Every(ctx, trafficInterval, i.traffic.LogSummary); return nil })
 	group.Go(func() error { i.logReloadSignals(ctx); return nil })
 	group.Go(func() error { i.exchanger.run(ctx); return nil })
--- a/hosted/exchange.go
+++ b/hosted/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/roster"
+	"github.com/fuchsiastack/fuchsiastack/routing"
 )
 
 const (
@@ -30,6 +31,8 @@
 	// remoteExchangeInterval is the time between two exchanges with a collector of
 	// another region: a few round trips.
 	remoteExchangeInterval = 500 * time.Millisecond
+	// maxSummaryAge is the age above which a summary is not passed on.
+	maxSummaryAge = 5 * time.Second
 	// workTTL allows for three lost reports.
 	workTTL = 4 * exchangeInterval
 	// collectorRetryTime is how long an instance uses another collector after its
@@ -53,6 +56,10 @@
 	Placements placements             `json:"placements,omitempty"`
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
 
+	// Summaries asks for the summaries of other regions, or of the receiver's region if
+	// the sender is of another one.
+	Summaries bool `json:"summaries,omitempty"`
+
 	Region uint64 `json:"region"` // first placement of the region that is wanted
 	Remote uint64 `json:"remote"` // the same of other regions
 	Since  uint64 `json:"since"`  // version of the last parts received
@@ -67,6 +74,7 @@
 	Placements placements             `json:"placements,omitempty"` // of the region
 	Remote     placements             `json:"remote,omitempty"`     // of other regions
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
+	Summaries  []agedSummary          `json:"summaries,omitempty"`
 
 	NextRegion uint64 `json:"next-region"`
 	NextRemote uint64 `json:"next-remote"`
@@ -75,6 +83,12 @@
 	Limited bool `json:"limited,omitempty"`
 }
 
+// agedSummary is the summary of a service in a region, and how old it is.
+type agedSummary struct {
+	routing.RegionSummary
+	AgeMS int64 `json:"age-ms"`
+}
+
 // check returns a *check.FieldError for the first field that cannot be used.
 func (r *exchangeRequest) check() error {
 	switch r.Role {
@@ -104,12 +118,13 @@
 	// addr returns the address at which another instance is reached.
 	addr func(other roster.Instance) string
 
-	mu       sync.Mutex
-	links    map[string]*link // by instance
-	ownNext  uint64           // first placement of this instance that hub does not have
-	failures uint64           // of the collector in use
-	failedAt time.Time
-	selected selection
+	mu         sync.Mutex
+	links      map[string]*link // by instance
+	ownNext    uint64           // first placement of this instance that hub does not have
+	summarized time.Time        // when summaries were last received
+	failures   uint64           // of the collector in use
+	failedAt   time.Time
+	selected   selection
 }
 
 // selection is the result of selecting the collectors among live instances.
@@ -256,7 +271,7 @@
 	request := exchangeRequest{
 		ID: i.settings.Instance, Started: i.roster.Self.Started, Role: role,
 		Region: state.nextRegion, Remote: state.nextRemote, Since: state.partVersion,
-		Parts: i.parts.Report(now, state.sentParts),
+		Parts: i.parts.Report(now, state.sentParts), Summaries: role == collector.Remote,
 	}
 	sentPlacements, stall := state.sentPlacements, remoteStallTimeout
 	if role != collector.Remote {
@@ -264,6 +279,7 @@
 		request.Placements, sentPlacements = own.Region, own.NextRegion
 		request.Work = e.hub.CellWork(now, i.ownWork())
 		request.Slowdowns = recentSlowdowns(now, i.registry.All())
+		request.Summaries = role == collector.Member && e.summariesDue(now)
 		stall = exchangeStallTimeout
 	}
 	var response exchangeResponse
@@ -273,7 +289,7 @@
 	if response.ID != other.ID {
 		return errors.Errorf("exchange with %s: instance %s responded", other.ID, response.ID)
 	}
-	e.receive(&response, role)
+	e.receive(now, &response, role)
 	next := link{
 		started: response.Started, sentPlacements: sentPlacements, sentParts: state.sentParts, partVersion: state.partVersion,
 		nextRegion: response.NextRegion, nextRemote: response.NextRemote,
@@ -311,9 +327,20 @@
 	return link{started: other.Started}
 }
 
-// receive merges a response.
-func (e *exchanger) receive(response *exchangeResponse, role collector.Source) {
+// summariesDue reports whether the summaries of other regions are old enough to be
+// requested again.
+func (e *exchanger) summariesDue(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Sub(e.summarized) >= remoteExchangeInterval-exchangeInterval/2
+}
+
+// receive merges the response to a request that was sent at the given time.
+func (e *exchanger) receive(sent time.Time, response *exchangeResponse, role collector.Source) {
 	i, now := e.instance, time.Now()
+	if len(response.Summaries) > 0 {
+		e.receiveSummaries(sent, response.Summaries)
+	}
 	if response.Parts != nil {
 		i.parts.Merge(now, response.Parts)
 	}
@@ -329,6 +356,39 @@
 	e.hub.AddPlacements(now, collector.Collector, response.Placements)
 }
 
+// receiveSummaries stores summaries of other regions.
+func (e *exchanger) receiveSummaries(sent time.Time, summaries []agedSummary) {
+	for _, s := range summaries {
+		if s.Region != e.instance.settings.Region && s.AgeMS >= 0 {
+			s.At = sent.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+			e.instance.summaries.Put(s.RegionSummary)
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.summarized = sent
+}
+
+// ownSummaries returns the summaries of this region.
+func (e *exchanger) ownSummaries() []agedSummary {
+	var own []agedSummary
+	for _, service := range e.instance.registry.Services() {
+		own = append(own, agedSummary{RegionSummary: e.instance.router.Summarize(service)})
+	}
+	return own
+}
+
+// otherSummaries returns the summaries of other regions, with their age.
+func (e *exchanger) otherSummaries(now time.Time) []agedSummary {
+	var others []agedSummary
+	for _, summary := range e.instance.summaries.All() {
+		if age := now.Sub(summary.At); age <= maxSummaryAge {
+			others = append(others, agedSummary{summary, age.Milliseconds()})
+		}
+	}
+	return others
+}
+
 // apply sets the prompt tokens that the other instances have sent to each server and
 // that are not computed yet.
 func (e *exchanger) apply() {
@@ -394,6 +454,13 @@
 		}
 		response.Slowdowns = recentSlowdowns(now, i.registry.All())
 	}
+	switch {
+	case !request.Summaries:
+	case request.Role == collector.Remote:
+		response.Summaries = e.ownSummaries()
+	default:
+		response.Summaries = e.otherSummaries(now)
+	}
 	response.Limited = !i.reportBudget.available()
 	if !response.Limited {
 		known := e.hub.Placements(request.Role, request.Region, request.Remote)
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -109,12 +109,11 @@
 
 // stateResponse is the state that an instance reports of itself and its region.
 type stateResponse struct {
-	ID        string                  `json:"id"`
-	Started   int64                   `json:"started"`
-	Ready     bool                    `json:"ready"`
-	Summaries []routing.RegionSummary `json:"summaries,omitempty"`
-	Usage     map[string]float64      `json:"usage,omitempty"` // recent requests of callers by route, for routes with homes
-	Parts     *quarantine.PartReport  `json:"parts,omitempty"`
+	ID      string                 `json:"id"`
+	Started int64                  `json:"started"`
+	Ready   bool                   `json:"ready"`
+	Usage   map[string]float64     `json:"usage,omitempty"` // recent requests of callers by route, for routes with homes
+	Parts   *quarantine.PartReport `json:"parts,omitempty"`
 }
 
 // placements are encoded in JSON as one base64 string of their integers in
@@ -210,10 +209,7 @@
 
 func (i *Instance) serveState(w http.ResponseWriter, r *http.Request) {
 	response := stateResponse{ID: i.settings.Instance, Started: i.roster.Self.Started, Ready: i.ready()}
-	if r.URL.Query().Has("summaries") {
-		for _, service := range i.registry.Services() {
-			response.Summaries = append(response.Summaries, i.router.Summarize(service))
-		}
+	if r.URL.Query().Has("usage") {
 		response.Usage = i.usage.report(time.Now())
 	}
 	if since := r.URL.Query().Get("parts"); since != "" {
@@ -389,9 +385,9 @@
 	return 1 / float64(max(len(i.roster.InRegion(i.settings.Region)), 1))
 }
 
-// fetchSummaries fetches the load summaries of each other region, and how much its
-// callers use the routes with homes, from one of its instances.
-func (i *Instance) fetchSummaries(ctx context.Context) {
+// fetchUsage fetches from one instance of each other region how much its callers use
+// the routes with homes.
+func (i *Instance) fetchUsage(ctx context.Context) {
 	for _, region := range (regionPeers{i}).Reachable() {
 		addr := (regionPeers{i}).Peer(region)
 		if addr == "" {
@@ -399,14 +395,10 @@
 		}
 		var response stateResponse
 		sent := time.Now()
-		if err := i.queryPeer(ctx, peerQuery{addr, statePath, url.Values{"summaries": {"1"}}, remoteStallTimeout}, &response); err != nil {
-			i.log.Debug().Str("event", "summary_failed").Str("region", region).Err(err).Msg("")
+		if err := i.queryPeer(ctx, peerQuery{addr, statePath, url.Values{"usage": {"1"}}, remoteStallTimeout}, &response); err != nil {
+			i.log.Debug().Str("event", "usage_failed").Str("region", region).Err(err).Msg("")
 			continue
 		}
-		for _, summary := range response.Summaries {
-			summary.At = sent
-			i.summaries.Put(summary)
-		}
 		i.usage.recordReport(sent, response.ID, response.Usage)
 	}
 }
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -76,6 +77,13 @@
 	return s, ok
 }
 
+// All returns all summaries in no particular order.
+func (t *SummaryTable) All() []RegionSummary {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return slices.Collect(maps.Values(t.summaries))
+}
+
 // Summarize returns the summary of a service in this region. It visits all servers
 // of the service and is meant to be called about once a second.
 func (r *Router) Summarize(service string) RegionSummary {
--- a/telemetry/asyncwriter.go
+++ b/telemetry/asyncwriter.go
@@ -7,13 +7,15 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 )
 
 const (
 	// maxPendingBytes is the maximum size of unwritten lines, in bytes.
 	maxPendingBytes = 1 << 20
-	// flushInterval is the time between two flushes by Run, and so the longest
-	// time that a line is pending.
+	// flushInterval is the longest time that a line is pending. Run collects the lines
+	// of this time in one write.
 	flushInterval = 50 * time.Millisecond
 )
 
@@ -23,6 +25,8 @@
 type AsyncWriter struct {
 	next io.Writer
 
+	written chan struct{} // has an element if there may be pending lines
+
 	mu       sync.Mutex
 	pending  []byte
 	dropped  uint64
@@ -31,7 +35,9 @@
 
 // NewAsyncWriter returns an AsyncWriter that writes to next. Nothing is written
 // unless Run is running or Flush is called.
-func NewAsyncWriter(next io.Writer) *AsyncWriter { return &AsyncWriter{next: next} }
+func NewAsyncWriter(next io.Writer) *AsyncWriter {
+	return &AsyncWriter{next: next, written: make(chan struct{}, 1)}
+}
 
 // Write implements io.Writer. Each call must pass one complete line. It reports
 // success even if the line is dropped.
@@ -43,6 +49,10 @@
 		return len(line), nil
 	}
 	w.pending = append(w.pending, line...)
+	select {
+	case w.written <- struct{}{}:
+	default:
+	}
 	return len(line), nil
 }
 
@@ -53,14 +63,12 @@
 	return w.dropped
 }
 
-// Run flushes the pending lines periodically until ctx is done, and once more
-// before it returns.
+// Run flushes the pending lines until ctx is done, and once more before it returns.
 func (w *AsyncWriter) Run(ctx context.Context) {
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-w.written:
+			loop.Sleep(ctx, flushInterval)
 			w.Flush()
 		case <-ctx.Done():
 			w.Flush()
