List the models, and name wrong paths and methods

Cause: GET /v1/models was answered "body is no JSON", as each path was taken for a call with a model in its body. Change: models and single models in the OpenAI shape; 404 for paths that are neither OpenAI calls nor name a service, 405 with Allow for other methods.

--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -28,6 +28,7 @@
 		filters.RejectHops{},
 		filters.Ready{Table: d.table},
 		filters.Authenticate{},
+		filters.API{},
 		filters.Resolve{},
 		home,
 		drainFilter{d},
--- a/daemon/invalid_request_test.go
+++ b/daemon/invalid_request_test.go
@@ -65,6 +65,52 @@
 	qt.Assert(t, executions(t, engineURL), qt.Equals, before)
 }
 
+// TestModelsAreListed guards against clients that cannot list the models, and against
+// errors that speak of the body of a request whose path or method is wrong.
+func TestModelsAreListed(t *testing.T) {
+	gatewayURL, engineURL := startGateway(t, engine.Config{Slots: 1})
+	before := executions(t, engineURL)
+	for _, test := range []struct {
+		method, path, key string
+		status            int
+		allow, code       string
+		contains          string
+	}{
+		{http.MethodGet, "/v1/models", "nile-press-key", 200, "", "", `{"object":"list","data":[{"id":"drafting-desk","object":"model","created":0,"owned_by":"fuchsiastack"}`},
+		{http.MethodGet, "/v1/models/drafting-desk", "nile-press-key", 200, "", "", `{"id":"drafting-desk","object":"model"`},
+		{http.MethodHead, "/v1/models", "nile-press-key", 200, "", "", ""},
+		{http.MethodGet, "/v1/models", "x", 401, "", "unauthenticated", ""},
+		{http.MethodGet, "/v1/models/poetry", "nile-press-key", 404, "", "unknown_service", ""},
+		{http.MethodGet, "/v1/models/orders-desk", "nile-press-key", 404, "", "unknown_service", ""},
+		{http.MethodPost, "/v1/models", "nile-press-key", 405, "GET, HEAD", "method_not_allowed", ""},
+		{http.MethodDelete, "/v1/models/drafting-desk", "nile-press-key", 405, "GET, HEAD", "method_not_allowed", ""},
+		{http.MethodGet, "/v1/chat/completions", "nile-press-key", 405, "POST", "method_not_allowed", ""},
+		{http.MethodPut, "/v1/chat/completions", "nile-press-key", 405, "POST", "method_not_allowed", ""},
+		{http.MethodGet, "/", "nile-press-key", 404, "", "not_found", ""},
+		{http.MethodPost, "/v2/chat/completions", "nile-press-key", 404, "", "not_found", ""},
+		{http.MethodPost, "/v1/", "nile-press-key", 404, "", "not_found", ""},
+	} {
+		t.Run(test.method+test.path, func(t *testing.T) {
+			c := qt.New(t)
+			req, err := http.NewRequest(test.method, gatewayURL+test.path, strings.NewReader("{}"))
+			c.Assert(err, qt.IsNil)
+			req.Header.Set("Authorization", "Bearer "+test.key)
+			resp, err := http.DefaultClient.Do(req)
+			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
+			text, err := io.ReadAll(resp.Body)
+			c.Assert(err, qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, test.status)
+			c.Check(resp.Header.Get("Allow"), qt.Equals, test.allow)
+			c.Check(string(text), qt.Contains, test.contains)
+			if test.code != "" {
+				c.Check(string(text), qt.Contains, `"code":"`+test.code+`"`)
+			}
+		})
+	}
+	qt.Assert(t, executions(t, engineURL), qt.Equals, before)
+}
+
 // A request whose header exceeds the size limit is refused with status 431.
 func TestOversizedHeaderIsRefused(t *testing.T) {
 	c := qt.New(t)
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -63,6 +63,8 @@
 	CodeBadRequest       Code = "bad_request"
 	CodeBodyTooLarge     Code = "body_too_large"
 	CodeUnauthenticated  Code = "unauthenticated"
+	CodeNotFound         Code = "not_found"
+	CodeMethodNotAllowed Code = "method_not_allowed"
 	CodeUnknownService   Code = "unknown_service"
 	CodeUnknownWork      Code = "unknown_work"
 	CodeBadDeadline      Code = "bad_deadline"
