Place requests by the age of the news of other instances

Cause: what others have sent is known 0.2 to 0.3 s later, and until then all instances choose the same idle servers.

--- a/hosted/exchange.go
+++ b/hosted/exchange.go
@@ -33,6 +33,9 @@
 	remoteExchangeInterval = 500 * time.Millisecond
 	// maxSummaryAge is the age above which a summary is not passed on.
 	maxSummaryAge = 5 * time.Second
+	// newsAge is the mean time from the dispatch of a prompt until the other instances
+	// know of it: half of each of two intervals, and the processing of two messages.
+	newsAge = exchangeInterval + 80*time.Millisecond
 	// workTTL allows for three lost reports.
 	workTTL = 4 * exchangeInterval
 	// collectorRetryTime is how long an instance uses another collector after its
