Bound what a watcher and a collector send

Cause: an instance that started was behind its watcher's listing, and received all entries from it: 1 MB for each of 50 followers at 300 instances. The watcher's link was taken up, and its zone learned a configuration 13 s and a leaving server 7.7 s late. Change: who is behind reads the history from the store; relayed changes take at most a tenth of the link, and who would need more reads from the store. A report names the 64 servers with the most pending tokens. A member that changes its collector counts the work of others once, a collector that does not respond is logged, and exchanges with other regions do not hold up those of the region.

--- a/collector/collector.go
+++ b/collector/collector.go
@@ -11,6 +11,7 @@
 package collector
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -63,6 +64,27 @@
 	}
 }
 
+// Heaviest returns the servers with the most tokens, at most count of them: the ones that
+// others should avoid.
+func (w Work) Heaviest(count int) Work {
+	if len(w) <= count {
+		return w
+	}
+	servers := slices.SortedFunc(maps.Keys(w), func(a, b uint64) int { return cmp.Compare(w.total(b), w.total(a)) })
+	heaviest := make(Work, count)
+	for _, server := range servers[:count] {
+		heaviest[server] = w[server]
+	}
+	return heaviest
+}
+
+func (w Work) total(server uint64) (tokens int) {
+	for _, count := range w[server] {
+		tokens += count
+	}
+	return tokens
+}
+
 // Source is the kind of a sender of reports.
 type Source string
 
@@ -71,11 +93,13 @@
 	Member    Source = "member"    // an instance of the collector's cell
 	Collector Source = "collector" // another collector of the region
 	Remote    Source = "remote"    // a collector of another region
+
+	// upstream is the collector of an instance that is none.
+	upstream Source = "upstream"
 )
 
-// Hub holds the reports that an instance has received. A Hub of an instance that is no
-// collector holds the last response of its collector, which it stores like the report
-// of another collector. Its methods are safe for concurrent use.
+// Hub holds the reports that an instance has received. Its methods are safe for
+// concurrent use.
 type Hub struct {
 	// TTL is how long the work in a report counts. It allows for a few lost reports.
 	TTL time.Duration
@@ -97,6 +121,11 @@
 	at   time.Time
 }
 
+// Receive stores the work of all other instances of the region, as the collector of this
+// instance has responded. It replaces the response of an earlier collector. An instance
+// that is a collector itself receives nil.
+func (h *Hub) Receive(now time.Time, work Work) { h.Report(now, upstream, "", work) }
+
 // Report stores the work that another instance has reported. It replaces the last
 // report of the same source.
 func (h *Hub) Report(now time.Time, source Source, id string, work Work) {
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -120,7 +120,11 @@
 	}
 	known := receiver.Placements(role, f.from[[2]string{to, id}], 0)
 	f.from[[2]string{to, id}] = known.NextRegion
-	sender.Report(f.now, Collector, to, work)
+	if role == Collector {
+		sender.Report(f.now, Collector, to, work)
+	} else {
+		sender.Receive(f.now, work)
+	}
 	sender.AddPlacements(f.now, Collector, known.Region)
 	return true
 }
@@ -170,8 +174,15 @@
 	}
 	collectors := Select(f.ids)
 	f.silent[collectors[0]], f.silent[collectors[1]] = true, true
-	for range 8 {
+	for range 6 { // the last report of a silent collector counts for four intervals
+		f.round()
+	}
+	for range 6 {
 		f.round()
+		for _, id := range f.ids {
+			known := f.hubs[id].OthersWork(f.now, nil, id)[7][0]
+			c.Check(known < len(f.ids), qt.IsTrue, qt.Commentf("%s counts %d", id, known))
+		}
 	}
 	for _, id := range f.ids {
 		if f.silent[id] {
@@ -265,6 +276,16 @@
 	}
 }
 
+// TestHeaviest checks that the servers with the most tokens are kept.
+func TestHeaviest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	work := Work{1: {5, 0}, 2: {1, 1}, 3: {0, 9}, 4: {1, 0}}
+	c.Check(work.Heaviest(2), qt.DeepEquals, Work{1: {5, 0}, 3: {0, 9}})
+	c.Check(work.Heaviest(4), qt.DeepEquals, work)
+	c.Check(Work(nil).Heaviest(4), qt.HasLen, 0)
+}
+
 // TestReportsAreBounded guards against memory that grows with made-up instances.
 func TestReportsAreBounded(t *testing.T) {
 	t.Parallel()
--- a/hosted/exchange.go
+++ b/hosted/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,11 +13,8 @@
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/collector"
-	"github.com/fuchsiastack/fuchsiastack/internal/check"
 	"github.com/fuchsiastack/fuchsiastack/internal/loop"
-	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/roster"
-	"github.com/fuchsiastack/fuchsiastack/routing"
 )
 
 const (
@@ -31,80 +27,19 @@
 	// remoteExchangeInterval is the time between two exchanges with a collector of
 	// another region: a few round trips.
 	remoteExchangeInterval = 500 * time.Millisecond
-	// maxSummaryAge is the age above which a summary is not passed on.
-	maxSummaryAge = 5 * time.Second
 	// newsAge is the mean time from the dispatch of a prompt until the other instances
 	// know of it: half of each of two intervals, and the processing of two messages.
 	newsAge = exchangeInterval + 80*time.Millisecond
 	// workTTL allows for three lost reports.
 	workTTL = 4 * exchangeInterval
+	// maxReportedServers bounds the backend servers whose work is told to another
+	// instance, and so the bytes that a collector sends.
+	maxReportedServers = 64
 	// collectorRetryTime is how long an instance uses another collector after its
 	// first one has failed.
 	collectorRetryTime = 2 * time.Second
-
-	maxExchangeBytes   = 1 << 20
-	maxNewPlacements   = 1 << 12 // in one message
-	maxSlowdownsInList = 1 << 12
 )
 
-// exchangeRequest is what an instance tells a collector, and from where on it wants
-// the placements and the evidence against parts of prompts.
-type exchangeRequest struct {
-	ID      string `json:"id"`
-	Started int64  `json:"started"` // of the process, in Unix milliseconds
-	// Role is what the sender is to the receiver.
-	Role       collector.Source       `json:"role"`
-	Work       collector.Work         `json:"work,omitempty"`
-	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
-	Placements placements             `json:"placements,omitempty"`
-	Parts      *quarantine.PartReport `json:"parts,omitempty"`
-
-	// Summaries asks for the summaries of other regions, or of the receiver's region if
-	// the sender is of another one.
-	Summaries bool `json:"summaries,omitempty"`
-
-	Region uint64 `json:"region"` // first placement of the region that is wanted
-	Remote uint64 `json:"remote"` // the same of other regions
-	Since  uint64 `json:"since"`  // version of the last parts received
-}
-
-// exchangeResponse is what a collector knows of other instances.
-type exchangeResponse struct {
-	ID         string                 `json:"id"`
-	Started    int64                  `json:"started"`
-	Work       collector.Work         `json:"work,omitempty"`
-	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
-	Placements placements             `json:"placements,omitempty"` // of the region
-	Remote     placements             `json:"remote,omitempty"`     // of other regions
-	Parts      *quarantine.PartReport `json:"parts,omitempty"`
-	Summaries  []agedSummary          `json:"summaries,omitempty"`
-
-	NextRegion uint64 `json:"next-region"`
-	NextRemote uint64 `json:"next-remote"`
-	// Limited means that placements and parts are missing, as the link carries
-	// enough of them already.
-	Limited bool `json:"limited,omitempty"`
-}
-
-// agedSummary is the summary of a service in a region, and how old it is.
-type agedSummary struct {
-	routing.RegionSummary
-	AgeMS int64 `json:"age-ms"`
-}
-
-// check returns a *check.FieldError for the first field that cannot be used.
-func (r *exchangeRequest) check() error {
-	switch r.Role {
-	case collector.Member, collector.Collector, collector.Remote:
-	default:
-		return check.Field("role", string(r.Role), check.ErrUnknown)
-	}
-	if len(r.Placements) > maxNewPlacements || len(r.Slowdowns) > maxSlowdownsInList {
-		return check.Field("placements", r.ID, check.ErrOutOfRange)
-	}
-	return nil
-}
-
 // link is the state of the exchanges with one collector: what it has received, and what
 // has been received from it.
 type link struct {
@@ -118,16 +53,16 @@
 type exchanger struct {
 	instance *Instance
 	hub      collector.Hub
-	// addr returns the address at which another instance is reached.
-	addr func(other roster.Instance) string
 
 	mu         sync.Mutex
 	links      map[string]*link // by instance
 	ownNext    uint64           // first placement of this instance that hub does not have
 	summarized time.Time        // when summaries were last received
-	failures   uint64           // of the collector in use
+	failures   uint64           // of the collectors in use one after the other
 	failedAt   time.Time
-	selected   selection
+	// remoteFailures are the failures of the collectors of other regions.
+	remoteFailures map[string]uint64
+	selected       selection
 }
 
 // selection is the result of selecting the collectors among live instances.
@@ -138,21 +73,16 @@
 
 func newExchanger(i *Instance) *exchanger {
 	return &exchanger{
-		instance: i, hub: collector.Hub{TTL: workTTL}, links: make(map[string]*link),
-		addr: func(other roster.Instance) string { return other.PeerAddr },
+		instance: i, hub: collector.Hub{TTL: workTTL}, links: make(map[string]*link), remoteFailures: make(map[string]uint64),
 	}
 }
 
 // run exchanges reports until ctx ends.
 func (e *exchanger) run(ctx context.Context) {
-	var remoteAt time.Time
-	loop.Every(ctx, exchangeInterval, func(ctx context.Context) {
-		e.exchangeInRegion(ctx)
-		if now := time.Now(); now.Sub(remoteAt) >= remoteExchangeInterval {
-			remoteAt = now
-			e.exchangeWithRegions(ctx)
-		}
-	})
+	var group sync.WaitGroup
+	group.Go(func() { loop.Every(ctx, exchangeInterval, e.exchangeInRegion) })
+	group.Go(func() { loop.Every(ctx, remoteExchangeInterval, e.exchangeWithRegions) })
+	group.Wait()
 }
 
 // collectors returns the collectors of this region.
@@ -191,6 +121,7 @@
 	collectors := e.collectors()
 	e.publishOwn()
 	if slices.Contains(collectors, i.settings.Instance) {
+		e.hub.Receive(time.Now(), nil)
 		var group sync.WaitGroup
 		for _, id := range collectors {
 			if other, live := e.find(i.settings.Region, id); live && id != i.settings.Instance {
@@ -202,7 +133,7 @@
 		id := collector.Choose(collectors, i.settings.Instance, e.failureCount(time.Now()))
 		other, live := e.find(i.settings.Region, id)
 		if live {
-			e.recordResult(id, e.exchange(ctx, other, collector.Member))
+			e.recordResult(ctx, id, e.exchange(ctx, other, collector.Member))
 		}
 	}
 	e.apply()
@@ -219,13 +150,17 @@
 	return e.failures
 }
 
-func (e *exchanger) recordResult(id string, err error) {
-	if err == nil {
+// recordResult records the result of an exchange with the own collector. The first of
+// several failures is logged.
+func (e *exchanger) recordResult(ctx context.Context, id string, err error) {
+	if err == nil || ctx.Err() != nil {
 		return
 	}
-	e.logFailure(id, err)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.failures == 0 {
+		e.instance.log.Info().Str("event", "collector_failed").Str("peer", id).Err(err).Msg("")
+	}
 	e.failures++
 	e.failedAt = time.Now()
 }
@@ -258,9 +193,21 @@
 		if len(remote) == 0 {
 			continue
 		}
-		if other, live := e.find(region, collector.Choose(remote, i.settings.Instance, 0)); live {
-			group.Go(func() { e.logFailure(other.ID, e.exchange(ctx, other, collector.Remote)) })
+		e.mu.Lock()
+		failures := e.remoteFailures[region]
+		e.mu.Unlock()
+		other, live := e.find(region, collector.Choose(remote, i.settings.Instance, failures))
+		if !live {
+			continue
 		}
+		group.Go(func() {
+			if err := e.exchange(ctx, other, collector.Remote); err != nil {
+				e.logFailure(other.ID, err)
+				e.mu.Lock()
+				e.remoteFailures[region]++
+				e.mu.Unlock()
+			}
+		})
 	}
 	group.Wait()
 }
@@ -280,13 +227,13 @@
 	if role != collector.Remote {
 		own := e.hub.Placements(collector.Collector, state.sentPlacements, 0)
 		request.Placements, sentPlacements = own.Region, own.NextRegion
-		request.Work = e.hub.CellWork(now, i.ownWork())
+		request.Work = e.hub.CellWork(now, i.ownWork()).Heaviest(maxReportedServers)
 		request.Slowdowns = recentSlowdowns(now, i.registry.All())
 		request.Summaries = role == collector.Member && e.summariesDue(now)
 		stall = exchangeStallTimeout
 	}
 	var response exchangeResponse
-	if err := i.post(ctx, e.addr(other)+exchangePath, stall, request, &response); err != nil {
+	if err := i.post(ctx, other.PeerAddr+exchangePath, stall, request, &response); err != nil {
 		return err
 	}
 	if response.ID != other.ID {
@@ -352,7 +299,11 @@
 		e.hub.AddPlacements(now, collector.Remote, response.Placements)
 		return
 	}
-	e.hub.Report(now, collector.Collector, response.ID, response.Work)
+	if role == collector.Collector {
+		e.hub.Report(now, collector.Collector, response.ID, response.Work)
+	} else {
+		e.hub.Receive(now, response.Work)
+	}
 	response.Slowdowns.record(now, i.registry.All())
 	i.router.Prefix.MergePlacements(now, response.Placements)
 	i.router.Remote.MergePlacements(now, response.Remote)
@@ -372,26 +323,6 @@
 	e.summarized = sent
 }
 
-// ownSummaries returns the summaries of this region.
-func (e *exchanger) ownSummaries() []agedSummary {
-	var own []agedSummary
-	for _, service := range e.instance.registry.Services() {
-		own = append(own, agedSummary{RegionSummary: e.instance.router.Summarize(service)})
-	}
-	return own
-}
-
-// otherSummaries returns the summaries of other regions, with their age.
-func (e *exchanger) otherSummaries(now time.Time) []agedSummary {
-	var others []agedSummary
-	for _, summary := range e.instance.summaries.All() {
-		if age := now.Sub(summary.At); age <= maxSummaryAge {
-			others = append(others, agedSummary{summary, age.Milliseconds()})
-		}
-	}
-	return others
-}
-
 // apply sets the prompt tokens that the other instances have sent to each server and
 // that are not computed yet.
 func (e *exchanger) apply() {
@@ -419,61 +350,6 @@
 	return own
 }
 
-// serveExchange merges the report of another instance and responds with what this one
-// knows of the others.
-func (e *exchanger) serveExchange(w http.ResponseWriter, r *http.Request) {
-	i := e.instance
-	var request exchangeRequest
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxExchangeBytes))
-	if err == nil {
-		err = json.Unmarshal(body, &request)
-	}
-	if err == nil {
-		err = request.check()
-	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	now := time.Now()
-	response := exchangeResponse{ID: i.settings.Instance, Started: i.roster.Self.Started}
-	if request.Parts != nil {
-		i.parts.Merge(now, request.Parts)
-	}
-	if request.Role != collector.Remote {
-		if _, live := e.find(i.settings.Region, request.ID); !live {
-			http.Error(w, "instance "+check.Shorten(request.ID)+" is not known in region "+i.settings.Region, http.StatusConflict)
-			return
-		}
-		e.hub.Report(now, request.Role, request.ID, request.Work)
-		request.Slowdowns.record(now, i.registry.All())
-		i.router.Prefix.MergePlacements(now, request.Placements)
-		e.hub.AddPlacements(now, request.Role, request.Placements)
-		own := i.ownWork()
-		if request.Role == collector.Collector {
-			response.Work = e.hub.CellWork(now, own)
-		} else {
-			response.Work = e.hub.OthersWork(now, own, request.ID)
-		}
-		response.Slowdowns = recentSlowdowns(now, i.registry.All())
-	}
-	switch {
-	case !request.Summaries:
-	case request.Role == collector.Remote:
-		response.Summaries = e.ownSummaries()
-	default:
-		response.Summaries = e.otherSummaries(now)
-	}
-	response.Limited = !i.reportBudget.available()
-	if !response.Limited {
-		known := e.hub.Placements(request.Role, request.Region, request.Remote)
-		response.Placements, response.NextRegion = known.Region, known.NextRegion
-		response.Remote, response.NextRemote = known.Remote, known.NextRemote
-		response.Parts = i.parts.Report(now, request.Since)
-	}
-	i.reportBudget.spend(i.writeJSON(w, response))
-}
-
 // post sends a message to another instance, decodes the response into response and
 // counts whether that succeeded.
 func (i *Instance) post(ctx context.Context, target string, stallTimeout time.Duration, message, response any) error {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -92,7 +92,8 @@
 	router       *routing.Router
 	ejector      *routing.Ejector
 	summaries    *routing.SummaryTable
-	reportBudget *byteBudget
+	reportBudget *byteBudget // placements and evidence against parts
+	relayBudget  *byteBudget // changes of the store
 	exchanger    *exchanger
 	retry        *retry.Policy
 	parts        *quarantine.Parts
@@ -154,7 +155,8 @@
 			HeapBytes: int64(float64(settings.MemoryBytes) * heapShedFraction),
 		}),
 		summaries:    &routing.SummaryTable{},
-		reportBudget: newByteBudget(settings.LinkRate),
+		reportBudget: newByteBudget(settings.LinkRate, reportLinkFraction),
+		relayBudget:  newByteBudget(settings.LinkRate, relayLinkFraction),
 		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
 	}
 	i.requests, i.cancelRequests = context.WithCancelCause(context.Background())
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -226,8 +226,7 @@
 	}
 }
 
-// byteBudget limits the bytes of responses that contain placements or evidence against
-// parts.
+// byteBudget limits the bytes of some responses to other instances.
 type byteBudget struct {
 	rate float64 // bytes per second
 
@@ -235,11 +234,19 @@
 	bucket routing.Bucket
 }
 
-func newByteBudget(linkRate float64) *byteBudget {
+// newByteBudget returns a budget of a fraction of the link rate.
+func newByteBudget(linkRate, fraction float64) *byteBudget {
 	if linkRate <= 0 {
 		linkRate = defaultLinkBytesPerSecond
 	}
-	return &byteBudget{rate: linkRate * reportLinkFraction}
+	return &byteBudget{rate: linkRate * fraction}
+}
+
+// take takes bytes from the budget and reports whether it had that many.
+func (b *byteBudget) take(bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bucket.Take(time.Now(), float64(bytes), b.rate, b.rate*reportBurst.Seconds())
 }
 
 // available reports whether another report may be sent. It takes nothing from the
--- a/hosted/relay.go
+++ b/hosted/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"net/http"
 	"net/url"
 	"slices"
@@ -23,6 +24,9 @@
 	watcherKey = "store-watchers"
 	// relayStallTimeout is how much longer than its wait a relay may take to respond.
 	relayStallTimeout = 400 * time.Millisecond
+	// relayLinkFraction is the fraction of the link rate that relayed changes may use.
+	// Instances that would need more read the changes from the store.
+	relayLinkFraction = 0.1
 	// maxRelayWait bounds the wait that another instance may ask for.
 	maxRelayWait = 10 * time.Second
 )
@@ -68,9 +72,22 @@
 		return
 	}
 	update, following := i.mirror.Await(r.Context(), since, min(time.Duration(ms)*time.Millisecond, maxRelayWait))
+	if following && !i.relayBudget.take(updateSize(update)) {
+		update, following = mirror.Update{}, false
+	}
 	i.writeJSON(w, newChangesResponse(update, following))
 }
 
+// updateSize returns about the encoded size of an update.
+func updateSize(update mirror.Update) int {
+	const changeBytes = 100
+	size := 0
+	for _, change := range update.Changes {
+		size += changeBytes + len(change.Key) + base64.StdEncoding.EncodedLen(len(change.Value))
+	}
+	return size
+}
+
 // storeRelay selects the instance whose copy of the store this instance follows.
 type storeRelay struct {
 	instance *Instance
--- a/hosted/relay_test.go
+++ b/hosted/relay_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"net/http"
+	"net/url"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
 // TestStoreIsFollowedByFewInstances checks that few instances of a zone follow the store
@@ -84,3 +88,29 @@
 		f.Check(n.status(n.settings.PeerAddr, changesPath+query), qt.Equals, want, qt.Commentf("%s", query))
 	}
 }
+
+// TestRelayedBytesAreBounded guards against a watcher whose link is taken up by changes for
+// its zone: what exceeds the budget is refused, and the store has it for all.
+func TestRelayedBytesAreBounded(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("stock", "safe", "orders"))
+	n := f.start(f.settings("cairo"))
+	budget := int(n.settings.LinkRate * relayLinkFraction)
+	f.store.Put(platform.ServerPrefix+"i-large", strings.Repeat("x", budget/4))
+	since := n.mirror.Revision()
+	f.eventually("large entry known", func() bool { _, known := n.mirror.Get(platform.ServerPrefix + "i-large"); return known })
+	served := 0
+	for range 20 {
+		var response changesResponse
+		err := n.queryPeer(t.Context(), peerQuery{n.settings.PeerAddr, changesPath, url.Values{
+			"since": {strconv.FormatUint(since, 10)}, "wait-ms": {"1000"},
+		}, waitTimeout}, &response)
+		f.Assert(err, qt.IsNil)
+		f.Check(response.Following, qt.Equals, len(response.Changes) > 0)
+		if response.Following {
+			served++
+		}
+	}
+	f.Check(served >= 1 && served <= 4, qt.IsTrue, qt.Commentf("%d of 20 responses of a quarter of the budget each", served))
+}
--- a/mirror/relay.go
+++ b/mirror/relay.go
@@ -67,17 +67,23 @@
 
 // Await returns the changes after a revision, for an instance that follows this one. It
 // waits for a change, for at most wait or until ctx ends. following reports whether this
-// copy follows the service itself; if not, it returns at once.
+// copy follows the service itself and knows all changes after the revision; if not, it
+// returns at once. An instance that is behind reads what it lacks from the service, which
+// costs a watch; all entries would take up the link of this instance.
 func (m *Mirror) Await(ctx context.Context, since uint64, wait time.Duration) (update Update, following bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		following = m.followsService(time.Now())
-		if !following || m.revision > since {
+		following = m.followsService(time.Now()) && since >= m.completeSince
+		if !following {
+			m.mu.Unlock()
+			return Update{Revision: since}, false
+		}
+		if m.revision > since {
 			update = m.since(since)
 			m.mu.Unlock()
-			return update, following
+			return update, true
 		}
 		if m.advanced == nil {
 			m.advanced = make(chan struct{})
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -238,8 +238,11 @@
 				case "relay":
 					z.mu.Lock()
 					z.mirrors[0] = restarted
-					z.frozen[0] = false
+					z.frozen[0], z.cutOff[1] = false, false
 					z.mu.Unlock()
+					update, following := restarted.Await(z.ctx, follower.Revision(), time.Second)
+					c.Check(following, qt.IsFalse, qt.Commentf("a follower that is behind reads from the service"))
+					c.Check(update.Changes, qt.HasLen, 0)
 					time.Sleep(2 * detectionTime)
 				case "peer":
 					follower.Merge(restarted.Since(follower.Revision()))
