--- a/backend/server.go
+++ b/backend/server.go
@@ -120,10 +120,6 @@
 // has sent.
 func (s *Server) LocalPrefill(rank catalog.Rank) int { return int(max(0, s.localPrefill[rank].Load())) }
 
-// PeerPrefill returns the pending prompt tokens that the other instances have sent, as of
-// their latest updates.
-func (s *Server) PeerPrefill() int { return s.peerPrefill.sumUpTo(catalog.Batch) }
-
 // SetPeerPrefill sets the pending prompt tokens of a rank that the other
 // instances have sent.
 func (s *Server) SetPeerPrefill(rank catalog.Rank, tokens int) {
--- a/hosted/exchange.go
+++ b/hosted/exchange.go
@@ -27,9 +27,6 @@
 	// remoteExchangeInterval is the time between two exchanges with a collector of
 	// another region: a few round trips.
 	remoteExchangeInterval = 500 * time.Millisecond
-	// newsAge is the mean time from the dispatch of a prompt until the other instances
-	// know of it: half of each of two intervals, and the processing of two messages.
-	newsAge = exchangeInterval + 80*time.Millisecond
 	// workTTL allows for three lost reports.
 	workTTL = 4 * exchangeInterval
 	// maxReportedServers bounds the backend servers whose work is told to another
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -176,8 +176,7 @@
 		Remote:          routing.NewRemoteCaches(),
 		Waiting:         i.waitingRequests,
 		RecomputeWeight: recomputeWeight, ExpectedReuses: expectedReuses, InterferenceWeight: interferenceWeight, MaxWaitFraction: maxWaitFraction,
-		SampleSize: sampleSize, NewsAge: newsAge,
-		Instances: func() int { return len(i.roster.InRegion(i.settings.Region)) },
+		SampleSize: sampleSize,
 		Spill: &routing.Spiller{
 			Summaries: i.summaries, Share: i.share, SpillOverdue: true, CountFreedSlots: true, TargetFraction: spillTargetFraction, EnterAfter: spillEnterDelay, ExitAfter: spillExitDelay, RampStart: rampStartRate,
 		},
--- a/routing/plugins.go
+++ b/routing/plugins.go
@@ -79,9 +79,8 @@
 
 // Score implements Scorer.
 func (s FirstTokenScorer) Score(req *Request, server *backend.Server, cached int) time.Duration {
-	rate := req.PrefillRate(server)
-	backlog := max(prefillTime(s.tokensAhead(req.Work.Rank, server), rate), req.scratch.backlogFloor)
-	cost := slotWait(server, req.Occupied(server)) + req.BaseLatency(server) + backlog + prefillTime(max(0, req.PromptTokens-cached), rate)
+	tokens := s.tokensAhead(req.Work.Rank, server) + max(0, req.PromptTokens-cached)
+	cost := slotWait(server, req.Occupied(server)) + req.BaseLatency(server) + prefillTime(tokens, req.PrefillRate(server))
 	cost += server.Delay(req.scratch.now, cost)
 	if server.Zone != s.Zone {
 		cost += 2 * s.zoneLatency()
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -220,17 +220,9 @@
 	// would make the requests behind it miss their targets too. 0 disables the
 	// limit.
 	MaxWaitFraction float64
-	// NewsAge is about how old the news of what other instances have sent are. Backlogs
-	// of pending prompts that differ by less than what the others send in this time
-	// count as equal: otherwise all instances would choose the same servers until the
-	// next news. 0 takes the news as current.
-	NewsAge time.Duration
-	// Instances returns the number of instances that choose among the same servers. Nil
-	// means that the sample does not depend on it.
-	Instances  func() int
-	SampleSize int              // candidates drawn at random; 0 for DefaultSample
-	Now        func() time.Time // nil for time.Now
-	Random     Random           // nil for the global generator of math/rand/v2
+	SampleSize      int              // candidates drawn at random; 0 for DefaultSample
+	Now             func() time.Time // nil for time.Now
+	Random          Random           // nil for the global generator of math/rand/v2
 }
 
 // Decide chooses a server or another region for the next attempt of a request.
@@ -242,13 +234,7 @@
 	if req.NoLocalSlot {
 		return r.considerSpill(now, req, Decision{Reason: ReasonNoSlot})
 	}
-	req.scratch.fullSample = false
 	decision := r.decideLocal(now, req)
-	if r.waitTooLong(req, decision) {
-		// Other servers than those of a small sample may be sooner.
-		req.scratch.fullSample = true
-		decision = r.decideLocal(now, req)
-	}
 	if r.maySpill(req) && (decision.Server == nil || r.Spill != nil) {
 		decision = r.considerSpill(now, req, decision)
 	}
@@ -378,7 +364,6 @@
 	for i := range candidates {
 		candidates[i].Occupied = req.Occupied(candidates[i].Server)
 	}
-	s.backlogFloor = r.backlogFloor(req, candidates)
 	mean := meanOccupied(candidates)
 	source, mostTokens := r.fetchSource(req, candidates)
 	for i := range candidates {
@@ -401,7 +386,7 @@
 		}
 	}
 	slowdown := best.Server.LastSlowdown()
-	s.sharers, s.backlogFloor = 0, 0
+	s.sharers = 0
 	best.Cost = r.Scorer.Score(req, best.Server, best.CachedTokens) + best.fetchTime
 	if best.CachedTokens > 0 && reason == ReasonLeastCost {
 		reason = ReasonPrefix
@@ -414,30 +399,6 @@
 	}
 }
 
-// backlogFloor returns the backlog up to which the candidates count as equally loaded:
-// the shortest one plus what the other instances are expected to have sent to a server
-// since the last news. A prompt is pending for the mean backlog and its own prefill, so
-// that NewsAge of that time is the fraction of the others' prompts that is not known yet.
-func (r *Router) backlogFloor(req *Request, candidates []Candidate) time.Duration {
-	if r.NewsAge == 0 {
-		return 0
-	}
-	var shortest, all, others time.Duration
-	for i := range candidates {
-		server := candidates[i].Server
-		rate := req.PrefillRate(server)
-		backlog := prefillTime(server.PendingPrefill(catalog.Batch), rate)
-		if i == 0 || backlog < shortest {
-			shortest = backlog
-		}
-		all += backlog + prefillTime(req.PromptTokens, rate)
-		others += prefillTime(server.PeerPrefill(), rate)
-	}
-	count := time.Duration(len(candidates))
-	pending := max(all/count, r.NewsAge)
-	return shortest + time.Duration(float64(others/count)*float64(r.NewsAge)/float64(pending))
-}
-
 // setCost sets the cost and the bonus of a candidate.
 func (r *Router) setCost(req *Request, c *Candidate) {
 	c.Cost = r.Scorer.Score(req, c.Server, c.CachedTokens) + c.fetchTime
--- a/routing/sample.go
+++ b/routing/sample.go
@@ -27,8 +27,6 @@
 	probe           *backend.Server
 	sharers         float64
 	bestPrefillRate float64       // prefill rate assumed for servers whose rate is unknown
-	fullSample      bool          // compare as many candidates as a single instance would
-	backlogFloor    time.Duration // shorter backlogs of pending prompts count as this one
 	bestBaseLatency time.Duration // base latency assumed for servers whose latency is unknown
 	now             time.Time
 }
@@ -36,7 +34,7 @@
 func (s *scratch) reset(now time.Time) {
 	s.count = 0
 	s.probe = nil
-	s.sharers, s.bestPrefillRate, s.bestBaseLatency, s.backlogFloor, s.now = 0, 0, 0, 0, now
+	s.sharers, s.bestPrefillRate, s.bestBaseLatency, s.now = 0, 0, 0, now
 	s.matches = s.matchSpace[:0]
 }
 
@@ -134,13 +132,12 @@
 // no more than the sample size. If no draw hits a usable server and there is no
 // other candidate, it scans for one.
 func (r *Router) sample(now time.Time, req *Request, servers []*backend.Server, random Random) {
-	size := r.sampleSize(req)
-	targetCount := size + req.scratch.count
-	if len(servers) <= size {
+	targetCount := r.sampleSize() + req.scratch.count
+	if len(servers) <= r.sampleSize() {
 		r.scan(now, req, servers, 0, targetCount, r.usable)
 		return
 	}
-	for range drawsPerCandidate * size {
+	for range drawsPerCandidate * r.sampleSize() {
 		if req.scratch.count >= targetCount {
 			return
 		}
@@ -154,7 +151,7 @@
 // fallback adds permitted servers regardless of their health.
 func (r *Router) fallback(now time.Time, req *Request, servers []*backend.Server, random Random) {
 	if len(servers) > 0 {
-		r.scan(now, req, servers, randomIndex(random, len(servers)), r.fullSampleSize(), r.permitted)
+		r.scan(now, req, servers, randomIndex(random, len(servers)), r.sampleSize(), r.permitted)
 	}
 }
 
@@ -211,33 +208,13 @@
 	return true
 }
 
-// fullSampleSize returns the largest number of candidates drawn at random.
-func (r *Router) fullSampleSize() int {
+func (r *Router) sampleSize() int {
 	if r.SampleSize <= 0 {
 		return DefaultSample
 	}
 	return min(r.SampleSize, maxSample)
 }
 
-const (
-	// fullSampleInstances is the number of instances up to which all candidates are
-	// compared.
-	fullSampleInstances = 4
-	// minSample is the least number of candidates drawn at random.
-	minSample = 3
-)
-
-// sampleSize returns how many candidates a request draws at random. The more instances
-// choose by the same news, the fewer each compares: the best of a large sample is the
-// same server for all of them, and gets all their requests until the next news.
-func (r *Router) sampleSize(req *Request) int {
-	full := r.fullSampleSize()
-	if r.Instances == nil || req.scratch.fullSample {
-		return full
-	}
-	return min(full, max(minSample, full*fullSampleInstances/max(r.Instances(), 1)))
-}
-
 // randomIndex returns a random index in [0, n).
 func randomIndex(random Random, n int) int {
 	return int((random.Uint64() >> 32) * uint64(n) >> 32)
