Read the store once when behind a relay

Change: the relay says that the next changes are to be read from the store, which costs one watch; the relay is followed again after it.

--- a/hosted/relay.go
+++ b/hosted/relay.go
@@ -73,7 +73,7 @@
 	}
 	update, following := i.mirror.Await(r.Context(), since, min(time.Duration(ms)*time.Millisecond, maxRelayWait))
 	if following && !i.relayBudget.take(updateSize(update)) {
-		update, following = mirror.Update{}, false
+		update = mirror.Behind(since)
 	}
 	i.writeJSON(w, newChangesResponse(update, following))
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -98,10 +98,12 @@
 	var directUntil time.Time
 	for listed := false; ctx.Err() == nil; {
 		if relay := m.relay(); listed && relay != nil && !time.Now().Before(directUntil) {
-			if m.followRelay(ctx, relay) {
+			switch m.followRelay(ctx, relay) {
+			case relayed:
 				continue
+			case relayFailed:
+				directUntil = time.Now().Add(directTime + m.random(directTime))
 			}
-			directUntil = time.Now().Add(directTime + m.random(directTime))
 		}
 		err := m.step(ctx, &listed)
 		if err == nil {
--- a/mirror/relay.go
+++ b/mirror/relay.go
@@ -23,6 +23,10 @@
 // service itself; if not, the update is nothing to rely on.
 type Relay func(ctx context.Context, since uint64, wait time.Duration) (update Update, following bool, err error)
 
+// Behind returns the update for an instance that reads the changes after a revision from
+// the service.
+func Behind(revision uint64) Update { return Update{Revision: revision, Full: true} }
+
 func (m *Mirror) relay() Relay {
 	if m.Relay == nil {
 		return nil
@@ -30,21 +34,32 @@
 	return m.Relay()
 }
 
-// followRelay waits for the next changes from a relay and applies them. It reports
-// whether the relay can be relied on.
-func (m *Mirror) followRelay(ctx context.Context, relay Relay) bool {
+// relayResult is the result of following a relay once.
+type relayResult int
+
+const (
+	relayed     relayResult = iota // its changes have been applied
+	relayBehind                    // the next changes are to be read from the service
+	relayFailed                    // the relay cannot be relied on
+)
+
+// followRelay waits for the next changes from a relay and applies them.
+func (m *Mirror) followRelay(ctx context.Context, relay Relay) relayResult {
 	m.unconfirm()
 	before := m.Revision()
 	update, following, err := relay(ctx, before, m.relayWait())
-	if err != nil || !following || update.Revision < before {
-		return false
+	switch {
+	case err != nil || !following || update.Revision < before:
+		return relayFailed
+	case update.Full:
+		return relayBehind
 	}
 	m.Merge(update)
 	m.sourceAvailable()
 	if update.Revision > before {
 		loop.Sleep(ctx, batchDelay)
 	}
-	return true
+	return relayed
 }
 
 // relayWait returns how long a relay waits for a change. It is shorter than Wait: what
@@ -67,18 +82,18 @@
 
 // Await returns the changes after a revision, for an instance that follows this one. It
 // waits for a change, for at most wait or until ctx ends. following reports whether this
-// copy follows the service itself and knows all changes after the revision; if not, it
-// returns at once. An instance that is behind reads what it lacks from the service, which
-// costs a watch; all entries would take up the link of this instance.
+// copy follows the service itself; if not, it returns at once. If this copy does not know
+// all changes after the revision, the result is Behind: all entries would take up the link
+// of this instance, while the service has the history.
 func (m *Mirror) Await(ctx context.Context, since uint64, wait time.Duration) (update Update, following bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		following = m.followsService(time.Now()) && since >= m.completeSince
-		if !following {
+		following = m.followsService(time.Now())
+		if !following || since < m.completeSince {
 			m.mu.Unlock()
-			return Update{Revision: since}, false
+			return Behind(since), following
 		}
 		if m.revision > since {
 			update = m.since(since)
