Refuse a load header of an almost infinitely fast server

Cause: the fourth field of Load had no lower bound. Ruled out: a bound in the formula alone, as the own interface and the reports of other instances carry the same value. Change: a slowdown is 0 (unknown) or from 0.001 to 1000; else the field is ignored and logged as any other bad one.

--- a/backend/slowdown.go
+++ b/backend/slowdown.go
@@ -11,6 +11,8 @@
 const (
 	// MaxSlowdown is the highest valid Slowdown.
 	MaxSlowdown Slowdown = 1000
+	// MinSlowdown is the lowest valid Slowdown other than 0.
+	MinSlowdown Slowdown = 0.001
 	// slowdownLifetime is the mean time for which a reported slowdown is assumed to
 	// last. Servers share their machines with others, whose work changes several
 	// times a second.
@@ -21,10 +23,10 @@
 // 1 is as usual, 2.5 is two and a half times as long. 0 means that it is not known.
 type Slowdown float64
 
-// Validate returns a *check.FieldError if the slowdown is negative, not a number or
-// too large.
+// Validate returns a *check.FieldError if the slowdown is neither 0 nor from
+// MinSlowdown to MaxSlowdown.
 func (s Slowdown) Validate() error {
-	if s >= 0 && s <= MaxSlowdown {
+	if s == 0 || s >= MinSlowdown && s <= MaxSlowdown {
 		return nil
 	}
 	return check.Field("slowdown", strconv.FormatFloat(float64(s), 'g', -1, 64), check.ErrOutOfRange)
--- a/backend/slowdown_test.go
+++ b/backend/slowdown_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 )
 
 // TestSlowSpellTeachesNoSlowServer guards against a server that counts as slow long
@@ -94,3 +95,27 @@
 	server.RecordSlowdown(SlowdownReport{1, now.Add(time.Second)})
 	c.Check(server.LastSlowdown(), qt.Equals, SlowdownReport{1, now.Add(time.Second)})
 }
+
+// TestDelayIsNeverMoreThanTheWork guards against a faulty server that reports to be
+// infinitely fast: its cost would be the least, and all requests would go to it.
+func TestDelayIsNeverMoreThanTheWork(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		slowdown := Slowdown(rapid.Float64Min(0).Draw(t, "slowdown"))
+		work := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "work"))
+		if slowdown.Validate() != nil {
+			return
+		}
+		now := time.Unix(1000, 0)
+		server := NewServer(Info{ID: "i-1"})
+		server.RecordSlowdown(SlowdownReport{slowdown, now})
+		delay := server.Delay(now, work)
+		if delay < -work || delay > time.Duration(float64(MaxSlowdown)*float64(slowdownLifetime)) {
+			t.Fatalf("slowdown %g, work %v: delay %v", slowdown, work, delay)
+		}
+	})
+	server := NewServer(Info{ID: "i-1"})
+	now := time.Unix(1000, 0)
+	server.RecordSlowdown(SlowdownReport{MinSlowdown, now})
+	qt.Check(t, server.Delay(now, time.Second) >= -time.Second, qt.IsTrue)
+}
