Encode work and placements in one place

Slowdowns stood between the queries of instances. Change: both codecs in collector/wire.go over one function that checks size and number; slowdowns in a file of their own. The formats on the wire are the same. Result: TestEncoding covers placements and their bounds, which had no test; tests of collector and hosted pass.

--- a/collector/collector.go
+++ b/collector/collector.go
@@ -27,8 +27,6 @@
 	cellSize = 16
 	// selectionKey selects the collectors among the instances of a region.
 	selectionKey = "collectors"
-	// MaxServers bounds the backend servers of a Work.
-	MaxServers = 1 << 12
 	// MaxTokens bounds the pending prompt tokens of a server and rank.
 	MaxTokens = 1 << 30
 	// maxSources bounds the instances whose reports are kept.
@@ -186,20 +184,20 @@
 	}
 }
 
-// Placements holds placements, and the numbers of the first ones that were not
-// returned, with which the next ones can be requested.
-type Placements struct {
-	Region, Remote         []routing.Placement
+// News holds placements, and the numbers of the first ones that were not returned, with
+// which the next ones can be requested.
+type News struct {
+	Region, Remote         Placements
 	NextRegion, NextRemote uint64
 }
 
 // Placements returns the placements for another instance from the given numbers on. A
 // collector receives those of this cell, a member all, and a collector of another
 // region those of this region.
-func (h *Hub) Placements(to Source, fromRegion, fromRemote uint64) Placements {
+func (h *Hub) Placements(to Source, fromRegion, fromRemote uint64) News {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var p Placements
+	var p News
 	log := &h.region
 	if to == Collector {
 		log = &h.cell
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -243,9 +243,9 @@
 	c.Check(h.Placements(Collector, 0, 0).Region, qt.HasLen, 0)
 }
 
-// TestWorkEncoding checks that a Work survives its encoding, and that input of another
+// TestEncoding checks that work and placements survive their encoding, and that input of another
 // process that cannot be right is an error.
-func TestWorkEncoding(t *testing.T) {
+func TestEncoding(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		work := rapid.MapOf(rapid.Uint64(), rapid.Custom(func(t *rapid.T) [2]int {
@@ -265,15 +265,39 @@
 			}
 		}
 	})
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) routing.Placement {
+			return routing.Placement{Server: rapid.Uint64().Draw(t, "server"), Digest: rapid.Uint64().Draw(t, "digest")}
+		}), 0, 20).Draw(t, "placements")
+		text, err := json.Marshal(Placements(list))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var decoded Placements
+		if err := json.Unmarshal(text, &decoded); err != nil || !slices.Equal(decoded, list) {
+			t.Fatalf("%v, decoded %v: %v", list, decoded, err)
+		}
+	})
 	c := qt.New(t)
-	bad := func(data []byte) string { return `"` + base64.StdEncoding.EncodeToString(data) + `"` }
-	for name, text := range map[string]string{
-		"number": `7`, "no base64": `"?"`, "cut": bad(make([]byte, serverBytes-1)),
-		"too many": bad(make([]byte, (MaxServers+1)*serverBytes)), "too many tokens": bad(slices.Repeat([]byte{0xff}, serverBytes)),
+	encode := func(bytes int) string {
+		return `"` + base64.StdEncoding.EncodeToString(make([]byte, bytes)) + `"`
+	}
+	for name, test := range map[string]struct {
+		text   string
+		target any
+	}{
+		"number":               {`7`, &Work{}},
+		"no base64":            {`"?"`, &Work{}},
+		"cut work":             {encode(serverBytes - 1), &Work{}},
+		"too many servers":     {encode((MaxServers + 1) * serverBytes), &Work{}},
+		"too many tokens":      {`"` + base64.StdEncoding.EncodeToString(slices.Repeat([]byte{0xff}, serverBytes)) + `"`, &Work{}},
+		"number of placements": {`7`, &Placements{}},
+		"cut placements":       {encode(placementBytes + 1), &Placements{}},
+		"too many placements":  {encode((MaxPlacements + 1) * placementBytes), &Placements{}},
 	} {
-		var work Work
-		c.Check(json.Unmarshal([]byte(text), &work), qt.IsNotNil, qt.Commentf("%s", name))
+		c.Check(json.Unmarshal([]byte(test.text), test.target), qt.IsNotNil, qt.Commentf("%s", name))
 	}
+	c.Check(json.Unmarshal([]byte(encode(MaxPlacements*placementBytes)), &Placements{}), qt.IsNil)
 }
 
 // TestHeaviest checks that the servers with the most tokens are kept.
--- a/hosted/exchangeserve.go
+++ b/hosted/exchangeserve.go
@@ -15,7 +15,6 @@
 
 const (
 	maxExchangeBytes = 1 << 20 // of a request
-	maxNewPlacements = 1 << 12 // in a request
 	// maxSummaryAge is the age above which a summary is not passed on.
 	maxSummaryAge = 5 * time.Second
 )
@@ -29,7 +28,7 @@
 	Role       collector.Source       `json:"role"`
 	Work       collector.Work         `json:"work,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
-	Placements placements             `json:"placements,omitempty"`
+	Placements collector.Placements   `json:"placements,omitempty"`
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
 
 	// Summaries asks for the summaries of other regions, or of the receiver's region if
@@ -47,8 +46,8 @@
 	Started    int64                  `json:"started"`
 	Work       collector.Work         `json:"work,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
-	Placements placements             `json:"placements,omitempty"` // of the region
-	Remote     placements             `json:"remote,omitempty"`     // of other regions
+	Placements collector.Placements   `json:"placements,omitempty"` // of the region
+	Remote     collector.Placements   `json:"remote,omitempty"`     // of other regions
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
 	Summaries  []agedSummary          `json:"summaries,omitempty"`
 
@@ -72,9 +71,6 @@
 	default:
 		return check.Field("role", string(r.Role), check.ErrUnknown)
 	}
-	if len(r.Placements) > maxNewPlacements {
-		return check.Field("placements", strconv.Itoa(len(r.Placements)), check.ErrOutOfRange)
-	}
 	if len(r.Slowdowns) > collector.MaxServers {
 		return check.Field("slowdowns", strconv.Itoa(len(r.Slowdowns)), check.ErrOutOfRange)
 	}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -18,7 +17,6 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
-	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/internal/progress"
@@ -46,13 +44,6 @@
 	reportBurst = time.Second
 	// defaultLinkBytesPerSecond is used if the link rate is unknown.
 	defaultLinkBytesPerSecond = 10e6 / 8
-	// maxSlowdownAge is the age above which a slowdown is not reported to other
-	// instances: it has most likely ended.
-	maxSlowdownAge = 400 * time.Millisecond
-	// maxSlowServers limits the backend servers whose slowdowns are reported.
-	maxSlowServers = 32
-	// placementBytes is the encoded size of a placement: two 64-bit integers.
-	placementBytes = 16
 )
 
 const (
@@ -116,81 +107,6 @@
 	Parts   *quarantine.PartReport `json:"parts,omitempty"`
 }
 
-// placements are encoded in JSON as one base64 string of their integers in
-// little-endian byte order.
-type placements []routing.Placement
-
-// MarshalJSON implements json.Marshaler.
-func (p placements) MarshalJSON() ([]byte, error) {
-	data := make([]byte, 0, len(p)*placementBytes)
-	for _, placement := range p {
-		data = binary.LittleEndian.AppendUint64(data, placement.Server)
-		data = binary.LittleEndian.AppendUint64(data, placement.Digest)
-	}
-	return json.Marshal(data)
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (p *placements) UnmarshalJSON(text []byte) error {
-	var data []byte
-	if err := json.Unmarshal(text, &data); err != nil {
-		return errors.Wrap(err, "decode placements")
-	}
-	if len(data)%placementBytes != 0 {
-		return errors.Errorf("decode placements: length of %d bytes is not a multiple of %d", len(data), placementBytes)
-	}
-	*p = make(placements, 0, len(data)/placementBytes)
-	for ; len(data) > 0; data = data[placementBytes:] {
-		*p = append(*p, routing.Placement{
-			Server: binary.LittleEndian.Uint64(data), Digest: binary.LittleEndian.Uint64(data[8:]),
-		})
-	}
-	return nil
-}
-
-// slowdowns holds the recent slowdowns of backend servers, by id.
-type slowdowns map[string]slowdown
-
-// slowdown is what a backend server reported of its slowdown.
-type slowdown struct {
-	Factor backend.Slowdown `json:"factor"`
-	AgeMS  int64            `json:"age-ms"`
-}
-
-// recentSlowdowns returns the slowdowns that were reported recently. A server that
-// works as usual is left out, since a slowdown that is not confirmed ends by itself.
-func recentSlowdowns(now time.Time, servers []*backend.Server) slowdowns {
-	var recent slowdowns
-	for _, server := range servers {
-		last := server.LastSlowdown()
-		age := now.Sub(last.ReceivedAt)
-		if last.Slowdown == 0 || last.Slowdown == 1 || age > maxSlowdownAge || len(recent) == maxSlowServers {
-			continue
-		}
-		if recent == nil {
-			recent = make(slowdowns)
-		}
-		recent[server.ID] = slowdown{last.Slowdown, age.Milliseconds()}
-	}
-	return recent
-}
-
-// record records the slowdowns that another instance has reported in response to a
-// query sent at the given time.
-func (s slowdowns) record(sent time.Time, servers []*backend.Server) {
-	if len(s) == 0 {
-		return
-	}
-	for _, server := range servers {
-		report, reported := s[server.ID]
-		if reported && report.AgeMS >= 0 && report.Factor.Validate() == nil {
-			server.RecordSlowdown(backend.SlowdownReport{
-				Slowdown: report.Factor, ReceivedAt: sent.Add(-time.Duration(report.AgeMS) * time.Millisecond),
-			})
-		}
-	}
-}
-
 // newPeerHandler returns the handler for other instances. It passes the requests
 // that they forward to forwarded and serves their queries itself.
 func (i *Instance) newPeerHandler(forwarded http.Handler) http.Handler {
