--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -101,6 +101,16 @@
 // startRawServer starts a backend server and registers it in the store. It reads one
 // request on each connection, calls respond and closes the connection.
 func (f *fleet) startRawServer(service, zone string, respond func(conn net.Conn, req *http.Request)) {
+	f.startConnServer(service, zone, func(conn net.Conn) {
+		if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			respond(conn, req)
+		}
+	})
+}
+
+// startConnServer starts a backend server and registers it in the store. It calls serve
+// for each connection and closes the connection after it.
+func (f *fleet) startConnServer(service, zone string, serve func(conn net.Conn)) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	f.Assert(err, qt.IsNil)
 	f.Cleanup(func() { l.Close() })
@@ -112,9 +122,7 @@
 			}
 			go func() {
 				defer conn.Close()
-				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					respond(conn, req)
-				}
+				serve(conn)
 			}()
 		}
 	}()
