Be ready only when the store is listed

Change: ready waits for the whole first listing, or for a copy from another instance while the store is away. Result: TestNotReadyBeforeServersAreListed fails before and passes after; startup during an outage of the store still passes.

--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -188,6 +188,13 @@
 
 // startLogging is like startBehind, and writes the log lines of the instance to out.
 func (f *fleet) startLogging(settings *platform.Settings, peerAddr string, out io.Writer) *testInstance {
+	n := f.startUnready(settings, peerAddr, out)
+	f.eventually("ready", func() bool { return n.status(settings.ReadyAddr, "/v1/readyz") == http.StatusOK })
+	return n
+}
+
+// startUnready is like startLogging, but does not wait until the instance is ready.
+func (f *fleet) startUnready(settings *platform.Settings, peerAddr string, out io.Writer) *testInstance {
 	instance, err := New(settings, Options{LogLevel: "info"}, out)
 	f.Assert(err, qt.IsNil)
 	instance.roster.Self.PeerAddr = peerAddr
@@ -203,7 +210,6 @@
 		cancel()
 		<-n.done
 	})
-	f.eventually("ready", func() bool { return n.status(settings.ReadyAddr, "/v1/readyz") == http.StatusOK })
 	return n
 }
 
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -205,15 +205,16 @@
 	return err
 }
 
-// ready reports whether the instance accepts requests: it has a configuration, has
-// asked for the parts of prompts that crash servers, and is not draining.
+// ready reports whether the instance accepts requests: it has a configuration and the
+// other entries of the store, has asked for the parts of prompts that crash servers, and
+// is not draining.
 func (i *Instance) ready() bool {
 	select {
 	case <-i.partsKnown:
 	default:
 		return false
 	}
-	return !i.draining.Load() && i.table.Current() != nil
+	return !i.draining.Load() && i.table.Current() != nil && i.mirror.Revision() > 0
 }
 
 // httpServers are the servers that drain shuts down: those for callers first,
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -274,6 +274,25 @@
 	f.Assert(n.directory("delta"), qt.Not(qt.Contains), n.settings.CallerAddr)
 }
 
+// TestNotReadyBeforeServersAreListed guards against an instance that callers are led to
+// before it knows any backend server: the configuration is listed first, and every request
+// was refused until the listing was complete.
+func TestNotReadyBeforeServersAreListed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("stock", "safe", "orders"))
+	f.startServer("orders", "cairo-a", 0)
+	release := f.store.HoldListing(platform.ServerPrefix)
+	settings := f.settings("cairo")
+	n := f.startUnready(settings, settings.PeerAddr, io.Discard)
+	f.eventually("configuration in force", func() bool { return n.revision() == 1 })
+	f.eventually("readiness answered", func() bool { return n.status(settings.ReadyAddr, "/v1/readyz") != 0 })
+	f.Check(n.status(settings.ReadyAddr, "/v1/readyz"), qt.Equals, http.StatusServiceUnavailable)
+	release()
+	f.eventually("ready", func() bool { return n.status(settings.ReadyAddr, "/v1/readyz") == http.StatusOK })
+	f.Check(n.send(n.request("GET", "/stock/", "id-1", "")).status, qt.Equals, http.StatusOK)
+}
+
 // TestStartupDuringStoreOutage starts an instance while the store does not respond.
 // The instance obtains the contents of the store from a seed.
 func TestStartupDuringStoreOutage(t *testing.T) {
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,7 @@
 	down            bool
 	changed         chan struct{} // closed and replaced at each change
 	watchCalls      int
+	held            string // listings of keys with this prefix wait; "" for none
 }
 
 type item struct {
@@ -75,6 +77,36 @@
 	s.notifyWatchers()
 }
 
+// HoldListing lets listings of the keys with a prefix wait until the returned function
+// is called.
+func (s *Store) HoldListing(prefix string) (release func()) {
+	set := func(held string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.held = held
+		s.notifyWatchers()
+	}
+	set(prefix)
+	return func() { set("") }
+}
+
+// awaitRelease waits while listings of the keys with a prefix are held.
+func (s *Store) awaitRelease(ctx context.Context, prefix string) {
+	for {
+		s.mu.Lock()
+		held, changed := s.held != "" && s.held == prefix, s.changed
+		s.mu.Unlock()
+		if !held {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // WatchCalls returns the number of watch calls so far.
 func (s *Store) WatchCalls() int {
 	s.mu.Lock()
@@ -163,6 +195,7 @@
 const pageItems = 3
 
 func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
+	s.awaitRelease(r.Context(), r.URL.Query().Get("prefix"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found := s.itemsWithPrefix(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
