--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases. The daemon is built by the deploy file's build.
+set -euo pipefail
+cd "$(dirname "$0")/rig"
+go build -o ../../target/review-rig .
