review: a request that crashes its replicas is passed on without end

Cause: hosted recognizes parts of prompts that crash replicas, but no whole requests. Change: case 3, a script, in place of the one with a second SIGTERM, which is documented behavior; the clock step is case 4 and the changed path case 5 now.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,7 +27,7 @@
 	"refused":        refused,
 	"cut-short":      cutShort,
 	"changed-target": changedTarget,
-	"stopped-twice":  stoppedTwice,
+	"deadly":         deadly,
 }
 
 func main() {
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -17,17 +17,20 @@
 type Replica struct {
 	ID, Service, Zone string
 	Work              time.Duration // time that a request takes
+	// Begin, if set, is called when the replica begins to run a request.
+	Begin func(body string)
 	// Answer, if set, may answer a request that has run in place of the replica. It
 	// returns false to leave the answer to the replica.
 	Answer func(w http.ResponseWriter, r *http.Request) bool
 
 	deployment *Deployment
 	addr       string
-	born       int64
 	running    atomic.Int64
 
-	mu   sync.Mutex
-	runs map[string][]Run // by request id
+	mu     sync.Mutex
+	server *http.Server
+	closed bool
+	runs   map[string][]Run // by request id
 }
 
 // Run is one execution of a request.
@@ -41,25 +44,58 @@
 
 // NewReplica starts a replica and registers it in the store.
 func (d *Deployment) NewReplica(replica *Replica) (*Replica, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	replica.deployment, replica.runs = d, make(map[string][]Run)
+	d.onClose(replica.close)
+	return replica, replica.boot("127.0.0.1:0")
+}
+
+// boot lets the replica listen on an address and writes its entry.
+func (p *Replica) boot(addr string) error {
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return listener.Close()
 	}
-	replica.deployment, replica.addr, replica.born = d, listener.Addr().String(), time.Now().UnixMilli()
-	replica.runs = make(map[string][]Run)
-	server := &http.Server{Handler: replica, ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: p, ReadHeaderTimeout: 10 * time.Second}
+	p.addr, p.server = listener.Addr().String(), server
 	go func() { _ = server.Serve(listener) }()
-	d.onClose(func() { _ = server.Close() })
-	replica.register(1)
-	return replica, nil
-}
-
-// register writes the replica's entry.
-func (p *Replica) register(sequence int) {
 	p.deployment.Store.Put("servers/"+p.ID, map[string]any{
 		"service": p.Service, "addr": p.addr, "zone": p.Zone, "version": "v1", "slots": replicaSlots, "state": "ready",
-		"warmup-left-ms": 0, "seq": sequence, "born": p.born,
+		"warmup-left-ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	})
+	return nil
+}
+
+// Crash closes the listener and all connections, with the requests that run, and boots
+// the replica again after downtime.
+func (p *Replica) Crash(downtime time.Duration) {
+	p.mu.Lock()
+	server, addr := p.server, p.addr
+	p.server = nil
+	p.mu.Unlock()
+	if server == nil {
+		return // it is down already
+	}
+	p.deployment.Record.Line("replica %s crashes", p.ID)
+	_ = server.Close()
+	time.AfterFunc(downtime, func() {
+		for p.boot(addr) != nil {
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
+
+func (p *Replica) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if p.server != nil {
+		_ = p.server.Close()
+	}
 }
 
 // Runs returns the executions of a request.
@@ -98,6 +134,9 @@
 	p.runs[id] = append(p.runs[id], Run{p.ID, r.Host, r.URL.EscapedPath(), string(body)})
 	p.mu.Unlock()
 	p.deployment.Record.Line("run %s at %s: %s %s (path %s of host %s), body %q", id, p.ID, r.Method, r.RequestURI, r.URL.EscapedPath(), r.Host, body)
+	if p.Begin != nil {
+		p.Begin(string(body))
+	}
 	time.Sleep(p.Work)
 	if p.Answer != nil && p.Answer(w, r) {
 		return
