--- a/review/rig/refused.go
+++ b/review/rig/refused.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,12 +17,11 @@
 // Traffic and trouble of the case refused.
 const (
 	bookings        = 240
-	bookingInterval = 50 * time.Millisecond
+	bookingInterval = 70 * time.Millisecond // 14.3 a second, as on the sheet
 	bookingBudget   = 3 * time.Second
 	greyFrom        = 2 * time.Second
 	greyFor         = 6 * time.Second
-	greyFraction    = 0.4 // of the requests of the grey replica
-	orderReplicas   = 7   // one of them turns grey, 0.143 of the service
+	orderReplicas   = 7 // one of them turns grey, 0.143 of the service
 )
 
 func plainConfig(version int) map[string]any {
@@ -57,9 +56,14 @@
 	}
 	start := time.Now()
 	if trouble {
+		var requests atomic.Int64 // at the replica while it is grey
 		replicas[0].Answer = func(w http.ResponseWriter, r *http.Request) bool {
 			since := time.Since(start)
-			if since < greyFrom || since > greyFrom+greyFor || rand.Float64() >= greyFraction {
+			if since < greyFrom || since > greyFrom+greyFor {
+				return false
+			}
+			// The third and the fifth of each five fail: at any time 0.4 at most.
+			if position := requests.Add(1) % 5; position != 3 && position != 0 {
 				return false
 			}
 			const text = "the booking failed"
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -7,7 +7,10 @@
 	"time"
 )
 
-const targetRequests = 20
+const (
+	targetRequests = 20
+	targetInterval = 80 * time.Millisecond
+)
 
 // changedTarget sends requests whose path begins with an empty segment, on a route with
 // the prefix "/".
@@ -36,7 +39,7 @@
 		group.Go(func() {
 			replies[n] = d.Send(d.instances[0].Front(), host, http.MethodPost, target, fmt.Sprintf("booking %d", n), bookingBudget)
 		})
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(targetInterval)
 	}
 	group.Wait()
 	result, runs := held, 0
