stream: know the markers of chat completions in their own decoder only

A stream with an event of type "error" was not resumed after a later cut. Cause: one decoder reported the end marker and the error events of the chat completions API on every path. The platform's streams have no markers and end where their response ends. The new cases of TestBrokenStreamIsNeverMixed (end marker, end marker last, error event; whole, cut, resumed, reset; here and over a hop) failed on the code before: 49 of them. TestMarkersBelongToChatCompletions failed as well, also for data of several lines whose last line is the marker. Change: stream.NewDecoder gives content no meaning, stream.NewChatDecoder knows the markers; relay chooses by the kind of stream. This works because no code on the platform's path can see a marker. The sequencer's test and the fuzz test use the decoder that has the markers, as they test them.

--- a/dispatch/stream_test.go
+++ b/dispatch/stream_test.go
@@ -125,7 +125,7 @@
 	if !x.Started {
 		return "", false, err != nil
 	}
-	decoder := stream.NewDecoder(recorder.Body)
+	decoder := stream.NewChatDecoder(recorder.Body)
 	defer decoder.Close()
 	for {
 		event, readErr := decoder.Next()
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -68,7 +68,7 @@
 	current := *resp
 	resp.Body = &eventBody{
 		roundTrip: t, first: resp, current: &current, lastOffset: stream.NoOffset,
-		decoder: stream.NewDecoder(current.Body),
+		decoder: stream.NewChatDecoder(current.Body),
 	}
 	return resp
 }
@@ -173,7 +173,7 @@
 	}
 	_ = b.current.Body.Close()
 	b.decoder.Close()
-	b.current, b.decoder, b.resumed = resp, stream.NewDecoder(resp.Body), true
+	b.current, b.decoder, b.resumed = resp, stream.NewChatDecoder(resp.Body), true
 	return nil
 }
 
--- a/hosted/stream_test.go
+++ b/hosted/stream_test.go
@@ -138,14 +138,17 @@
 
 func newStreamCases() []streamCase {
 	var cases []streamCase
-	add := func(name string, resumable bool, b scriptedBackend, last int, complete bool) {
+	addText := func(name string, resumable bool, b scriptedBackend, want string, complete bool) {
 		for version, protocol := range protocols {
 			cases = append(cases, streamCase{
 				name: name + ", " + version, service: fmt.Sprintf("drafts-%d", len(cases)), protocol: protocol,
-				resumable: resumable, backend: b, want: streamEvents(1, last), complete: complete,
+				resumable: resumable, backend: b, want: want, complete: complete,
 			})
 		}
 	}
+	add := func(name string, resumable bool, b scriptedBackend, last int, complete bool) {
+		addText(name, resumable, b, streamEvents(1, last), complete)
+	}
 	for name, first := range brokenStreams {
 		add(name+", rest", true, scriptedBackend{first, nextAnswers["rest"].answer}, 5, true)
 		add(name+", not resumable", false, scriptedBackend{first, nextAnswers["rest"].answer}, 2, false)
@@ -154,9 +157,26 @@
 		add("then "+name, true, scriptedBackend{brokenStreams["closed within an event"], next.answer}, next.last, next.complete)
 	}
 	add("whole, unframed", false, scriptedBackend{first: answer{unframed + streamEvents(1, 5), false}}, 5, true)
+	for name, event := range chatMarkers {
+		begin, rest := streamEvents(1, 2)+event, streamEvents(4, 5)
+		cut := answer{chunkedHead + chunk(begin+"id: 4\nda"), false}
+		next := answer{chunkedHead + chunk(rest) + lastChunk, false}
+		addText(name, false, scriptedBackend{first: answer{unframed + begin + rest, false}}, begin+rest, true)
+		addText(name+", cut later, resumed", true, scriptedBackend{cut, next}, begin+rest, true)
+		addText(name+", cut later", false, scriptedBackend{cut, next}, begin, false)
+		addText(name+", reset at once", false, scriptedBackend{first: answer{unframed + begin, true}}, begin, false)
+	}
 	return cases
 }
 
+// chatMarkers are events with the id 3 that end a stream of the chat completions API.
+// On the platform they are events like any other.
+var chatMarkers = map[string]string{
+	"end marker":      "id: 3\ndata: [DONE]\n\n",
+	"end marker last": "data: [DONE]\nid: 3\n\n",
+	"error event":     "id: 3\nevent: error\ndata: {}\n\n",
+}
+
 // configureServices writes a configuration with a route and a service for each case.
 func (f *fleet) configureServices(cases []streamCase) {
 	var routes, services []any
@@ -173,7 +193,8 @@
 
 // TestBrokenStreamIsNeverMixed guards against streams that have begun and broke off,
 // and whose caller finds a part of an event, another answer's text or a regular end
-// after that. Each stream is served by this region or by another one, for callers
+// after that, and against streams that end as complete after an event in which another
+// API marks its end. Each stream is served by this region or by another one, for callers
 // of both versions of HTTP/1. It doesn't run beside tests with large responses: the
 // instances of a process share its heap, and shed requests when that is full.
 func TestBrokenStreamIsNeverMixed(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,7 +78,8 @@
 	// Memory limits buffered responses; nil for no limit.
 	Memory Memory
 	// Monotonic means that the event ids of streams increase, but are not
-	// necessarily consecutive.
+	// necessarily consecutive, and that a stream ends where its response ends,
+	// whatever its events contain. Otherwise streams are chat completions.
 	Monotonic bool
 
 	sequencer    *stream.Sequencer
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -52,7 +52,7 @@
 	if !r.started {
 		r.startStream(resp)
 	}
-	decoder := stream.NewDecoder(resp.Body)
+	decoder := r.newDecoder(resp.Body)
 	defer decoder.Close()
 	r.sequencer.DropPending()
 	resumedAfter := int64(stream.NoOffset)
@@ -71,9 +71,6 @@
 			}
 			resumedAfter = stream.NoOffset
 		}
-		if r.Monotonic && event.Unterminated {
-			return r.endWithoutMarker(resp, decoder, errTruncated)
-		}
 		if r.isForeign(event) {
 			return r.endWithoutMarker(resp, decoder, errUnnumbered)
 		}
@@ -94,10 +91,19 @@
 	}
 }
 
+// newDecoder returns a decoder of the body of a stream. The end marker and the error
+// events of chat completions have no meaning in a monotonic stream.
+func (r *CallerResponse) newDecoder(body io.Reader) *stream.Decoder {
+	if r.Monotonic {
+		return stream.NewDecoder(body)
+	}
+	return stream.NewChatDecoder(body)
+}
+
 // isForeign reports whether event does not belong to a monotonic stream: the events
-// before it have ids, and it has none. Comments and the end marker need none.
+// before it have ids, and it has none. Comments need none.
 func (r *CallerResponse) isForeign(event stream.Event) bool {
-	return r.Monotonic && event.Offset == stream.NoOffset && event.Fields && !event.Done && r.sequencer.HasOffsets()
+	return r.Monotonic && event.Offset == stream.NoOffset && event.Fields && r.sequencer.HasOffsets()
 }
 
 // startStream prepares the caller's stream. The header is sent with the first
--- a/stream/decoder.go
+++ b/stream/decoder.go
@@ -43,10 +43,10 @@
 	// a non-negative integer.
 	Offset int64
 	// Done reports whether the event is the end marker "[DONE]" of a complete
-	// chat completion.
+	// chat completion. It is false for a Decoder that is not one of chat completions.
 	Done bool
-	// Failed reports whether the event is of type "error", which ends a failed
-	// stream.
+	// Failed reports whether the event is of type "error", which ends a failed chat
+	// completion. It is false for a Decoder that is not one of chat completions.
 	Failed bool
 	// Fields reports whether the event has a field. Without one it consists of
 	// comments, which clients ignore.
@@ -55,7 +55,8 @@
 	// event, which Next has added. Only the end marker is returned then.
 	Unterminated bool
 	// known is whether one of the fields is of the event stream format.
-	known bool
+	known    bool
+	dataSeen bool // a data field has been read
 }
 
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
@@ -65,15 +66,25 @@
 	reader *bufio.Reader
 	raw    []byte
 	begun  bool // a line has been read
+	chat   bool // the events are those of a chat completion
 }
 
-// NewDecoder returns a Decoder that reads from r. The caller must call Close.
+// NewDecoder returns a Decoder that reads from r. It gives the content of events no
+// meaning: the stream ends where r does. The caller must call Close.
 func NewDecoder(r io.Reader) *Decoder {
 	reader := readerPool.Get().(*bufio.Reader)
 	reader.Reset(r)
 	return &Decoder{reader: reader}
 }
 
+// NewChatDecoder is like NewDecoder for a chat completion of the OpenAI API, in which
+// an end marker and events of type "error" end the stream.
+func NewChatDecoder(r io.Reader) *Decoder {
+	d := NewDecoder(r)
+	d.chat = true
+	return d
+}
+
 // Close returns the read buffer to the pool. The Decoder must not be used
 // afterwards. Close does not close the underlying reader.
 func (d *Decoder) Close() {
@@ -127,7 +138,7 @@
 			d.begun = true
 			line = bytes.TrimPrefix(line, byteOrderMark)
 		}
-		if !event.parseField(line) {
+		if !event.parseField(line, d.chat) {
 			return Event{}, ErrMalformed
 		}
 	}
@@ -160,8 +171,9 @@
 }
 
 // parseField sets the fields of e from one line of the event. It returns false if
-// the line is neither a field nor a comment.
-func (e *Event) parseField(line []byte) bool {
+// the line is neither a field nor a comment. chat reports whether the event is one of
+// a chat completion.
+func (e *Event) parseField(line []byte, chat bool) bool {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	if !isFieldName(name) {
 		return false
@@ -180,10 +192,11 @@
 		e.Offset = offset
 	case "data":
 		e.known = true
-		e.Done = bytes.Equal(value, doneData)
+		e.Done = chat && !e.dataSeen && bytes.Equal(value, doneData) // the data of several lines is longer
+		e.dataSeen = true
 	case "event":
 		e.known = true
-		e.Failed = string(value) == "error"
+		e.Failed = chat && string(value) == "error"
 	}
 	return true
 }
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -17,7 +17,7 @@
 
 // read passes text through a Decoder and s, and returns the delivered events.
 func read(text string, s *stream.Sequencer) (got string, ended bool, err error) {
-	d := stream.NewDecoder(iotest.HalfReader(strings.NewReader(text)))
+	d := stream.NewChatDecoder(iotest.HalfReader(strings.NewReader(text)))
 	defer d.Close()
 	for !ended {
 		e, readErr := d.Next()
@@ -112,6 +112,30 @@
 	qt.Assert(t, got, qt.Equals, event(0))
 }
 
+// TestMarkersBelongToChatCompletions guards against a stream that ends early because the
+// content of an event is taken for a marker of an API that the stream does not use, or
+// for the end marker although it is longer.
+func TestMarkersBelongToChatCompletions(t *testing.T) {
+	for text, marker := range map[string]bool{
+		"data: [DONE]\n\n": true, "id: 3\ndata:[DONE]\n\n": true, "event: error\ndata: {}\n\n": true,
+		"data: a\ndata: [DONE]\n\n": false, "data: [DONE]\ndata: a\n\n": false,
+	} {
+		for chat, newDecoder := range map[bool]func(io.Reader) *stream.Decoder{true: stream.NewChatDecoder, false: stream.NewDecoder} {
+			d := newDecoder(iotest.OneByteReader(strings.NewReader(text)))
+			e, err := d.Next()
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, e.Done || e.Failed, qt.Equals, chat && marker, qt.Commentf("%q, chat completion: %t", text, chat))
+			qt.Check(t, string(e.Raw), qt.Equals, text)
+			d.Close()
+		}
+	}
+	d := stream.NewDecoder(strings.NewReader("id: 1\ndata: [DONE]\n"))
+	defer d.Close()
+	_, err := d.Next()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	qt.Assert(t, d.Partial(), qt.IsTrue)
+}
+
 // FuzzDecoder checks that the decoder keeps its size limits on any input, and
 // that each event it returns is a part of the input.
 func FuzzDecoder(f *testing.F) {
@@ -122,7 +146,7 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		d := stream.NewDecoder(strings.NewReader(text))
+		d := stream.NewChatDecoder(strings.NewReader(text))
 		defer d.Close()
 		size := 0
 		for {
