dispatch, quarantine: refuse a request that crashes each server that runs it

Cause: evidence was kept by shared parts of prompts. A plain request has none, and a prompt's own part is left out; the table of whole requests is off on this platform. Trials show that a repetition is the same in method, host, path, query and body, and nothing else is. Change: a digest of the content counts as one more part of a request. Verdict, exchange between instances, knowledge of new instances and bounds are those of parts. Retry-After tells how long a repetition will be refused.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -11,6 +11,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/quarantine"
 )
 
 const (
@@ -21,7 +22,8 @@
 	// startedAfter is the time since its first byte from which an answer counts as well
 	// under way. A server that crashes under a request does so before.
 	startedAfter = time.Second
-	// partRetryAfter is the Retry-After time of requests refused because of a part.
+	// partRetryAfter is the Retry-After time of requests refused because of a part of
+	// their prompts, as others may be served with it and clear it.
 	partRetryAfter = time.Second
 	// crashCheckReuse is how long the result of a check serves for the other requests
 	// that were in flight at the same server.
@@ -86,22 +88,30 @@
 }
 
 // recordLostAnswer records that the answer of a server was lost before its end. A
-// failure that the server itself has answered is no loss.
+// failure that the server itself has answered is no loss. Only a request with parts,
+// which others share, waits for the check of its server.
 func (r *attemptLoop) recordLostAnswer(w *attemptWatcher) {
-	if len(r.x.Parts) == 0 || w.refused || w.serverError && !w.bodyTruncated {
+	if r.Parts == nil || w.refused || w.serverError && !w.bodyTruncated {
 		return
 	}
-	began := w.sinceFirstByte() // before the check, which takes time
-	r.recordLoss(w, began, r.serverCrashed(r.ctx, w.server.ID, w.server.Addr))
+	began, content := w.sinceFirstByte(), r.x.ContentIDs() // before the check, which takes time
+	check := func() {
+		r.recordLoss(w, began, content, r.serverCrashed(r.ctx, w.server.ID, w.server.Addr))
+	}
+	if len(r.x.Parts) > 0 {
+		check()
+	} else {
+		go check()
+	}
 }
 
 // recordLoss records an answer that was lost when its first byte was began ago, and
-// counts a crash of the server against the parts of the request unless the answer was
+// counts a crash of the server against the content of the request unless the answer was
 // under way.
-func (r *attemptLoop) recordLoss(w *attemptWatcher, began time.Duration, crashed bool) {
+func (r *attemptLoop) recordLoss(w *attemptWatcher, began time.Duration, content []quarantine.PartID, crashed bool) {
 	r.Observer.AnswerLost(r.x, w.server.ID, crashed, began)
-	if crashed && r.Parts != nil && began < startedAfter {
-		r.Parts.RecordCrash(time.Now(), w.server.Key, r.x.Parts)
+	if crashed && began < startedAfter {
+		r.Parts.RecordCrash(time.Now(), w.server.Key, content)
 	}
 }
 
@@ -118,13 +128,28 @@
 // does not show that the server survived it. An unframed one ends in the same way
 // when its server crashes.
 func (r *attemptLoop) recordServedParts(w *attemptWatcher) {
-	if len(r.x.Parts) == 0 || r.Parts == nil || !w.success {
+	if r.Parts == nil || !w.success || len(r.x.Parts) == 0 && !r.suspected() {
 		return
 	}
 	if w.unframed {
-		go r.recordUnframedEnd(w)
+		content := r.x.ContentIDs()
+		go r.recordUnframedEnd(w, content)
 	} else if w.bodyBytes > 0 {
-		r.Parts.RecordServed(time.Now(), r.x.Parts)
+		r.recordServed()
+	}
+}
+
+// suspected reports whether the whole request was in flight in a crash.
+func (r *attemptLoop) suspected() bool {
+	return r.Parts.Suspected() && r.Parts.IsSuspect(r.x.ContentID())
+}
+
+// recordServed records that the request was served or that its answer is well under way.
+func (r *attemptLoop) recordServed() {
+	now := time.Now()
+	r.Parts.RecordServed(now, r.x.Parts)
+	if r.Parts.Suspected() {
+		r.Parts.RecordRequestServed(now, r.x.ContentID())
 	}
 }
 
@@ -132,31 +157,35 @@
 // shows as much about its parts as the end, and earlier.
 func (r *attemptLoop) recordSurvived(w *attemptWatcher) {
 	if r.Parts != nil && w.success {
-		r.Parts.RecordServed(time.Now(), r.x.Parts)
+		r.recordServed()
 	}
 }
 
 // recordUnframedEnd records that the answer of a server was lost if the server has
 // crashed, else that the request was served.
-func (r *attemptLoop) recordUnframedEnd(w *attemptWatcher) {
+func (r *attemptLoop) recordUnframedEnd(w *attemptWatcher, content []quarantine.PartID) {
 	began := w.sinceFirstByte()
 	if r.serverCrashed(r.ctx, w.server.ID, w.server.Addr) {
-		r.recordLoss(w, began, true)
+		r.recordLoss(w, began, content, true)
 	} else if w.bodyBytes > 0 {
-		r.Parts.RecordServed(time.Now(), r.x.Parts)
+		r.recordServed()
 	}
 }
 
-// RefusePart returns the refusal of a request with a part in its prompt that crashes
-// backend servers, or nil.
+// RefusePart returns the refusal of a request that crashes backend servers or has a part
+// in its prompt that does, or nil.
 func (d *Dispatcher) RefusePart(x *filters.Exchange) *outcome.Error {
-	if d.Parts == nil {
+	if d.Parts == nil || !d.Parts.Refusing() {
 		return nil
 	}
-	part, refused := d.Parts.Refused(time.Now(), x.Parts)
+	part, refused := d.Parts.Refused(time.Now(), x.ContentIDs())
 	if !refused {
 		return nil
 	}
 	d.Observer.PartRefused(x, part)
+	if part == x.ContentID() {
+		retryAfter := d.Parts.RefusedFor(time.Now(), part)
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeQuarantined, "the request has crashed backend servers").WithRetryAfter(retryAfter)
+	}
 	return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeQuarantined, "a part of the prompt has crashed backend servers").WithRetryAfter(partRetryAfter)
 }
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -174,6 +174,9 @@
 				}
 				e.mu.Unlock()
 			}
+			if i.Quarantine == nil {
+				continue
+			}
 			state := i.Quarantine.OwnState(time.Now())
 			for _, other := range instances {
 				if other != i && state != nil {
--- a/dispatch/parts_test.go
+++ b/dispatch/parts_test.go
@@ -68,3 +68,23 @@
 		c.Assert(refused, qt.IsFalse)
 	})
 }
+
+// TestWholeRequestIsCountedByItself guards against a plain request that crashes one
+// server after the other, unnoticed because it has no parts, and against the refusal of
+// others like it.
+func TestWholeRequestIsCountedByItself(t *testing.T) {
+	inVirtualTime(t, 1, 8, func(c *qt.C, e *fakeEngines, all []*testInstance) {
+		all[0].Parts, all[0].Quarantine = &quarantine.Parts{}, nil
+		for range 6 {
+			_, err := all[0].send("poison", nonRepeatable)
+			c.Assert(err != nil, qt.IsTrue)
+			c.Assert(err.Outcome == outcome.NotRun, qt.Equals, err.Code == outcome.CodeQuarantined)
+			time.Sleep(2 * time.Second)
+		}
+		c.Assert(e.crashCount, qt.Equals, 3)
+		_, err := all[0].send("poison", nonRepeatable)
+		c.Assert(err.RetryAfter > 5*time.Minute, qt.IsTrue, qt.Commentf("Retry-After %v", err.RetryAfter))
+		_, err = all[0].send("sound", nonRepeatable)
+		c.Assert(err == nil, qt.IsTrue)
+	})
+}
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
@@ -54,6 +55,25 @@
 	// NoLocalSlot reports that no slot of this region becomes free in time, so that
 	// only another region can serve the request.
 	NoLocalSlot bool
+
+	contentIDs []quarantine.PartID // see ContentIDs
+}
+
+// ContentIDs returns the ids under which crashes of backend servers are counted against
+// the request: Parts, and last that of the whole request. It is valid once the body has
+// been read, and must not be called concurrently.
+func (x *Exchange) ContentIDs() []quarantine.PartID {
+	if x.contentIDs == nil {
+		whole := quarantine.ContentID(x.Request.Method, x.Request.Host, x.Path, x.Body)
+		x.contentIDs = append(slices.Clone(x.Parts), whole)
+	}
+	return x.contentIDs
+}
+
+// ContentID returns the id of the whole request among ContentIDs.
+func (x *Exchange) ContentID() quarantine.PartID {
+	ids := x.ContentIDs()
+	return ids[len(ids)-1]
 }
 
 // Policy returns the policy of the request's work, or of its rank if the work has
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -10,9 +13,21 @@
 	"time"
 )
 
-// PartID identifies a part of a prompt by a digest.
+// PartID identifies a part of a prompt, or a whole request, by a digest.
 type PartID uint64
 
+// ContentID returns the id of a whole request: another one with the same id is the same
+// request, sent again. host and target, its path and query, are those of the caller.
+func ContentID(method, host, target string, body []byte) PartID {
+	digest := sha256.New()
+	for _, field := range []string{method, host, target} {
+		_, _ = io.WriteString(digest, field)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(body)
+	return PartID(binary.BigEndian.Uint64(digest.Sum(nil)))
+}
+
 // String returns the id in hexadecimal.
 func (id PartID) String() string { return fmt.Sprintf("%016x", uint64(id)) }
 
@@ -46,9 +61,10 @@
 	maxCrashesPerPart = 128
 )
 
-// Parts decides which parts of prompts crash backend servers. A part that was in
-// unanswered requests at each of several crashes, and in no served request, is
-// quarantined. Instances exchange what they have seen by Report and Merge, whose
+// Parts decides which parts of prompts, and which whole requests, crash backend
+// servers. A part that was in unanswered requests at each of several crashes, and in no
+// served request, is quarantined. A whole request counts as one more part of its own,
+// which it shares with its repetitions only. Instances exchange what they have seen by Report and Merge, whose
 // order and repetition do not matter. Parts is safe for concurrent use.
 type Parts struct {
 	// Observer receives decisions; nil for none.
@@ -59,6 +75,8 @@
 
 	// refused holds the parts in quarantine.
 	refused atomic.Pointer[map[PartID]refusal]
+	// suspected is whether there are suspects.
+	suspected atomic.Bool
 
 	mu       sync.Mutex
 	served   map[PartID]time.Time // last time
@@ -116,6 +134,25 @@
 	return !s.servedAt.IsZero() && now.Sub(s.servedAt) < servedTTL
 }
 
+// Suspected reports whether any part was in flight in a crash. If not, only the shared
+// parts of a served request need to be recorded.
+func (p *Parts) Suspected() bool { return p.suspected.Load() }
+
+// Refusing reports whether any part is quarantined.
+func (p *Parts) Refusing() bool {
+	refused := p.refused.Load()
+	return refused != nil && len(*refused) > 0
+}
+
+// RefusedFor returns how long a part will be refused, 0 if it is not.
+func (p *Parts) RefusedFor(now time.Time, part PartID) time.Duration {
+	refused := p.refused.Load()
+	if refused == nil {
+		return 0
+	}
+	return max((*refused)[part].until.Sub(now), 0)
+}
+
 // Refused returns the first of the parts that is quarantined.
 func (p *Parts) Refused(now time.Time, parts []PartID) (PartID, bool) {
 	refused := p.refused.Load()
@@ -175,6 +212,25 @@
 	p.report(decisions)
 }
 
+// RecordRequestServed records that a request with the given ContentID was served. Unlike
+// a shared part it is remembered only if it is a suspect, as most requests come once.
+func (p *Parts) RecordRequestServed(now time.Time, content PartID) {
+	p.mu.Lock()
+	var decisions []PartDecision
+	if s := p.suspects[content]; s != nil && p.clearSuspect(s, now) {
+		decisions = p.decide(now)
+	}
+	p.mu.Unlock()
+	p.report(decisions)
+}
+
+// IsSuspect reports whether the part was in flight in a crash.
+func (p *Parts) IsSuspect(part PartID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspects[part] != nil
+}
+
 func (p *Parts) isSound(now time.Time, part PartID) bool {
 	servedAt, served := p.served[part]
 	return served && now.Sub(servedAt) < servedTTL
@@ -214,6 +270,7 @@
 			p.suspects = make(map[PartID]*suspectPart)
 		}
 		p.suspects[part] = s
+		p.suspected.Store(true)
 		p.changed(s)
 		p.limitSuspects(part)
 	}
@@ -260,9 +317,12 @@
 		p.served[part] = at
 	}
 	s := p.suspects[part]
-	if s == nil {
-		return false
-	}
+	return s != nil && p.clearSuspect(s, at)
+}
+
+// clearSuspect records that a suspect was served at a time, and reports whether that
+// changes its state.
+func (p *Parts) clearSuspect(s *suspectPart, at time.Time) bool {
 	wasServed := !s.servedAt.IsZero()
 	if at.After(s.servedAt) {
 		s.servedAt = at
@@ -319,5 +379,6 @@
 			used[crash] = true
 		}
 	}
+	p.suspected.Store(len(p.suspects) > 0)
 	p.crashes = slices.DeleteFunc(p.crashes, func(c *partCrash) bool { return !used[c] })
 }
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -372,6 +372,39 @@
 }
 
 // BenchmarkPartsRecordServed measures what is recorded of each served request.
+// TestServedRequestIsNoCause guards against the refusal of a request that many callers
+// send alike, such as a look-up, because servers were killed under it: one that is
+// served counts for nothing. Requests that no server crashed under take no memory.
+func TestServedRequestIsNoCause(t *testing.T) {
+	c := qt.New(t)
+	p := &Parts{}
+	lookUp := ContentID("GET", "desk.example", "/stock/7", nil)
+	for n := range 6 {
+		p.RecordCrash(at(float64(2*n)), uint64(n), []PartID{lookUp})
+		p.RecordRequestServed(at(float64(2*n+1)), lookUp)
+		p.RecordRequestServed(at(float64(2*n+1)), ContentID("POST", "desk.example", "/book/", []byte{byte(n)}))
+	}
+	c.Assert(refuses(p, at(20), lookUp), qt.IsFalse)
+	c.Assert(p.served, qt.HasLen, 0)
+	c.Assert(p.suspects, qt.HasLen, 1)
+}
+
+// TestContentID checks that the id of a request covers all that makes it another one.
+func TestContentID(t *testing.T) {
+	ids := make(map[PartID]bool)
+	for _, method := range []string{"GET", "POST"} {
+		for _, host := range []string{"a.example", "b.example"} {
+			for _, target := range []string{"/x/", "/x/?y", "/x/?z"} {
+				for _, body := range []string{"", "1", "2"} {
+					ids[ContentID(method, host, target, []byte(body))] = true
+				}
+			}
+		}
+	}
+	qt.Assert(t, ids, qt.HasLen, 2*2*3*3)
+	qt.Assert(t, ContentID("GET", "a", "/x", nil), qt.Equals, ContentID("GET", "a", "/x", []byte{}))
+}
+
 func BenchmarkPartsRecordServed(b *testing.B) {
 	p := &Parts{}
 	now := at(0)
--- a/telemetry/routing.go
+++ b/telemetry/routing.go
@@ -93,7 +93,7 @@
 		parts = append(parts, part.String())
 	}
 	o.Log.Info().Str("event", "answer_lost").Str("request_id", x.ID).Str("service", x.Service.Name).Str("server", server).
-		Bool("crashed", crashed).Dur("began", began).Strs("parts", parts).Msg("")
+		Bool("crashed", crashed).Dur("began", began).Str("content", x.ContentID().String()).Strs("parts", parts).Msg("")
 }
 
 // PartRefused implements dispatch.Observer.
