backend, routing: keep times as numbers on the monotonic clock

Cause: the end of the warm-up was kept as time.Time.UnixNano, which reads the time of day, and was compared with that of now. Evidence: with UnixNano in the new type, TestColdServerAfterClockStep, TestEjectionAfterClockStep, TestEstimatesAfterClockStep and TestPrefixesAfterClockStep fail for steps of hours ahead and back. Change: internal/monotonic.Time and Atomic. Every time that is kept as a number and compared in one process has this type: warm-up, probes and counts of ejected servers, ages of estimates, uses and removals of prefixes, publication of placements, delays of ticks, idle time of a draining daemon. A number of the time of day no longer compiles there. Tests of backend, routing, telemetry, daemon, share, exchange and hosted pass.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/internal/monotonic"
 )
 
 const (
@@ -130,7 +131,7 @@
 	} else {
 		s.baseLatency.add(elapsed)
 	}
-	s.baseLatencyAt.Store(now.UnixNano())
+	s.baseLatencyAt.Store(monotonic.Of(now))
 }
 
 // updatePrefillRate updates the prefill rate from a sample in tokens per second.
@@ -148,5 +149,5 @@
 	}
 	s.prefillRateExact.Store(exact)
 	s.prefillRate.add(sample)
-	s.prefillRateAt.Store(now.UnixNano())
+	s.prefillRateAt.Store(monotonic.Of(now))
 }
--- a/backend/health.go
+++ b/backend/health.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/monotonic"
 )
 
 // Health holds the outlier detection state of a server: consecutive failures,
@@ -10,10 +12,10 @@
 type Health struct {
 	consecutiveFailures  atomic.Int32
 	latencySamples       atomic.Int64
-	latency              average      // time to first token in seconds, scaled to an empty prompt
-	probeAt              atomic.Int64 // when the next probe is due, in Unix nanoseconds; 0 if not ejected
+	latency              average          // time to first token in seconds, scaled to an empty prompt
+	probeAt              monotonic.Atomic // when the next probe is due; 0 if not ejected
 	consecutiveEjections atomic.Int32
-	restoredAt           atomic.Int64 // when the last ejection ended, in Unix nanoseconds
+	restoredAt           monotonic.Atomic // when the last ejection ended
 }
 
 // latencyScaleTokens is the prompt length at which the expected time to first
@@ -51,12 +53,12 @@
 // ProbeDue reports whether the server is ejected and its next probe is due.
 func (h *Health) ProbeDue(now time.Time) bool {
 	at := h.probeAt.Load()
-	return at != 0 && now.UnixNano() >= at
+	return at != 0 && monotonic.Of(now) >= at
 }
 
 // Eject ejects the server until Restore is called. The first probe is due at
 // probeAt.
-func (h *Health) Eject(probeAt time.Time) { h.probeAt.Store(probeAt.UnixNano()) }
+func (h *Health) Eject(probeAt time.Time) { h.probeAt.Store(monotonic.Of(probeAt)) }
 
 // RecordEjection records an ejection and returns the number of consecutive
 // ejections.
@@ -70,7 +72,7 @@
 // result of the probe is never reported, the next probe is due at retryAt.
 func (h *Health) ReserveProbe(now, retryAt time.Time) bool {
 	at := h.probeAt.Load()
-	return at != 0 && now.UnixNano() >= at && h.probeAt.CompareAndSwap(at, retryAt.UnixNano())
+	return at != 0 && monotonic.Of(now) >= at && h.probeAt.CompareAndSwap(at, monotonic.Of(retryAt))
 }
 
 // Restore ends the ejection. It resets the failures and the average latency,
@@ -79,14 +81,14 @@
 	h.consecutiveFailures.Store(0)
 	h.latencySamples.Store(0)
 	h.latency.bits.Store(0)
-	h.restoredAt.Store(now.UnixNano())
+	h.restoredAt.Store(monotonic.Of(now))
 	h.probeAt.Store(0)
 }
 
 // ExpireEjectionCount resets the number of consecutive ejections if the server is not ejected
 // and its last ejection ended more than minAge ago.
 func (h *Health) ExpireEjectionCount(now time.Time, minAge time.Duration) {
-	if h.consecutiveEjections.Load() > 0 && !h.Ejected() && now.UnixNano()-h.restoredAt.Load() > int64(minAge) {
+	if h.consecutiveEjections.Load() > 0 && !h.Ejected() && h.restoredAt.Load().Since(now) > minAge {
 		h.consecutiveEjections.Store(0)
 	}
 }
--- a/backend/server.go
+++ b/backend/server.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/internal/monotonic"
 )
 
 // Info describes a backend server as listed by the platform.
@@ -63,17 +64,17 @@
 	pause         atomic.Pointer[pause] // the last one; nil if there was none
 	resume        requestLimiter        // after a pause
 	prefillRate   average               // tokens per second
-	prefillRateAt atomic.Int64          // when prefillRate was last updated, in Unix nanoseconds
+	prefillRateAt monotonic.Atomic      // when prefillRate was last updated
 	// prefillRateExact is true if prefillRate is estimated from prompts whose
 	// number of uncached tokens was known exactly.
 	prefillRateExact atomic.Bool
-	slotHold         average      // time that a request holds a slot, in seconds
-	baseLatency      average      // time to first byte of a request without a prompt, in seconds
-	baseLatencyAt    atomic.Int64 // when baseLatency was last updated, in Unix nanoseconds
+	slotHold         average          // time that a request holds a slot, in seconds
+	baseLatency      average          // time to first byte of a request without a prompt, in seconds
+	baseLatencyAt    monotonic.Atomic // when baseLatency was last updated
 	// baseLatencySamples is the number of samples in baseLatency.
 	baseLatencySamples atomic.Int32
 	health             Health
-	coldUntil          atomic.Int64 // when the caches count as warm, in Unix nanoseconds
+	coldUntil          monotonic.Atomic // when the caches count as warm
 	warmup             requestLimiter
 }
 
@@ -224,9 +225,10 @@
 // unknown.
 func (s *Server) PrefillRate() float64 { return s.prefillRate.value() }
 
-// PrefillRateAge returns the time since the last update of the prefill rate.
+// PrefillRateAge returns the time since the last update of the prefill rate. It is
+// the longest duration before the first one.
 func (s *Server) PrefillRateAge(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - s.prefillRateAt.Load())
+	return s.prefillRateAt.Load().Since(now)
 }
 
 // HoldTime returns the average time that a request holds a slot, or 0 if unknown.
@@ -236,9 +238,10 @@
 // prompt, or 0 if unknown.
 func (s *Server) BaseLatency() time.Duration { return seconds(s.baseLatency.value()) }
 
-// BaseLatencyAge returns the time since the last update of the base latency.
+// BaseLatencyAge returns the time since the last update of the base latency. It is
+// the longest duration before the first one.
 func (s *Server) BaseLatencyAge(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - s.baseLatencyAt.Load())
+	return s.baseLatencyAt.Load().Since(now)
 }
 
 // BaseLatencyKnown reports whether the base latency is estimated from enough
--- a/backend/warmup.go
+++ b/backend/warmup.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/monotonic"
 )
 
 // requestLimiter is a token bucket that limits the requests which this instance
@@ -26,17 +28,13 @@
 }
 
 // SetCold records that the caches of the server are cold until the given time.
-func (s *Server) SetCold(until time.Time) { s.coldUntil.Store(until.UnixNano()) }
+func (s *Server) SetCold(until time.Time) { s.coldUntil.Store(monotonic.Of(until)) }
 
 // ExtendCold is like SetCold, but keeps a later time that is already recorded.
-func (s *Server) ExtendCold(until time.Time) {
-	if at := until.UnixNano(); at > s.coldUntil.Load() {
-		s.coldUntil.Store(at)
-	}
-}
+func (s *Server) ExtendCold(until time.Time) { s.coldUntil.Raise(monotonic.Of(until)) }
 
 // Cold reports whether the caches of the server are cold.
-func (s *Server) Cold(now time.Time) bool { return now.UnixNano() < s.coldUntil.Load() }
+func (s *Server) Cold(now time.Time) bool { return monotonic.Of(now) < s.coldUntil.Load() }
 
 // WarmupAllows reports whether one more request may be sent to a cold server.
 func (s *Server) WarmupAllows(now time.Time, limit RequestLimit) bool {
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/monotonic"
 )
 
 const (
@@ -24,21 +26,21 @@
 
 // inFlightCounter counts the requests in flight.
 type inFlightCounter struct {
-	count           atomic.Int64
-	lastEndUnixNano atomic.Int64 // time at which the last request ended
+	count   atomic.Int64
+	lastEnd monotonic.Atomic // time at which the last request ended
 }
 
 func (f *inFlightCounter) begin() { f.count.Add(1) }
 
 func (f *inFlightCounter) end() {
-	f.lastEndUnixNano.Store(time.Now().UnixNano())
+	f.lastEnd.Store(monotonic.Of(time.Now()))
 	f.count.Add(-1)
 }
 
 // idleFor reports whether no request is in flight and the last one ended at least
 // d ago.
 func (f *inFlightCounter) idleFor(d time.Duration) bool {
-	return f.count.Load() == 0 && time.Since(time.Unix(0, f.lastEndUnixNano.Load())) >= d
+	return f.count.Load() == 0 && f.lastEnd.Load().Since(time.Now()) >= d
 }
 
 // trackInFlight counts the requests that arrive before the instance drains.
--- a/routing/placements.go
+++ b/routing/placements.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/monotonic"
 )
 
 // Placement records that a prompt with a prefix was sent to a server.
@@ -30,19 +32,19 @@
 type placements struct {
 	mu          sync.Mutex
 	ring        [placementLimit]Placement
-	next        uint64              // sequence number of the next placement
-	publishedAt map[Placement]int64 // time at which each placement in ring was added, in Unix nanoseconds
+	next        uint64                       // sequence number of the next placement
+	publishedAt map[Placement]monotonic.Time // time at which each placement in ring was added
 }
 
 func (p *placements) add(at time.Time, server uint64, digests []uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.publishedAt == nil {
-		p.publishedAt = make(map[Placement]int64, placementLimit)
+		p.publishedAt = make(map[Placement]monotonic.Time, placementLimit)
 	}
 	for _, digest := range digests {
 		placement := Placement{Server: server, Digest: digest}
-		if last, ok := p.publishedAt[placement]; ok && at.UnixNano()-last < int64(republishInterval) {
+		if last, ok := p.publishedAt[placement]; ok && last.Since(at) < republishInterval {
 			continue
 		}
 		slot := &p.ring[p.next%placementLimit]
@@ -50,7 +52,7 @@
 			delete(p.publishedAt, *slot)
 		}
 		*slot = placement
-		p.publishedAt[placement] = at.UnixNano()
+		p.publishedAt[placement] = monotonic.Of(at)
 		p.next++
 	}
 }
@@ -79,6 +81,6 @@
 // MergePlacements records placements reported by another instance.
 func (x *PrefixIndex) MergePlacements(at time.Time, list []Placement) {
 	for _, p := range list {
-		x.shard(p.Digest).add(p.Digest, p.Server, at.UnixNano(), x.limit)
+		x.shard(p.Digest).add(p.Digest, p.Server, monotonic.Of(at), x.limit)
 	}
 }
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/monotonic"
 )
 
 // BlockTokens is the number of prompt tokens that one prefix digest covers.
@@ -40,14 +42,14 @@
 type prefixShard struct {
 	mu      sync.Mutex
 	entries map[uint64]prefixEntry
-	cleared map[uint64]int64 // by server: entries up to this time, in Unix nanoseconds, are ignored
+	cleared map[uint64]monotonic.Time // by server: entries up to this time are ignored
 }
 
 // prefixEntry holds the servers that may have one prefix cached, in no particular
 // order. Key 0 marks an unused slot.
 type prefixEntry struct {
 	servers [serversPerDigest]uint64
-	used    [serversPerDigest]int64 // time of the last use in Unix nanoseconds; 0: unused slot
+	used    [serversPerDigest]monotonic.Time // time of the last use; 0: unused slot
 }
 
 // match is a server that may have leading blocks of a prompt cached.
@@ -65,7 +67,7 @@
 	x := &PrefixIndex{limit: max(1, limit/prefixShards), ttl: prefixTTL}
 	for i := range x.shards {
 		x.shards[i].entries = make(map[uint64]prefixEntry)
-		x.shards[i].cleared = make(map[uint64]int64)
+		x.shards[i].cleared = make(map[uint64]monotonic.Time)
 	}
 	return x
 }
@@ -75,7 +77,7 @@
 // Add records that a server has cached the prefixes with these digests.
 func (x *PrefixIndex) Add(at time.Time, server uint64, prefix []uint64) {
 	for _, digest := range prefix {
-		x.shard(digest).add(digest, server, at.UnixNano(), x.limit)
+		x.shard(digest).add(digest, server, monotonic.Of(at), x.limit)
 	}
 }
 
@@ -88,7 +90,7 @@
 			return
 		}
 		digest := prefix[depth-1]
-		x.shard(digest).add(digest, server, at.UnixNano(), x.limit)
+		x.shard(digest).add(digest, server, monotonic.Of(at), x.limit)
 	}
 }
 
@@ -96,7 +98,7 @@
 // Digests that were used on the server after that time are kept.
 func (x *PrefixIndex) Remove(at time.Time, server uint64, prefix []uint64) {
 	for _, digest := range prefix {
-		x.shard(digest).remove(digest, server, at.UnixNano())
+		x.shard(digest).remove(digest, server, monotonic.Of(at))
 	}
 }
 
@@ -107,7 +109,7 @@
 	for i := range x.shards {
 		s := &x.shards[i]
 		s.mu.Lock()
-		s.cleared[server] = max(s.cleared[server], at.UnixNano())
+		s.cleared[server] = max(s.cleared[server], monotonic.Of(at))
 		s.mu.Unlock()
 	}
 }
@@ -138,7 +140,7 @@
 	return n
 }
 
-func (s *prefixShard) add(digest, server uint64, at int64, limit int) {
+func (s *prefixShard) add(digest, server uint64, at monotonic.Time, limit int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, known := s.entries[digest]
@@ -149,7 +151,7 @@
 	s.entries[digest] = entry
 }
 
-func (s *prefixShard) remove(digest, server uint64, at int64) {
+func (s *prefixShard) remove(digest, server uint64, at monotonic.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, known := s.entries[digest]
@@ -172,7 +174,7 @@
 // random because map iteration begins at a random entry.
 func (s *prefixShard) evict() {
 	var oldest uint64
-	var oldestAt int64
+	var oldestAt monotonic.Time
 	sampled := 0
 	for digest, entry := range s.entries {
 		if last := entry.lastUsed(); sampled == 0 || last < oldestAt {
@@ -185,7 +187,7 @@
 	delete(s.entries, oldest)
 }
 
-func (e *prefixEntry) lastUsed() int64 {
+func (e *prefixEntry) lastUsed() monotonic.Time {
 	last := e.used[0]
 	for _, at := range e.used[1:] {
 		last = max(last, at)
@@ -195,7 +197,7 @@
 
 // add updates the slot of the server, or replaces the least recently used slot if
 // the server has none.
-func (e *prefixEntry) add(server uint64, at int64) {
+func (e *prefixEntry) add(server uint64, at monotonic.Time) {
 	slot := 0
 	for i, key := range e.servers {
 		if key == server {
@@ -250,7 +252,7 @@
 	if !known {
 		return false
 	}
-	oldest := now.Add(-ttl).UnixNano()
+	oldest := monotonic.Of(now.Add(-ttl))
 	found := false
 	for i, server := range entry.servers {
 		if entry.used[i] <= max(oldest, s.cleared[server]) || entry.used[i] == 0 {
--- a/telemetry/traffic.go
+++ b/telemetry/traffic.go
@@ -10,6 +10,8 @@
 	"github.com/phuslu/log"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/fuchsiastack/fuchsiastack/internal/monotonic"
 )
 
 // Purpose classifies the network traffic of an instance.
@@ -43,9 +45,9 @@
 	responses     atomic.Int64
 	responseBytes atomic.Int64
 
-	lastTick     atomic.Int64  // time of the last call of RecordTick, in Unix nanoseconds; 0 before the first
-	maxTickDelay atomic.Int64  // longest delay of a call of RecordTick since the last report, in ns
-	lastReport   trafficCounts // counters at the last report
+	lastTick     monotonic.Atomic // time of the last call of RecordTick; 0 before the first
+	maxTickDelay atomic.Int64     // longest delay of a call of RecordTick since the last report, in ns
+	lastReport   trafficCounts    // counters at the last report
 }
 
 // trafficCounts is a snapshot of the counters of a Traffic.
@@ -108,11 +110,11 @@
 // RecordTick must be called by a timer loop once each interval. It measures how
 // much more than interval has passed since the previous call.
 func (t *Traffic) RecordTick(now time.Time, interval time.Duration) {
-	last := t.lastTick.Swap(now.UnixNano())
+	last := t.lastTick.Swap(monotonic.Of(now))
 	if last == 0 {
 		return
 	}
-	delay := now.UnixNano() - last - int64(interval)
+	delay := int64(last.Since(now) - interval)
 	for {
 		maxDelay := t.maxTickDelay.Load()
 		if delay <= maxDelay || t.maxTickDelay.CompareAndSwap(maxDelay, delay) {
