telemetry: log the first byte of a request and what a route decision counted on

Change: first_byte in request; prompt_tokens, tokens_ahead and running in route. Result: tests of telemetry, filters and routing pass.

--- a/filters/filters.go
+++ b/filters/filters.go
@@ -31,10 +31,11 @@
 	// stream has not begun. Zero if unknown.
 	FirstEventDeadline time.Time
 	Body               []byte
-	Stream             bool // the response is to be a stream of events
-	Started            bool // the response has been started
-	Status             int  // HTTP status of the relayed response; 0 if none was relayed
-	ResetRequired      bool // the response is incomplete, which only a connection reset can signal
+	Stream             bool      // the response is to be a stream of events
+	Started            bool      // the response has been started
+	FirstByteAt        time.Time // when the first byte of the response was sent; zero before
+	Status             int       // HTTP status of the relayed response; 0 if none was relayed
+	ResetRequired      bool      // the response is incomplete, which only a connection reset can signal
 
 	// IdempotencyKey is the caller's idempotency key, or "".
 	IdempotencyKey string
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -105,6 +105,8 @@
 	// SlowCandidates is the number of candidates that are expected to take longer than
 	// usual.
 	SlowCandidates int
+	TokensAhead    int         // prompt tokens that are pending on Server
+	Occupied       int         // requests that are expected on Server
 	Spill          SpillReason // why the request was or was not forwarded, if another region was considered
 }
 
@@ -396,6 +398,7 @@
 		Cost: best.Cost, CachedTokens: best.CachedTokens, FetchFrom: best.FetchFrom,
 		Wait:     best.Cost - req.BaseLatency(best.Server) - best.ownPrefillTime(req),
 		Slowdown: slowdown.Slowdown, SlowdownAge: slowdown.Age(s.now), SlowCandidates: slow,
+		TokensAhead: best.Server.PendingPrefill(catalog.Batch), Occupied: best.Server.Occupied(),
 	}
 }
 
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -48,6 +48,9 @@
 	entry := o.Log.Info().Str("event", "request").Str("request_id", x.ID).
 		Str("service", service).Str("work", x.Work.Name).Str("rank", x.Work.Rank.String()).Str("caller", x.Caller).
 		Str("outcome", result.String()).Dur("elapsed", elapsed)
+	if !x.FirstByteAt.IsZero() {
+		entry = entry.Dur("first_byte", x.FirstByteAt.Sub(x.Received))
+	}
 	status := x.Status
 	if err != nil {
 		status = err.Status
@@ -74,12 +77,14 @@
 		Str("reason", string(d.Reason)).Str("server", server).Str("region", d.Region).
 		Int("candidates", d.Candidates).Dur("cost", d.Cost).Dur("local_cost", d.LocalCost).
 		Dur("wait", d.Wait).Int("cached_tokens", d.CachedTokens).Str("fetch_from", source).Str("spill", string(d.Spill)).
-		Float64("slowdown", float64(d.Slowdown)).Dur("slowdown_age", d.SlowdownAge).Int("slow_candidates", d.SlowCandidates).Msg("")
+		Float64("slowdown", float64(d.Slowdown)).Dur("slowdown_age", d.SlowdownAge).Int("slow_candidates", d.SlowCandidates).
+		Int("prompt_tokens", x.PromptTokens).Int("tokens_ahead", d.TokensAhead).Int("running", d.Occupied).Msg("")
 }
 
 // FirstByte implements dispatch.Observer.
 func (o *Observer) FirstByte(x *filters.Exchange) {
-	o.Metrics.firstByte.Record(context.Background(), time.Since(x.Received).Seconds(), metric.WithAttributes(
+	x.FirstByteAt = time.Now()
+	o.Metrics.firstByte.Record(context.Background(), x.FirstByteAt.Sub(x.Received).Seconds(), metric.WithAttributes(
 		attribute.String("service", x.Service.Name), attribute.String("rank", x.Work.Rank.String())))
 }
 
