routing: expect the prefill rate of the service at servers not measured yet

Cause: each instance learns the prefill rate of each server by itself. One of 65 instances sends to each of 54 engines every 20 s or so and has no rate for most of them. It then expected 4,000 tokens/s, a fourteenth of the real rate; never refused work for such servers, however long the wait; and told other regions no rate, so that none of them was used. Tests that failed before: TestRateOfServiceIsKnownFromFewServers (2.25 s expected), TestOverdueWorkIsRefusedAtUnmeasuredServers (sent), TestIdleRegionIsUsedByManyInstances (0 tokens/s). Change: samples also update an estimate of the service, which stands for servers without one.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -84,7 +84,7 @@
 	switch {
 	case a.UncachedTokens >= minRateSampleTokens:
 		prefill := max(elapsed-a.server.baseLatency.value(), elapsed*minPrefillFraction)
-		a.server.updatePrefillRate(now, float64(a.UncachedTokens)/prefill, a.UncachedExact)
+		a.server.addPrefillSample(now, float64(a.UncachedTokens)/prefill, a.UncachedExact)
 	case a.UncachedTokens <= maxBaseSampleTokens:
 		a.server.updateBaseLatency(now, elapsed, a.UncachedTokens)
 	}
@@ -116,7 +116,7 @@
 // rate is unknown, the prefill time is included. The lowest of the first
 // minBaseSamples samples is used; later samples are averaged.
 func (s *Server) updateBaseLatency(now time.Time, elapsed float64, tokens int) {
-	if rate := s.prefillRate.value(); rate > 0 {
+	if rate := s.PrefillRate(); rate > 0 {
 		elapsed -= float64(tokens) / rate
 	}
 	if elapsed <= 0 {
@@ -133,21 +133,3 @@
 	}
 	s.baseLatencyAt.Store(monotonic.Of(now))
 }
-
-// updatePrefillRate updates the prefill rate from a sample in tokens per second.
-// exact reports whether the number of computed tokens was certain. Samples of
-// prompts that another instance may have sent before are used only until there
-// is an exact one: if the server had such a prompt cached, the measured rate is
-// several times too high.
-func (s *Server) updatePrefillRate(now time.Time, sample float64, exact bool) {
-	stale := s.PrefillRateAge(now) > maxSampleAge
-	if !exact && s.prefillRateExact.Load() && !stale {
-		return
-	}
-	if stale || exact != s.prefillRateExact.Load() {
-		s.prefillRate.bits.Store(0)
-	}
-	s.prefillRateExact.Store(exact)
-	s.prefillRate.add(sample)
-	s.prefillRateAt.Store(monotonic.Of(now))
-}
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -17,6 +17,9 @@
 type Registry struct {
 	shards   [shardCount]shard
 	departed departedServers
+
+	mu    sync.Mutex
+	rates map[string]*rateEstimate // prefill rate of each service, over all of its servers
 }
 
 type shard struct {
@@ -26,7 +29,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	r := &Registry{}
+	r := &Registry{rates: make(map[string]*rateEstimate)}
 	for i := range r.shards {
 		r.shards[i].services = make(map[string]*Group)
 	}
@@ -160,8 +163,9 @@
 		if old == nil {
 			old = r.departed.take(info.ID)
 		}
-		next[info.Service] = append(next[info.Service], updatedServer(old, info))
+		next[info.Service] = append(next[info.Service], updatedServer(old, info, r.serviceRate(info.Service)))
 	}
+	r.dropRates(next)
 	for _, info := range list {
 		delete(known, info.ID)
 	}
@@ -173,18 +177,43 @@
 
 // updatedServer returns the server for info. If the description has changed, it
 // returns a new value, which shares the state of old unless the address or start
-// time shows that it is another process.
-func updatedServer(old *Server, info Info) *Server {
+// time shows that it is another process. serviceRate is the estimate of all servers of
+// its service.
+func updatedServer(old *Server, info Info, serviceRate *rateEstimate) *Server {
 	if old != nil && old.Info == info {
 		return old
 	}
 	s := NewServer(info)
+	s.serviceRate = serviceRate
 	if old != nil && old.Addr == info.Addr && old.Started == info.Started {
 		s.state = old.state
 	}
 	return s
 }
 
+// serviceRate returns the estimate of the prefill rate of a service.
+func (r *Registry) serviceRate(service string) *rateEstimate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rate := r.rates[service]
+	if rate == nil {
+		rate = &rateEstimate{}
+		r.rates[service] = rate
+	}
+	return rate
+}
+
+// dropRates deletes the estimates of services without servers.
+func (r *Registry) dropRates(servers map[string][]*Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service := range r.rates {
+		if len(servers[service]) == 0 {
+			delete(r.rates, service)
+		}
+	}
+}
+
 func (s *shard) replace(r *Registry, next map[string][]*Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/backend/server.go
+++ b/backend/server.go
@@ -50,6 +50,7 @@
 	Info
 	Key uint64 // hash of ID
 	*state
+	serviceRate *rateEstimate // over all servers of the service; nil for a server without a Registry
 }
 
 // state is the state of a server that an instance has observed, as opposed to its
@@ -63,14 +64,10 @@
 	draining      atomic.Bool
 	pause         atomic.Pointer[pause] // the last one; nil if there was none
 	resume        requestLimiter        // after a pause
-	prefillRate   average               // tokens per second
-	prefillRateAt monotonic.Atomic      // when prefillRate was last updated
-	// prefillRateExact is true if prefillRate is estimated from prompts whose
-	// number of uncached tokens was known exactly.
-	prefillRateExact atomic.Bool
-	slotHold         average          // time that a request holds a slot, in seconds
-	baseLatency      average          // time to first byte of a request without a prompt, in seconds
-	baseLatencyAt    monotonic.Atomic // when baseLatency was last updated
+	prefillRate   rateEstimate
+	slotHold      average          // time that a request holds a slot, in seconds
+	baseLatency   average          // time to first byte of a request without a prompt, in seconds
+	baseLatencyAt monotonic.Atomic // when baseLatency was last updated
 	// baseLatencySamples is the number of samples in baseLatency.
 	baseLatencySamples atomic.Int32
 	health             Health
@@ -221,16 +218,6 @@
 	return max(0, now.Sub(r.ReceivedAt)-r.AgeAllowance)
 }
 
-// PrefillRate returns the estimated prefill rate in tokens per second, or 0 if
-// unknown.
-func (s *Server) PrefillRate() float64 { return s.prefillRate.value() }
-
-// PrefillRateAge returns the time since the last update of the prefill rate. It is
-// the longest duration before the first one.
-func (s *Server) PrefillRateAge(now time.Time) time.Duration {
-	return s.prefillRateAt.Load().Since(now)
-}
-
 // HoldTime returns the average time that a request holds a slot, or 0 if unknown.
 func (s *Server) HoldTime() time.Duration { return seconds(s.slotHold.value()) }
 
@@ -274,12 +261,15 @@
 	}
 }
 
-func (a *average) add(sample float64) {
+func (a *average) add(sample float64) { a.addWeighted(sample, newSampleWeight) }
+
+// addWeighted adds a sample with the given weight, from 0 to 1.
+func (a *average) addWeighted(sample, weight float64) {
 	for {
 		old := a.bits.Load()
 		next := sample
 		if old != 0 {
-			next = math.Float64frombits(old)*(1-newSampleWeight) + sample*newSampleWeight
+			next = math.Float64frombits(old)*(1-weight) + sample*weight
 		}
 		if a.bits.CompareAndSwap(old, math.Float64bits(next)) {
 			return
--- a/routing/plugins.go
+++ b/routing/plugins.go
@@ -111,18 +111,10 @@
 // urgent requests do so less often.
 var learnedMaxAge = [catalog.RankCount]time.Duration{catalog.Urgent: 2 * time.Minute, catalog.Batch: 30 * time.Second}
 
-// PrefillRate returns the server's prefill rate in tokens per second. If it is
-// unknown or its last sample is too old, the best known rate among the candidates
-// is returned, or 0 if there is none.
+// PrefillRate returns the prefill rate to expect of the server, in tokens per second, or
+// 0 if nothing is known of its service.
 func (r *Request) PrefillRate(server *backend.Server) float64 {
-	if prefillRateKnown(r.scratch.now, r.Work.Rank, server) {
-		return server.PrefillRate()
-	}
-	return r.scratch.bestPrefillRate
-}
-
-func prefillRateKnown(now time.Time, rank catalog.Rank, server *backend.Server) bool {
-	return server.PrefillRate() > 0 && server.PrefillRateAge(now) <= learnedMaxAge[rank]
+	return server.ExpectedPrefillRate(r.scratch.now, learnedMaxAge[r.Work.Rank])
 }
 
 // BaseLatency returns the server's time to first token for a request without a
@@ -150,17 +142,6 @@
 	return best
 }
 
-// bestPrefillRate returns the highest known prefill rate of the candidates, or 0.
-func bestPrefillRate(now time.Time, rank catalog.Rank, candidates []Candidate) float64 {
-	best := 0.0
-	for i := range candidates {
-		if server := candidates[i].Server; prefillRateKnown(now, rank, server) {
-			best = max(best, server.PrefillRate())
-		}
-	}
-	return best
-}
-
 // slotWait returns the expected wait for a slot of the server's batch. With all
 // slots occupied, one is freed every hold/slots on average.
 func slotWait(server *backend.Server, occupied float64) time.Duration {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -248,13 +248,13 @@
 
 // waitTooLong reports whether the expected wait of a request at its chosen server
 // exceeds the limit. A request that has been tried on a server, and may have run
-// there, is never refused. Nor is one for a server whose prefill rate is unknown.
+// there, is never refused. Nor is any while no prefill rate of the service is known.
 func (r *Router) waitTooLong(req *Request, d Decision) bool {
 	target := req.Service.PolicyOf(req.Work).Target
 	if r.MaxWaitFraction == 0 || target <= 0 || d.Server == nil || len(req.Tried) > 0 {
 		return false
 	}
-	if !prefillRateKnown(req.scratch.now, req.Work.Rank, d.Server) {
+	if req.PrefillRate(d.Server) == 0 {
 		return false
 	}
 	return d.Wait > time.Duration(r.MaxWaitFraction*float64(target))
@@ -361,7 +361,6 @@
 	s := &req.scratch
 	candidates := s.candidates[:s.count]
 	s.sharers = sharers(candidates)
-	s.bestPrefillRate = bestPrefillRate(s.now, req.Work.Rank, candidates)
 	s.bestBaseLatency = bestBaseLatency(s.now, req.Work.Rank, candidates)
 	for i := range candidates {
 		candidates[i].Occupied = req.Occupied(candidates[i].Server)
--- a/routing/sample.go
+++ b/routing/sample.go
@@ -26,7 +26,6 @@
 	matches         []match
 	probe           *backend.Server
 	sharers         float64
-	bestPrefillRate float64       // prefill rate assumed for servers whose rate is unknown
 	bestBaseLatency time.Duration // base latency assumed for servers whose latency is unknown
 	now             time.Time
 }
@@ -34,7 +33,7 @@
 func (s *scratch) reset(now time.Time) {
 	s.count = 0
 	s.probe = nil
-	s.sharers, s.bestPrefillRate, s.bestBaseLatency, s.now = 0, 0, 0, now
+	s.sharers, s.bestBaseLatency, s.now = 0, 0, now
 	s.matches = s.matchSpace[:0]
 }
 
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -101,7 +101,7 @@
 		summary.Servers++
 		summary.Slots += slots
 		summary.FreeSlots += max(0, slots-server.Occupied())
-		rates = append(rates, server.PrefillRate())
+		rates = append(rates, expectedRate(now, server))
 		holds = append(holds, server.HoldTime())
 		if w := serverWait(now, server); summary.Servers == 1 || w < wait {
 			wait = w
@@ -120,7 +120,12 @@
 	return summary
 }
 
+// expectedRate returns the prefill rate of a server that requests of any rank expect.
+func expectedRate(now time.Time, server *backend.Server) float64 {
+	return server.ExpectedPrefillRate(now, learnedMaxAge[catalog.Urgent])
+}
+
 func serverWait(now time.Time, server *backend.Server) time.Duration {
-	wait := slotWait(server, float64(server.Occupied())) + prefillTime(server.PendingPrefill(catalog.Batch), server.PrefillRate())
+	wait := slotWait(server, float64(server.Occupied())) + prefillTime(server.PendingPrefill(catalog.Batch), expectedRate(now, server))
 	return wait + server.Delay(now, wait)
 }
