--- a/hosted/endless_test.go
+++ b/hosted/endless_test.go
@@ -38,6 +38,7 @@
 	t.Parallel()
 	filler := strings.Repeat("x", 32<<10)
 	const maxHead, maxBody = 128 << 10, 20 << 20 // including data that is read ahead
+	const chunkedAnswer = responseHead + "Transfer-Encoding: chunked\r\n\r\n"
 	for name, test := range map[string]struct {
 		service string
 		backend endlessBackend
@@ -57,34 +58,57 @@
 		"events":        {"drafts", endlessBackend{responseHead + "Content-Type: text/event-stream\r\n\r\n", "data: x" + filler[:1000] + "\n\n"}, maxBody},
 		"same event":    {"drafts", endlessBackend{responseHead + "Content-Type: text/event-stream\r\n\r\n", "id: 1\ndata: " + filler[:1000] + "\n\n"}, maxBody},
 		"after the end": {"orders", endlessBackend{responseHead + "Content-Length: 2\r\n\r\nok", filler}, maxHead},
+		"chunk size":    {"orders", endlessBackend{chunkedAnswer, strings.Repeat("0", 4096)}, maxHead},
+		"extension":     {"orders", endlessBackend{chunkedAnswer + "5;", filler}, maxHead},
+		"extensions":    {"orders", endlessBackend{chunkedAnswer, "1;" + filler[:4000] + "\r\nx\r\n"}, maxBody},
+		"event chunks":  {"drafts", endlessBackend{strings.Replace(chunkedAnswer, "Transfer", "Content-Type: text/event-stream\r\nTransfer", 1), "8000\r\n" + filler + "\r\n"}, maxBody},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f := newFleet(t)
-			plain, stream := newRoute("orders", "unsafe", "orders"), newRoute("drafts", "stream", "drafts")
-			plain.Timeout, stream.Timeout = 60000, 60000
-			f.configure(1, plain, stream)
-			f.startRawServer(test.service, "cairo-a", test.backend.respond)
-			n := f.start(f.settings("cairo")).waitForServers(1)
-			req := n.request("POST", "/"+test.service+"/", "id-1", "x")
-			req.Header.Set("Deadline-Ms", "60000")
-			ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
-			defer cancel()
-			got := n.send(req.WithContext(ctx))
-			f.Assert(ctx.Err(), qt.IsNil, qt.Commentf("the request has not ended"))
-			if name != "after the end" {
-				f.Assert(got.err != nil || got.status >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("complete response of %d bytes", len(got.body)))
-			}
-			// Nothing more is read once the request has ended.
-			var read int64
-			f.eventually("no more bytes are read", func() bool {
-				before := read
-				read = n.traffic.ReceivedBytes(telemetry.PurposeServers)
-				time.Sleep(50 * time.Millisecond)
-				return read == before
+		for where, zone := range map[string]string{name: "cairo-a", name + ", over a hop": "alex-a"} {
+			t.Run(where, func(t *testing.T) {
+				t.Parallel()
+				testEndlessResponse(newFleet(t), test.service, zone, test.backend, test.maxRead, name == "after the end")
 			})
-			f.Assert(read <= test.maxRead, qt.IsTrue, qt.Commentf("read %d bytes, want at most %d", read, test.maxRead))
+		}
+	}
+}
+
+// testEndlessResponse sends a request that a backend server in a zone responds to
+// without end. complete reports whether the response itself is complete.
+func testEndlessResponse(f *fleet, service, zone string, b endlessBackend, maxRead int64, complete bool) {
+	plain, stream := newRoute("orders", "unsafe", "orders"), newRoute("drafts", "stream", "drafts")
+	plain.Timeout, stream.Timeout = 60000, 60000
+	f.configure(1, plain, stream)
+	f.startRawServer(service, zone, b.respond)
+	n := f.start(f.settings("cairo"))
+	instances := []*testInstance{n}
+	if zone == "cairo-a" {
+		n.waitForServers(1)
+	} else {
+		instances = append(instances, f.start(f.settings("alex")).waitForServers(1))
+		f.eventually("live instance in alex", func() bool { return len(n.roster.InRegion("alex")) == 1 })
+	}
+	req := n.request("POST", "/"+service+"/", "id-1", "x")
+	req.Header.Set("Deadline-Ms", "60000")
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	got := n.send(req.WithContext(ctx))
+	f.Assert(ctx.Err(), qt.IsNil, qt.Commentf("the request has not ended"))
+	if complete {
+		f.Assert(got.status, qt.Equals, http.StatusOK)
+		f.Assert(got.body, qt.Equals, "ok")
+	} else {
+		f.Assert(got.err != nil || got.status >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("complete response of %d bytes", len(got.body)))
+	}
+	for _, instance := range instances {
+		// Nothing more is read once the request has ended.
+		var read int64
+		f.eventually("no more bytes are read", func() bool {
+			before := read
+			read = instance.traffic.ReceivedBytes(telemetry.PurposeServers)
+			time.Sleep(50 * time.Millisecond)
+			return read == before
 		})
+		f.Assert(read <= maxRead, qt.IsTrue, qt.Commentf("read %d bytes, want at most %d", read, maxRead))
 	}
 }
 
--- /dev/null
+++ b/hosted/endlessmemory_test.go
@@ -0,0 +1,59 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestEndlessResponsesShareMemory guards against an instance that runs out of memory,
+// and ends with the requests of all its callers, because a faulty server sends bytes
+// without end to many requests at once while their callers read slowly or not at all.
+// It doesn't run beside other tests, as it measures the memory of the process.
+func TestEndlessResponsesShareMemory(t *testing.T) {
+	const slowCallers, duration = 300, 3 * time.Second
+	filler := strings.Repeat("x", 32<<10)
+	for name, b := range map[string]endlessBackend{
+		"body":      {responseHead + "Connection: close\r\n\r\n", filler},
+		"header":    {responseHead + "X-Fill: ", filler},
+		"one event": {responseHead + "Content-Type: text/event-stream\r\n\r\n", filler},
+		"events":    {responseHead + "Content-Type: text/event-stream\r\n\r\n", "data: x" + filler[:1000] + "\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.configure(1, newRoute("drafts", "safe", "drafts"), newRoute("orders", "unsafe", "orders"))
+			f.startRawServer("drafts", "cairo-a", b.respond)
+			f.startServer("orders", "cairo-a", 0)
+			n := f.start(f.settings("cairo")).waitForServers(2)
+			for k := range slowCallers {
+				conn, err := net.Dial("tcp", n.settings.CallerAddr)
+				f.Assert(err, qt.IsNil)
+				t.Cleanup(func() { conn.Close() })
+				_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+				_, err = io.WriteString(conn, fmt.Sprintf("POST /drafts/ HTTP/1.1\r\nHost: %s\r\nRequest-Id: slow-%d\r\nDeadline-Ms: 30000\r\nContent-Length: 1\r\n\r\nx", host, k))
+				f.Assert(err, qt.IsNil)
+			}
+			var peak uint64
+			served := 0
+			for k, deadline := 0, time.Now().Add(duration); time.Now().Before(deadline); k++ {
+				var stats runtime.MemStats
+				runtime.ReadMemStats(&stats)
+				peak = max(peak, stats.HeapInuse+stats.StackInuse)
+				if n.send(n.request("POST", "/orders/", fmt.Sprintf("other-%d", k), "x")).status == http.StatusOK {
+					served++
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			t.Logf("%d MB at the most, %d other requests served", peak>>20, served)
+			f.Check(peak < uint64(n.settings.MemoryBytes), qt.IsTrue, qt.Commentf("%d bytes, limit %d", peak, n.settings.MemoryBytes))
+			f.Check(served > 0, qt.IsTrue)
+		})
+	}
+}
