--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -248,21 +248,21 @@
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeBackendRefused, "the backend server refused the request").WithRetryAfter(max(refusedRetryAfter, d.Router.UntilResume(x.Service.Name)))
 	case info.Failed && w.loop.mayRepeat():
 		return w.loop.saveFailedResponse(resp)
-	case d.promisesTooMuch(x, resp):
+	case d.lacksEvidence(x, resp):
 		w.serverError = true
 		return noEvidence(resp, server.ID)
 	}
 	return d.relay(x, resp, w.loop.callerResponse, server.ID)
 }
 
-// promisesTooMuch reports whether resp, which is no refusal with evidence, would
-// nevertheless tell the caller that a request which must not run twice has not run. An
-// instance that serves another one leaves the check to that.
-func (d *Dispatcher) promisesTooMuch(x *filters.Exchange, resp *http.Response) bool {
+// lacksEvidence reports whether the status of resp would tell the caller that a request
+// which must not run twice has not run. resp is no refusal by which a server states
+// that. An instance that serves another one leaves the check to that one.
+func (d *Dispatcher) lacksEvidence(x *filters.Exchange, resp *http.Response) bool {
 	return d.PromisesNotRun != nil && x.Hop == nil && !x.Work.Repeatable && d.PromisesNotRun(resp.StatusCode)
 }
 
-// noEvidence returns the error in place of a response for which promisesTooMuch is true.
+// noEvidence returns the error that replaces such a response.
 func noEvidence(resp *http.Response, source string) *outcome.Error {
 	return outcome.Fail(outcome.CodeBackendFailed, errors.Wrapf(errNoEvidence, "status %d of %s", resp.StatusCode, source), "the backend server failed")
 }
@@ -303,7 +303,7 @@
 	if o := outcome.Parse(resp.Header.Get(outcome.Header)); o != outcome.Unknown && o != outcome.Served {
 		return peerError(resp, o), true
 	}
-	if d.promisesTooMuch(x, resp) {
+	if d.lacksEvidence(x, resp) {
 		return noEvidence(resp, "region "+region), true
 	}
 	return d.relay(x, resp, callerResponse, "region "+region), true
--- a/hosted/endless_test.go
+++ b/hosted/endless_test.go
@@ -79,14 +79,8 @@
 	plain.Timeout, stream.Timeout = 60000, 60000
 	f.configure(1, plain, stream)
 	f.startRawServer(service, zone, b.respond)
-	n := f.start(f.settings("cairo"))
-	instances := []*testInstance{n}
-	if zone == "cairo-a" {
-		n.waitForServers(1)
-	} else {
-		instances = append(instances, f.start(f.settings("alex")).waitForServers(1))
-		f.eventually("live instance in alex", func() bool { return len(n.roster.InRegion("alex")) == 1 })
-	}
+	instances := f.startFor(zone, 1)
+	n := instances[0]
 	req := n.request("POST", "/"+service+"/", "id-1", "x")
 	req.Header.Set("Deadline-Ms", "60000")
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -213,6 +213,19 @@
 	return n
 }
 
+// startFor starts an instance in cairo whose requests run on the given number of backend
+// servers in zone. If that is in alex, it starts an instance there as well. The first
+// one returned is that of cairo.
+func (f *fleet) startFor(zone string, servers int) []*testInstance {
+	n := f.start(f.settings("cairo"))
+	if zone != "alex-a" {
+		return []*testInstance{n.waitForServers(servers)}
+	}
+	other := f.start(f.settings("alex")).waitForServers(servers)
+	f.eventually("live instance in alex", func() bool { return len(n.roster.InRegion("alex")) == 1 })
+	return []*testInstance{n, other}
+}
+
 // waitForServers waits until the instance's registry has the given number of
 // backend servers.
 func (n *testInstance) waitForServers(servers int) *testInstance {
--- a/hosted/stream_test.go
+++ b/hosted/stream_test.go
@@ -213,13 +213,7 @@
 			for _, test := range cases {
 				f.startScriptedServers(test.backend, test.service, zone)
 			}
-			n := f.start(f.settings("cairo"))
-			if zone == "alex-a" {
-				f.start(f.settings("alex")).waitForServers(2 * len(cases))
-				f.eventually("live instance in alex", func() bool { return len(n.roster.InRegion("alex")) == 1 })
-			} else {
-				n.waitForServers(2 * len(cases))
-			}
+			n := f.startFor(zone, 2*len(cases))[0]
 			for _, test := range cases {
 				t.Run(test.name, func(t *testing.T) {
 					c := qt.New(t)
--- a/hosted/target_test.go
+++ b/hosted/target_test.go
@@ -25,13 +25,7 @@
 			all.Prefix = "/"
 			f.configure(1, all)
 			server := f.startServer("orders", zone, 0)
-			n := f.start(f.settings("cairo"))
-			if zone == "cairo-a" {
-				n.waitForServers(1)
-			} else {
-				f.start(f.settings("alex")).waitForServers(1)
-				f.eventually("live instance in alex", func() bool { return len(n.roster.InRegion("alex")) == 1 })
-			}
+			n := f.startFor(zone, 1)[0]
 			targets := []string{
 				"//pule252/2f", "//", "///a", "////", "//a//b", "//a?b=//c", "//a?", "//a%2Fb/..;c", "//user@host:80/a", "//a/*",
 				"/", "/a//b", "/a?", "/a??b", "/a?//b", "/%2F%2fa", "/a/../b/.", "/a|b", `/a"b`, "/a^b?c|d", "/a:b", "/*", "/a%00", "/a;b=c,d",
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -64,8 +64,9 @@
 // Parts decides which parts of prompts, and which whole requests, crash backend
 // servers. A part that was in unanswered requests at each of several crashes, and in no
 // served request, is quarantined. A whole request counts as one more part of its own,
-// which it shares with its repetitions only. Instances exchange what they have seen by Report and Merge, whose
-// order and repetition do not matter. Parts is safe for concurrent use.
+// which it shares with its repetitions only. Instances exchange what they have seen by
+// Report and Merge, whose order and repetition do not matter. Parts is safe for
+// concurrent use.
 type Parts struct {
 	// Observer receives decisions; nil for none.
 	Observer PartObserver
