--- a/hosted/deadly_test.go
+++ b/hosted/deadly_test.go
@@ -29,7 +29,7 @@
 			var servers []*hosting.Server
 			for range 6 {
 				server := f.startServer(service, "cairo-a", 1)
-				server.SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+				server.SetOverride(func(_ http.ResponseWriter, r *http.Request) bool {
 					if r.URL.Path != target {
 						return false
 					}
