--- a/internal/monotonic/monotonic.go
+++ b/internal/monotonic/monotonic.go
@@ -20,8 +20,15 @@
 var start = time.Now()
 
 // Of returns the Time of t, which comes from time.Now or is derived from such a value by
-// Add. A t without a monotonic reading is taken by its time of day.
-func Of(t time.Time) Time { return Time(t.Sub(start)) + offset }
+// Add. A t without a monotonic reading is taken by its time of day. Dates more than 146
+// years from the start of the process become the least or the largest Time.
+func Of(t time.Time) Time {
+	elapsed := Time(t.Sub(start))
+	if elapsed > math.MaxInt64-offset {
+		return math.MaxInt64
+	}
+	return max(elapsed+offset, 1)
+}
 
 // Sub returns the duration t-u.
 func (t Time) Sub(u Time) time.Duration { return time.Duration(t - u) }
