backend: share the rate of a service with servers that return

Cause: a server that had withdrawn and was listed again after its service had been without servers kept the old estimate of the service, which the others no longer used. Change: such a server gets a new description, with the state of its process and the estimate in use. Result: TestReturnedServerSharesTheRateOfItsService failed before for both servers, and passes.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -180,7 +180,7 @@
 // time shows that it is another process. serviceRate is the estimate of all servers of
 // its service.
 func updatedServer(old *Server, info Info, serviceRate *rateEstimate) *Server {
-	if old != nil && old.Info == info {
+	if old != nil && old.Info == info && old.serviceRate == serviceRate {
 		return old
 	}
 	s := NewServer(info)
--- a/backend/prefillrate_test.go
+++ b/backend/prefillrate_test.go
@@ -48,3 +48,27 @@
 	r.Replace(list)
 	c.Assert(server("i-4").ExpectedPrefillRate(now, maxAge), qt.Equals, 0.0)
 }
+
+// TestReturnedServerSharesTheRateOfItsService guards against a server whose samples go
+// into an estimate that the other servers don't use: it was listed again, as the same
+// process, after its service had been without servers for a time.
+func TestReturnedServerSharesTheRateOfItsService(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry()
+	list := []Info{{ID: "i-1", Service: "a", State: StateLive, Started: 1}, {ID: "i-2", Service: "a", State: StateLive, Started: 1}}
+	r.Replace(list)
+	for _, s := range r.All() {
+		s.SetDraining() // such a server is remembered while it is not listed
+	}
+	r.Replace(nil)
+	r.Replace(list[1:])
+	r.Replace(list)
+	now := time.Now()
+	for _, s := range r.All() {
+		s.addPrefillSample(now, 40000, true)
+	}
+	c.Assert(r.Servers("a"), qt.HasLen, 2)
+	for _, s := range r.All() {
+		c.Check(s.serviceRate, qt.Equals, r.rates["a"], qt.Commentf("server %s", s.ID))
+	}
+}
