quarantine: tell a refused part and its end at once

The test took the length of the text for the time. Change: Parts.Refused returns both; the test parses Retry-After and wants more than five minutes.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -178,14 +178,14 @@
 	if d.Parts == nil || !d.Parts.Refusing() {
 		return nil
 	}
-	part, refused := d.Parts.Refused(time.Now(), x.ContentIDs())
+	now := time.Now()
+	part, until, refused := d.Parts.Refused(now, x.ContentIDs())
 	if !refused {
 		return nil
 	}
 	d.Observer.PartRefused(x, part)
 	if part == x.ContentID() {
-		retryAfter := d.Parts.RefusedFor(time.Now(), part)
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeQuarantined, "the request has crashed backend servers").WithRetryAfter(retryAfter)
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeQuarantined, "the request has crashed backend servers").WithRetryAfter(until.Sub(now))
 	}
 	return outcome.Refuse(http.StatusServiceUnavailable, outcome.CodeQuarantined, "a part of the prompt has crashed backend servers").WithRetryAfter(partRetryAfter)
 }
--- a/dispatch/parts_test.go
+++ b/dispatch/parts_test.go
@@ -64,7 +64,7 @@
 		_, err := all[0].send("good", withParts(1, 2))
 		c.Assert(err == nil, qt.IsTrue)
 		recordCrashes(all[0].Parts, 5, 1, 2)
-		_, refused := all[0].Parts.Refused(time.Now(), []quarantine.PartID{1, 2})
+		_, _, refused := all[0].Parts.Refused(time.Now(), []quarantine.PartID{1, 2})
 		c.Assert(refused, qt.IsFalse)
 	})
 }
--- a/dispatch/partstream_test.go
+++ b/dispatch/partstream_test.go
@@ -64,7 +64,7 @@
 }
 
 func partRefused(i *testInstance, parts ...quarantine.PartID) bool {
-	_, refused := i.Parts.Refused(time.Now(), parts)
+	_, _, refused := i.Parts.Refused(time.Now(), parts)
 	return refused
 }
 
--- a/hosted/deadly_test.go
+++ b/hosted/deadly_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,7 +21,10 @@
 // run beside tests with large responses: the instances of a process share its heap, and
 // shed requests when that is full, with another Retry-After.
 func TestRepeatedRequestThatCrashesServersIsRefused(t *testing.T) {
-	const crashesKnown, target = 3, "/query/deadly"
+	const (
+		crashesKnown, target = 3, "/query/deadly"
+		minRetryAfter        = 5 * time.Minute // half of the time for which a request is refused at least
+	)
 	for kind, service := range map[string]string{"unsafe": "orders", "safe": "orders", "stream": "drafts"} {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
@@ -77,7 +81,9 @@
 			for range 3 * len(instances) {
 				got := repeat(instances[sent%len(instances)])
 				f.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
-				f.Check(len(got.header.Get("Retry-After")) > len("1.000"), qt.IsTrue, qt.Commentf("Retry-After %q, %s", got.header.Get("Retry-After"), got.body))
+				retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				f.Check(err, qt.IsNil)
+				f.Check(retryAfter > minRetryAfter.Seconds(), qt.IsTrue, qt.Commentf("Retry-After %v s: %s", retryAfter, got.body))
 			}
 			f.Check(deadlyArrivals(), qt.Equals, before)
 			// Servers stay ejected until a sound request has probed them.
--- a/hosted/parts_test.go
+++ b/hosted/parts_test.go
@@ -251,7 +251,7 @@
 	settings := f.settings("alex")
 	settings.Seeds = []string{settings.PeerAddr, first.settings.PeerAddr}
 	second := f.start(settings)
-	_, refused := second.parts.Refused(time.Now(), []quarantine.PartID{part})
+	_, _, refused := second.parts.Refused(time.Now(), []quarantine.PartID{part})
 	f.Assert(refused, qt.IsTrue)
 }
 
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -145,27 +145,18 @@
 	return refused != nil && len(*refused) > 0
 }
 
-// RefusedFor returns how long a part will be refused, 0 if it is not.
-func (p *Parts) RefusedFor(now time.Time, part PartID) time.Duration {
-	refused := p.refused.Load()
-	if refused == nil {
-		return 0
-	}
-	return max((*refused)[part].until.Sub(now), 0)
-}
-
-// Refused returns the first of the parts that is quarantined.
-func (p *Parts) Refused(now time.Time, parts []PartID) (PartID, bool) {
-	refused := p.refused.Load()
-	if refused == nil {
-		return 0, false
+// Refused returns the first of the parts that is quarantined, and until when it is.
+func (p *Parts) Refused(now time.Time, parts []PartID) (part PartID, until time.Time, refused bool) {
+	refusals := p.refused.Load()
+	if refusals == nil {
+		return 0, time.Time{}, false
 	}
 	for _, part := range parts {
-		if cause, found := (*refused)[part]; found && now.Before(cause.until) && containsAll(parts, cause.with) {
-			return part, true
+		if cause, found := (*refusals)[part]; found && now.Before(cause.until) && containsAll(parts, cause.with) {
+			return part, cause.until, true
 		}
 	}
-	return 0, false
+	return 0, time.Time{}, false
 }
 
 func containsAll(parts, subset []PartID) bool {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -17,7 +17,7 @@
 }
 
 func refuses(p *Parts, now time.Time, parts ...PartID) bool {
-	_, refused := p.Refused(now, parts)
+	_, _, refused := p.Refused(now, parts)
 	return refused
 }
 
@@ -365,7 +365,7 @@
 	now := at(4)
 	parts := []PartID{1, 2, 3, 4}
 	for b.Loop() {
-		if _, refused := p.Refused(now, parts); refused {
+		if _, _, refused := p.Refused(now, parts); refused {
 			b.Fatal("refused")
 		}
 	}
@@ -425,6 +425,7 @@
 	}
 	now = now.Add(3 * time.Second)
 	here.Merge(now, there.Report(now, 0))
-	fmt.Println(here.Refused(now, []PartID{0x5c}))
+	part, _, refused := here.Refused(now, []PartID{0x5c})
+	fmt.Println(part, refused)
 	// Output: 000000000000005c true
 }
