Start the cases of stream tests, and send raw requests, in one place

Cause: three tests set up the same servers and two wrote the same raw connection. Change: fleet.startCases and testInstance.exchangeRaw; no check changed.

--- a/hosted/evidence_test.go
+++ b/hosted/evidence_test.go
@@ -36,12 +36,7 @@
 					}
 				}
 			}
-			f := newFleet(t)
-			f.configureServices(cases)
-			for _, test := range cases {
-				f.startScriptedServers(test.backend, test.service, zone)
-			}
-			n := f.startFor(zone, 2*len(cases))[0]
+			n := newFleet(t).startCases(cases, zone)
 			for _, test := range cases {
 				t.Run(test.name, func(t *testing.T) {
 					c := qt.New(t)
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -226,6 +226,27 @@
 	return []*testInstance{n, other}
 }
 
+// startCases configures a route and two scripted servers in zone for each case, and
+// starts the instances for them as startFor does.
+func (f *fleet) startCases(cases []streamCase, zone string) *testInstance {
+	f.configureServices(cases)
+	for _, test := range cases {
+		f.startScriptedServers(test.backend, test.service, zone)
+	}
+	return f.startFor(zone, 2*len(cases))[0]
+}
+
+// exchangeRaw sends the text of a request on a new connection and returns the response.
+func (n *testInstance) exchangeRaw(text string) (*http.Response, error) {
+	conn, err := net.Dial("tcp", n.settings.CallerAddr)
+	n.f.Assert(err, qt.IsNil)
+	n.f.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+	_, err = io.WriteString(conn, text)
+	n.f.Assert(err, qt.IsNil)
+	return http.ReadResponse(bufio.NewReader(conn), nil)
+}
+
 // waitForServers waits until the instance's registry has the given number of
 // backend servers.
 func (n *testInstance) waitForServers(servers int) *testInstance {
--- a/hosted/stream_test.go
+++ b/hosted/stream_test.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -208,12 +207,8 @@
 func TestBrokenStreamIsNeverMixed(t *testing.T) {
 	for name, zone := range map[string]string{"own region": "cairo-a", "other region": "alex-a"} {
 		t.Run(name, func(t *testing.T) {
-			f, cases := newFleet(t), newStreamCases()
-			f.configureServices(cases)
-			for _, test := range cases {
-				f.startScriptedServers(test.backend, test.service, zone)
-			}
-			n := f.startFor(zone, 2*len(cases))[0]
+			cases := newStreamCases()
+			n := newFleet(t).startCases(cases, zone)
 			for _, test := range cases {
 				t.Run(test.name, func(t *testing.T) {
 					c := qt.New(t)
@@ -229,13 +224,7 @@
 // sendRaw sends a request with the rest of its first line and returns the body of a
 // successful response, and an error if the body is incomplete or there is none.
 func (n *testInstance) sendRaw(service, protocol string) (body string, err error) {
-	conn, err := net.Dial("tcp", n.settings.CallerAddr)
-	n.f.Assert(err, qt.IsNil)
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
-	_, err = io.WriteString(conn, "POST /"+service+"/ "+protocol+"Host: "+host+"\r\nRequest-Id: id-1\r\nDeadline-Ms: 5000\r\nContent-Length: 1\r\n\r\nx")
-	n.f.Assert(err, qt.IsNil)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	resp, err := n.exchangeRaw("POST /" + service + "/ " + protocol + "Host: " + host + "\r\nRequest-Id: id-1\r\nDeadline-Ms: 5000\r\nContent-Length: 1\r\n\r\nx")
 	if err != nil {
 		return "", err
 	}
@@ -273,12 +262,7 @@
 			})
 		}
 	}
-	f := newFleet(t)
-	f.configureServices(cases)
-	for _, test := range cases {
-		f.startScriptedServers(test.backend, test.service, "cairo-a")
-	}
-	n := f.start(f.settings("cairo")).waitForServers(2 * len(cases))
+	n := newFleet(t).startCases(cases, "cairo-a")
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/hosted/target_test.go
+++ b/hosted/target_test.go
@@ -1,13 +1,9 @@
 package hosted
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -48,13 +44,7 @@
 
 // sendTarget sends a request with the target byte for byte, and returns the status.
 func (n *testInstance) sendTarget(target, id string) int {
-	conn, err := net.Dial("tcp", n.settings.CallerAddr)
-	n.f.Assert(err, qt.IsNil)
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
-	_, err = io.WriteString(conn, "POST "+target+" HTTP/1.1\r\nHost: "+host+"\r\nRequest-Id: "+id+"\r\nDeadline-Ms: 5000\r\nContent-Length: 1\r\n\r\nx")
-	n.f.Assert(err, qt.IsNil)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	resp, err := n.exchangeRaw("POST " + target + " HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 5000\r\nContent-Length: 1\r\n\r\nx")
 	n.f.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
 	return resp.StatusCode
