--- a/internal/monotonic/monotonic_test.go
+++ b/internal/monotonic/monotonic_test.go
@@ -29,7 +29,8 @@
 func TestOrderOfDates(t *testing.T) {
 	now := time.Now()
 	dates := []time.Time{
-		{}, time.Date(1970, 1, 1, 0, 0, 0, 0, time.UTC), time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC), now.Add(-time.Hour), now,
+		{},
+		time.Date(1970, 1, 1, 0, 0, 0, 0, time.UTC), time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC), now.Add(-time.Hour), now,
 		now.Add(time.Nanosecond), now.Add(30 * 24 * time.Hour), time.Date(2150, 1, 1, 0, 0, 0, 0, time.UTC), time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC),
 	}
 	for k, date := range dates {
