dispatch: tell a connection that is not answered from the caller's deadline

What callers saw: requests for a server whose host is down or cut off ended after 1 s with 504 (deadline_exceeded), unrun, with time left and other servers free; the server was not ejected. The same for an instance of another region that a request was forwarded to. Cause: the timeout of net.Dialer is a context.DeadlineExceeded, which was read as the request's own deadline: final for the retry policy, no failure for the ejector. Seen in a log of TestEndlessResponsesShareMemory (i/o timeout after 2.1 s of 60, retry false, final_code). Change: the code is deadline_exceeded only once the request's own deadline has passed. An unanswered connection is one of the consecutive failures that eject a server, not an ejection at once.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -243,7 +243,9 @@
 	if failed && err.Outcome == outcome.MayHaveRun && !result.stalled {
 		r.recordLostAnswer(w)
 	}
-	unreachable := failed && err.Outcome == outcome.NotRun && !w.reused.Load()
+	// A connection that is not answered in time shows less than one that is refused: a
+	// single packet may have been lost.
+	unreachable := failed && err.Outcome == outcome.NotRun && !w.reused.Load() && !errors.Is(err, context.DeadlineExceeded)
 	r.recordHealth(decision, (failed || w.serverError) && !w.withdrew || result.crashed, unreachable, served)
 	return result
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -395,7 +395,7 @@
 		failure.Outcome = outcome.NotRun
 		failure.Status = http.StatusServiceUnavailable
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, context.DeadlineExceeded) && deadlinePassed(req.Context()) {
 		failure.Code = outcome.CodeDeadline
 		failure.Status = http.StatusGatewayTimeout
 	}
@@ -405,6 +405,13 @@
 	return nil, failure
 }
 
+// deadlinePassed reports whether the deadline of ctx has passed. An error of a connection
+// attempt does not show that: its own timeout is a context.DeadlineExceeded as well.
+func deadlinePassed(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline)
+}
+
 // relay sends resp to the caller. source is the sender of resp, for errors.
 func (d *Dispatcher) relay(x *filters.Exchange, resp *http.Response, callerResponse *relay.CallerResponse, source string) *outcome.Error {
 	if !callerResponse.Passthrough {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -14,8 +15,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
+	"github.com/fuchsiastack/fuchsiastack/relay"
+	"github.com/fuchsiastack/fuchsiastack/retry"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
 
@@ -125,6 +129,71 @@
 	})
 }
 
+// TestConnectTimeoutIsRetried guards against requests that fail although another server
+// would serve them, because a server's host is down or cut off: connections to it are not
+// refused but time out, which was taken for the deadline of the request. Such a server
+// must also be ejected, so that few requests lose time at it.
+func TestConnectTimeoutIsRetried(t *testing.T) {
+	inVirtualTime(t, 1, 3, func(c *qt.C, e *fakeEngines, all []*testInstance) {
+		e.unanswered["engine-0:1"] = true
+		failed, delayed := 0, 0
+		for i := range 60 {
+			start := time.Now()
+			if _, err := all[0].send(fmt.Sprint("question ", i), nonRepeatable); err != nil {
+				c.Logf("request %d: %v", i, err)
+				failed++
+			}
+			if time.Since(start) >= unansweredTimeout+e.responseTime {
+				delayed++
+			}
+		}
+		c.Logf("%d of 60 requests failed, %d lost time", failed, delayed)
+		c.Assert(failed, qt.Equals, 0)
+		c.Assert(delayed > 0, qt.IsTrue)
+		c.Assert(delayed < 10, qt.IsTrue)
+	})
+}
+
+// peerAddr is the address of the instances of every region.
+type peerAddr string
+
+func (peerAddr) Reachable() []string  { return nil }
+func (a peerAddr) Peer(string) string { return string(a) }
+
+// TestConnectTimeoutOfPeerIsRetried guards against requests that fail although their own
+// region would serve them, because the instance that they are forwarded to is cut off.
+func TestConnectTimeoutOfPeerIsRetried(t *testing.T) {
+	inVirtualTime(t, 1, 1, func(c *qt.C, e *fakeEngines, all []*testInstance) {
+		e.unanswered["peer:1"], e.up["peer:1"] = true, true
+		all[0].Peers = peerAddr("peer:1")
+		x := &filters.Exchange{
+			Writer: httptest.NewRecorder(), Request: httptest.NewRequest(http.MethodPost, "/stock", nil), ID: "question",
+			Snapshot: &catalog.Snapshot{Revision: 1}, Service: testService, Path: "/stock", Deadline: time.Now().Add(time.Minute),
+		}
+		ctx, cancel := context.WithDeadline(context.Background(), x.Deadline)
+		defer cancel()
+		err, responded := all[0].forward(ctx, x, "alex", 0, &relay.CallerResponse{Writer: x.Writer})
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(responded, qt.IsFalse)
+		verdict := all[0].Retry.Decide(time.Now(), retry.Attempt{
+			Number: 1, Outcome: err.Outcome, Code: err.Code, Forwarded: true, Remaining: time.Until(x.Deadline),
+		})
+		c.Assert(verdict.Retry, qt.IsTrue, qt.Commentf("%v: %s", err, verdict.Reason))
+	})
+}
+
+// TestDeadlineWhileConnecting checks that a request whose own deadline passes while a
+// server does not answer its connection fails with that, and is not retried.
+func TestDeadlineWhileConnecting(t *testing.T) {
+	inVirtualTime(t, 1, 1, func(c *qt.C, e *fakeEngines, all []*testInstance) {
+		e.unanswered["engine-0:1"] = true
+		_, err := all[0].send("question", func(x *filters.Exchange) { x.Deadline = time.Now().Add(unansweredTimeout / 2) })
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(err.Code, qt.Equals, outcome.CodeDeadline)
+		c.Assert(err.Outcome, qt.Equals, outcome.NotRun)
+	})
+}
+
 // TestMayHaveRunIsNotDowngraded checks that a request whose first attempt may have
 // run is not reported as not run because of a second attempt that did not run.
 func TestMayHaveRunIsNotDowngraded(t *testing.T) {
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
@@ -42,12 +43,13 @@
 	responseTime time.Duration   // until the response
 	closesIdle   bool            // closes a reused connection when a request arrives
 	hangs        map[string]bool // never respond, by address
+	unanswered   map[string]bool // connections to them are never established, by address
 }
 
 func newFakeEngines(count int) *fakeEngines {
 	e := &fakeEngines{
 		up: make(map[string]bool), running: make(map[string]int), crashed: make(map[string]chan struct{}),
-		runs: make(map[string]int), active: make(map[string]int), hangs: make(map[string]bool), responseTime: time.Second,
+		runs: make(map[string]int), active: make(map[string]int), hangs: make(map[string]bool), unanswered: make(map[string]bool), responseTime: time.Second,
 	}
 	for i := range count {
 		addr := fmt.Sprintf("engine-%d:1", i)
@@ -67,6 +69,10 @@
 		e.mu.Unlock()
 		return nil, errors.New("connection refused")
 	}
+	if e.unanswered[addr] {
+		e.mu.Unlock()
+		return nil, connectUnanswered(req.Context())
+	}
 	crashed := e.crashed[addr]
 	e.running[addr]++
 	e.runs[body]++
@@ -102,6 +108,19 @@
 	}
 }
 
+// unansweredTimeout is the time after which connecting to a server fails.
+const unansweredTimeout = time.Second
+
+// connectUnanswered waits for a connection that is not established, and returns the
+// error of the net package.
+func connectUnanswered(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, unansweredTimeout)
+	defer cancel()
+	<-ctx.Done()
+	_, err := (&net.Dialer{}).DialContext(ctx, "tcp", "127.0.0.1:1")
+	return err
+}
+
 // checkReachable implements Dispatcher.CheckReachable.
 func (e *fakeEngines) checkReachable(_ context.Context, addr string) error {
 	e.mu.Lock()
