--- a/hosted/endless_test.go
+++ b/hosted/endless_test.go
@@ -19,8 +19,13 @@
 	chunk string // sent repeatedly until the connection is closed
 }
 
+// headFor returns the head of the response to a request.
+func (b endlessBackend) headFor(req *http.Request) string {
+	return strings.ReplaceAll(b.head, "REQUEST", req.Header.Get("Request-Id"))
+}
+
 func (b endlessBackend) respond(conn net.Conn, req *http.Request) {
-	data := []byte(strings.ReplaceAll(b.head, "REQUEST", req.Header.Get("Request-Id")))
+	data := []byte(b.headFor(req))
 	for {
 		if _, err := conn.Write(data); err != nil {
 			return
