standin/hosting: begin the response of a watch at once

What was seen: hosted TestLargeEntriesDoNotStopTheMirror (KNOWN-RED) failed beside load, "condition not met within 20s: later entry". Cause, from the calls of a failed run: the stand-in encoded 14 MB of events before it sent a byte. On one core beside 6 busy processes that took 8 to 27 s; the client gave up after its 2.7 s without data and asked again, and seven such answers for clients that had left were encoded side by side. Change: events are sent one by one, and none to a client that has left.

--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -232,7 +234,7 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			writeJSON(w, map[string]any{"events": events, "current-rev": revision})
+			writeEvents(w, events, revision)
 			return
 		}
 		select {
@@ -325,6 +327,23 @@
 	}
 }
 
+// writeEvents sends the response of a watch one event after the other, so that a large
+// one begins to arrive at once, and ends with the client's connection.
+func writeEvents(w http.ResponseWriter, events []item, revision uint64) {
+	w.Header().Set("Content-Type", "application/json")
+	separator := `{"events":[`
+	for _, e := range events {
+		if _, err := io.WriteString(w, separator); err != nil {
+			return
+		}
+		if err := json.NewEncoder(w).Encode(e); err != nil {
+			return
+		}
+		separator = ","
+	}
+	_, _ = fmt.Fprintf(w, `],"current-rev":%d}`, revision)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
