Bound the heads of all responses that an instance reads

What operators of other systems saw: a faulty server sent a head without end, and the machine that had called it kept it. Here the own deployment's calls for load, state of engines, the list of servers and the store read 10,485,760 bytes of a head each, the default of net/http; the load of each backend server is asked for all the time. Cause: only the transports of forwarded requests and of the platform's store had a limit. Change: internal/boundedhttp makes transports that read 64 KB of a head; one constant for all. The endless server of tests stands once, in standin/endless. The code that the users' platform runs is unchanged.

--- a/cmd/fuchsiactl/main.go
+++ b/cmd/fuchsiactl/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/config"
 	"github.com/fuchsiastack/fuchsiastack/configlog"
+	"github.com/fuchsiastack/fuchsiastack/internal/boundedhttp"
 	"github.com/fuchsiastack/fuchsiastack/internal/climain"
 	"github.com/fuchsiastack/fuchsiastack/listing"
 	"github.com/fuchsiastack/fuchsiastack/rollout"
@@ -55,7 +56,7 @@
 	return &rollout.Publisher{
 		Log:       &configlog.Log{Store: consul.New(cmd.String("store-url"))},
 		Directory: listing.New(cmd.String("platform-url")),
-		Prober:    rollout.HTTPProber{Client: http.DefaultClient},
+		Prober:    rollout.HTTPProber{Client: &http.Client{Transport: boundedhttp.NewTransport()}},
 	}
 }
 
--- a/daemon/loads.go
+++ b/daemon/loads.go
@@ -11,6 +11,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
+	"github.com/fuchsiastack/fuchsiastack/internal/boundedhttp"
 	"github.com/fuchsiastack/fuchsiastack/load"
 )
 
@@ -21,7 +22,7 @@
 
 // newLoadTracker returns the controller that tracks the load of backend servers.
 func (d *Daemon) newLoadTracker() *load.Tracker {
-	return load.NewTracker(d.registry, d.settings.Instance, d.regionMembers, httpLoadFetcher{})
+	return load.NewTracker(d.registry, d.settings.Instance, d.regionMembers, newLoadFetcher())
 }
 
 // regionMembers returns the ids of the live instances of this region, including
@@ -37,17 +38,21 @@
 
 // httpLoadFetcher fetches load reports from backend servers over HTTP. It
 // implements load.Fetcher.
-type httpLoadFetcher struct{}
+type httpLoadFetcher struct{ client *http.Client }
+
+func newLoadFetcher() httpLoadFetcher {
+	return httpLoadFetcher{client: &http.Client{Transport: boundedhttp.NewTransport()}}
+}
 
 // FetchLoad implements load.Fetcher.
-func (httpLoadFetcher) FetchLoad(ctx context.Context, server *backend.Server) (report backend.Load, draining bool, err error) {
+func (f httpLoadFetcher) FetchLoad(ctx context.Context, server *backend.Server) (report backend.Load, draining bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Addr+"/load", http.NoBody)
 	if err != nil {
 		return report, false, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := f.client.Do(req)
 	if err != nil {
 		return report, false, err
 	}
--- a/daemon/loads_test.go
+++ b/daemon/loads_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/standin/endless"
 )
 
 // TestBusyLoadReportIsNoLeaving guards against a server that is lost for good because
@@ -31,9 +32,29 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}))
 		server := backend.NewServer(backend.Info{ID: "engine", Addr: engine.Listener.Addr().String()})
-		_, leaving, err := httpLoadFetcher{}.FetchLoad(context.Background(), server)
+		_, leaving, err := newLoadFetcher().FetchLoad(context.Background(), server)
 		engine.Close()
 		c.Check(err, qt.IsNotNil)
 		c.Check(leaving, qt.Equals, test.leaving, qt.Commentf("%s: %s", test.name, test.value))
 	}
 }
+
+// TestEndlessHeadOfEngine guards against an instance that reads the header of a response
+// for as long as a faulty backend server sends it, to a query for its load or its state.
+func TestEndlessHeadOfEngine(t *testing.T) {
+	for name, response := range endless.Heads {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			addr := endless.StartServer(t, response[0], response[1])
+			loads, engines := newLoadFetcher(), newEngineClient()
+			loadRead := endless.CountReads(loads.client.Transport.(*http.Transport))
+			engineRead := endless.CountReads(engines.Client.Transport.(*http.Transport))
+			_, _, err := loads.FetchLoad(t.Context(), backend.NewServer(backend.Info{ID: "engine", Addr: addr}))
+			c.Check(err, qt.IsNotNil)
+			c.Check(loadRead.Load() <= endless.MaxHeaderRead, qt.IsTrue, qt.Commentf("load: read %d bytes", loadRead.Load()))
+			_, err = engines.Report(t.Context(), backend.Info{ID: "engine", Addr: addr})
+			c.Check(err, qt.IsNotNil)
+			c.Check(engineRead.Load() <= endless.MaxHeaderRead, qt.IsTrue, qt.Commentf("report: read %d bytes", engineRead.Load()))
+		})
+	}
+}
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/internal/boundedhttp"
 	"github.com/fuchsiastack/fuchsiastack/lease"
 	"github.com/fuchsiastack/fuchsiastack/membership"
 	"github.com/fuchsiastack/fuchsiastack/orders"
@@ -25,7 +26,7 @@
 	return &orders.Controller{
 		Region:       d.settings.Region,
 		Keeper:       lease.NewKeeper(s, lease.DefaultConfig),
-		Engines:      orders.HTTPEngineClient{Client: &http.Client{Timeout: orderTimeout}},
+		Engines:      newEngineClient(),
 		Services:     d.services,
 		Servers:      d.serverInfos,
 		Candidate:    func(service string) bool { return d.isSelected(purposeOrders+service, 1) },
@@ -37,6 +38,10 @@
 	}
 }
 
+func newEngineClient() orders.HTTPEngineClient {
+	return orders.HTTPEngineClient{Client: &http.Client{Timeout: orderTimeout, Transport: boundedhttp.NewTransport()}}
+}
+
 // isSelected reports whether this instance is among the n live instances of its
 // region that rendezvous hashing selects for a purpose.
 func (d *Daemon) isSelected(purpose string, n int) bool {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/internal/boundedhttp"
 	"github.com/fuchsiastack/fuchsiastack/internal/check"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
@@ -35,7 +36,7 @@
 
 // MaxResponseHeaderBytes is the limit of a response header, for the transport
 // of a Dispatcher.
-const MaxResponseHeaderBytes = 64 << 10
+const MaxResponseHeaderBytes = boundedhttp.MaxHeaderBytes
 
 // errTooLarge is the cause of a response whose body exceeds the size limit.
 var errTooLarge = errors.New("response body exceeds the size limit")
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/internal/boundedhttp"
 	"github.com/fuchsiastack/fuchsiastack/internal/check"
 )
 
@@ -61,7 +62,7 @@
 // New returns a client of the platform at base, such as
 // "http://127.0.0.1:8600".
 func New(base string) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Timeout: callTimeout}}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Timeout: callTimeout, Transport: boundedhttp.NewTransport()}}
 }
 
 // Servers returns the backend servers of a region that the platform lists. The
--- a/store/consul/consul.go
+++ b/store/consul/consul.go
@@ -18,6 +18,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fuchsiastack/fuchsiastack/internal/boundedhttp"
 	"github.com/fuchsiastack/fuchsiastack/store"
 )
 
@@ -39,6 +40,8 @@
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: boundedhttp.MaxHeaderBytes,
 	}
 	return NewWithTransport(baseURL, transport)
 }
