--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -135,7 +135,7 @@
 // must also be ejected, so that few requests lose time at it.
 func TestConnectTimeoutIsRetried(t *testing.T) {
 	inVirtualTime(t, 1, 3, func(c *qt.C, e *fakeEngines, all []*testInstance) {
-		e.unanswered["engine-0:1"] = true
+		e.setUnanswered("engine-0:1")
 		failed, delayed := 0, 0
 		for i := range 60 {
 			start := time.Now()
@@ -164,7 +164,7 @@
 // region would serve them, because the instance that they are forwarded to is cut off.
 func TestConnectTimeoutOfPeerIsRetried(t *testing.T) {
 	inVirtualTime(t, 1, 1, func(c *qt.C, e *fakeEngines, all []*testInstance) {
-		e.unanswered["peer:1"], e.up["peer:1"] = true, true
+		e.setUnanswered("peer:1")
 		all[0].Peers = peerAddr("peer:1")
 		x := &filters.Exchange{
 			Writer: httptest.NewRecorder(), Request: httptest.NewRequest(http.MethodPost, "/stock", nil), ID: "question",
@@ -186,7 +186,7 @@
 // server does not answer its connection fails with that, and is not retried.
 func TestDeadlineWhileConnecting(t *testing.T) {
 	inVirtualTime(t, 1, 1, func(c *qt.C, e *fakeEngines, all []*testInstance) {
-		e.unanswered["engine-0:1"] = true
+		e.setUnanswered("engine-0:1")
 		_, err := all[0].send("question", func(x *filters.Exchange) { x.Deadline = time.Now().Add(unansweredTimeout / 2) })
 		c.Assert(err, qt.IsNotNil)
 		c.Assert(err.Code, qt.Equals, outcome.CodeDeadline)
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -138,6 +138,13 @@
 	e.active[body]--
 }
 
+// setUnanswered makes connections to an address time out.
+func (e *fakeEngines) setUnanswered(addr string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.up[addr], e.unanswered[addr] = true, true
+}
+
 func (e *fakeEngines) kill(addr string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
