hosted: shed by the heap of one instance, not by that of all tests

Cause: the instances of all tests share a process, and each sheds requests by the heap of all of them, which tests with large responses fill. The daemon reads the process's as before.

--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -11,7 +11,6 @@
 
 	"github.com/fuchsiastack/fuchsiastack/admission"
 	"github.com/fuchsiastack/fuchsiastack/internal/loop"
-	"github.com/fuchsiastack/fuchsiastack/overload"
 )
 
 const (
@@ -90,7 +89,7 @@
 // its timer runs, and updates the heap size of the overload guard.
 func (i *Instance) updateSlots(context.Context) {
 	i.traffic.RecordTick(time.Now(), slotsInterval)
-	i.guard.SetHeap(overload.ReadHeap())
+	i.guard.SetHeap(i.options.Heap())
 	snapshot := i.table.Current()
 	if snapshot == nil {
 		return
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -64,6 +64,9 @@
 type Options struct {
 	LogLevel    string
 	MetricsPort int // 0 disables metrics
+	// Heap returns the size of the heap, in bytes, by which requests are shed. Nil means
+	// that of the process, of which the instance must then be the only one.
+	Heap func() int64
 }
 
 // Instance is an entry instance.
@@ -117,6 +120,9 @@
 	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitFraction))
 	logWriter := telemetry.NewAsyncWriter(out)
 	logger := &log.Logger{Level: log.ParseLevel(options.LogLevel), Writer: &log.IOWriter{Writer: logWriter}}
+	if options.Heap == nil {
+		options.Heap = overload.ReadHeap
+	}
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
