--- a/daemon/loads_test.go
+++ b/daemon/loads_test.go
@@ -39,22 +39,25 @@
 	}
 }
 
-// TestEndlessHeadOfEngine guards against an instance that reads the header of a response
-// for as long as a faulty backend server sends it, to a query for its load or its state.
-func TestEndlessHeadOfEngine(t *testing.T) {
-	for name, response := range endless.Heads {
-		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
-			addr := endless.StartServer(t, response[0], response[1])
-			loads, engines := newLoadFetcher(), newEngineClient()
-			loadRead := endless.CountReads(loads.client.Transport.(*http.Transport))
-			engineRead := endless.CountReads(engines.Client.Transport.(*http.Transport))
+// TestEndlessHeadOfLoad guards against an instance that reads the header of a response to
+// a query for the load of a backend server for as long as a faulty one sends it.
+func TestEndlessHeadOfLoad(t *testing.T) {
+	endless.CheckHeads(t, func(addr string) (func() error, *http.Transport) {
+		loads := newLoadFetcher()
+		return func() error {
 			_, _, err := loads.FetchLoad(t.Context(), backend.NewServer(backend.Info{ID: "engine", Addr: addr}))
-			c.Check(err, qt.IsNotNil)
-			c.Check(loadRead.Load() <= endless.MaxHeaderRead, qt.IsTrue, qt.Commentf("load: read %d bytes", loadRead.Load()))
-			_, err = engines.Report(t.Context(), backend.Info{ID: "engine", Addr: addr})
-			c.Check(err, qt.IsNotNil)
-			c.Check(engineRead.Load() <= endless.MaxHeaderRead, qt.IsTrue, qt.Commentf("report: read %d bytes", engineRead.Load()))
-		})
-	}
+			return err
+		}, loads.client.Transport.(*http.Transport)
+	})
+}
+
+// TestEndlessHeadOfEngine guards against the same of a query for the state of an engine.
+func TestEndlessHeadOfEngine(t *testing.T) {
+	endless.CheckHeads(t, func(addr string) (func() error, *http.Transport) {
+		engines := newEngineClient()
+		return func() error {
+			_, err := engines.Report(t.Context(), backend.Info{ID: "engine", Addr: addr})
+			return err
+		}, engines.Client.Transport.(*http.Transport)
+	})
 }
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -12,13 +12,13 @@
 	"testing"
 )
 
-// MaxHeaderRead is how much of a response a client may read, with data that is read
-// ahead, that reads 64 KB of its header.
-const MaxHeaderRead = 128 << 10
-
 // Filler is text without a meaning.
 var Filler = strings.Repeat("x", 32<<10)
 
+// MaxHeaderRead is how much of a response a client may read that stops after 64 KB of its
+// header, with what is read ahead.
+const MaxHeaderRead = 128 << 10
+
 // Heads are responses, by name, whose header does not end: what is sent first, and what
 // follows again and again.
 var Heads = map[string][2]string{
@@ -60,6 +60,25 @@
 	}
 }
 
+// CheckHeads checks for each of Heads that a client's call fails and that the client reads
+// at most MaxHeaderRead. newClient returns the call of a new client to the server at addr,
+// and the transport of the client.
+func CheckHeads(t *testing.T, newClient func(addr string) (call func() error, transport *http.Transport)) {
+	for name, response := range Heads {
+		t.Run(name, func(t *testing.T) {
+			call, transport := newClient(StartServer(t, response[0], response[1]))
+			defer transport.CloseIdleConnections()
+			read := CountReads(transport)
+			if err := call(); err == nil {
+				t.Error("the call has not failed")
+			}
+			if read.Load() > MaxHeaderRead {
+				t.Errorf("read %d bytes, want at most %d", read.Load(), MaxHeaderRead)
+			}
+		})
+	}
+}
+
 // CountReads counts the bytes that are read from the connections which transport opens
 // from now on.
 func CountReads(transport *http.Transport) *atomic.Int64 {
