dispatch: test that one lost connection ejects no server

Found on reading: counts an unanswered connection as one of several failures, but its tests passed as well with an ejection at once.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -154,6 +154,25 @@
 	})
 }
 
+// TestLostConnectIsNoEjection guards against sound servers that are ejected because a
+// single packet was lost: one connection that is not answered in time ejects none.
+func TestLostConnectIsNoEjection(t *testing.T) {
+	inVirtualTime(t, 1, 3, func(c *qt.C, e *fakeEngines, all []*testInstance) {
+		e.setUnanswered("engine-0:1")
+		for i := 0; ; i++ {
+			start := time.Now()
+			_, err := all[0].send(fmt.Sprint("question ", i), nonRepeatable)
+			c.Assert(err == nil, qt.IsTrue)
+			if time.Since(start) >= unansweredTimeout+e.responseTime {
+				break
+			}
+		}
+		for _, server := range all[0].registry.All() {
+			c.Assert(server.Health().Ejected(), qt.IsFalse, qt.Commentf("%s", server.ID))
+		}
+	})
+}
+
 // peerAddr is the address of the instances of every region.
 type peerAddr string
 
