--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -420,6 +420,7 @@
 	}
 	x.Status = resp.StatusCode
 	result := callerResponse.Copy(resp)
+	x.EventsSent = result.Events
 	x.Started = x.Started || result.Started
 	x.ResetRequired = x.ResetRequired || result.NeedsReset
 	if result.Outcome == outcome.Served {
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -53,6 +53,11 @@
 	// MaxOutputTokens is the caller's limit on the length of the response, in
 	// tokens; 0 if there is none.
 	MaxOutputTokens int
+	// OutputTokensHint is the caller's estimate of the length of the response, in
+	// tokens; 0 if there is none.
+	OutputTokensHint int
+	// EventsSent is the number of events that were sent to the caller.
+	EventsSent int
 	// NoLocalSlot reports that no slot of this region becomes free in time, so that
 	// only another region can serve the request.
 	NoLocalSlot bool
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,6 +27,7 @@
 	Outcome outcome.Outcome // Served or MayHaveRun, or as stated in the trailer of another instance
 	Started bool            // the caller's response has been started
 	Bytes   int64           // body bytes sent to the caller
+	Events  int             // events sent to the caller by all responses so far
 	Err     error           // why the response is incomplete, or nil
 	// NeedsReset means that the caller can detect the truncation only if its
 	// connection is reset.
@@ -89,6 +90,7 @@
 	ended        bool           // nothing may be added to the response
 	notResumable bool           // no other response can continue the stream
 	bytesSent    int64          // bytes of the stream sent to the caller
+	eventsSent   int            // events of the stream sent to the caller
 }
 
 // Copy sends resp to the caller, or the part of it that continues a stream that
@@ -100,7 +102,7 @@
 			if r.streaming {
 				err = r.streamError(err)
 			}
-			return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: r.bytesSent, Err: err}
+			return Result{Outcome: outcome.MayHaveRun, Started: true, Bytes: r.bytesSent, Events: r.eventsSent, Err: err}
 		}
 		return r.copyStream(resp)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -71,7 +71,9 @@
 	callerResponse.SetResume(header)
 	c.Assert(header.Get("Last-Event-ID"), qt.Equals, "3")
 	second := response(eventStreamType, "id: 4\ndata: b\n\nid: 6\ndata: c\n\n", true)
-	c.Assert(callerResponse.Copy(second).Outcome, qt.Equals, outcome.Served)
+	result := callerResponse.Copy(second)
+	c.Assert(result.Outcome, qt.Equals, outcome.Served)
+	c.Assert(result.Events, qt.Equals, 3)
 	c.Assert(w.Body.String(), qt.Equals, "id: 3\ndata: a\n\nid: 4\ndata: b\n\nid: 6\ndata: c\n\n")
 	c.Assert(w.Header().Get("X-Server"), qt.Equals, "id: 3\ndata: a\n\nid: 4\nda")
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -145,6 +145,9 @@
 	r.writeHeader()
 	n, err := r.Writer.Write(raw)
 	r.bytesSent += int64(n)
+	if err == nil {
+		r.eventsSent++
+	}
 	return err
 }
 
@@ -172,7 +175,7 @@
 	if r.started {
 		r.flush()
 	}
-	return Result{Outcome: outcome.MayHaveRun, Started: r.started, Bytes: r.bytesSent, Err: r.streamError(err)}
+	return Result{Outcome: outcome.MayHaveRun, Started: r.started, Bytes: r.bytesSent, Events: r.eventsSent, Err: r.streamError(err)}
 }
 
 // streamError returns err with the progress of the stream.
@@ -197,7 +200,7 @@
 	if o == outcome.Served {
 		err = nil
 	}
-	return Result{Outcome: o, Started: true, Bytes: r.bytesSent, Err: err}
+	return Result{Outcome: o, Started: true, Bytes: r.bytesSent, Events: r.eventsSent, Err: err}
 }
 
 // Resumable reports whether another response can continue the caller's stream.
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -51,12 +51,24 @@
 	if !x.FirstByteAt.IsZero() {
 		entry = entry.Dur("first_byte", x.FirstByteAt.Sub(x.Received))
 	}
+	if x.Stream {
+		entry = entry.Int("events", x.EventsSent).Int("output_tokens", x.MaxOutputTokens).Int("output_hint", x.OutputTokensHint)
+	}
 	status := x.Status
 	if err != nil {
 		status = err.Status
 		entry = entry.Str("code", string(code)).AnErr("cause", err.Cause)
 	}
-	entry.Int("status", status).Msg("")
+	entry.Int("status", status).Int64("remaining", remainingMS(x)).Msg("")
+}
+
+// remainingMS returns the time until the deadline of x in milliseconds, less than 0 if
+// it has passed. It returns 0 if x has no deadline.
+func remainingMS(x *filters.Exchange) int64 {
+	if x.Deadline.IsZero() {
+		return 0
+	}
+	return time.Until(x.Deadline).Milliseconds()
 }
 
 // RouteDecided implements dispatch.Observer.
@@ -78,7 +90,9 @@
 		Int("candidates", d.Candidates).Dur("cost", d.Cost).Dur("local_cost", d.LocalCost).
 		Dur("wait", d.Wait).Int("cached_tokens", d.CachedTokens).Str("fetch_from", source).Str("spill", string(d.Spill)).
 		Float64("slowdown", float64(d.Slowdown)).Dur("slowdown_age", d.SlowdownAge).Int("slow_candidates", d.SlowCandidates).
-		Int("prompt_tokens", x.PromptTokens).Int("tokens_ahead", d.TokensAhead).Int("running", d.Occupied).Msg("")
+		Int("prompt_tokens", x.PromptTokens).Int("tokens_ahead", d.TokensAhead).Int("running", d.Occupied).
+		Int("output_tokens", x.MaxOutputTokens).Int("output_hint", x.OutputTokensHint).Int("events", x.EventsSent).
+		Int64("remaining", remainingMS(x)).Msg("")
 }
 
 // FirstByte implements dispatch.Observer.
--- a/telemetry/routing_test.go
+++ b/telemetry/routing_test.go
@@ -30,6 +30,27 @@
 	return &Observer{Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: out}}, Metrics: metrics}, out
 }
 
+// TestLengthOfStreamIsLogged guards against streams whose length, progress and time left
+// cannot be told from the log.
+func TestLengthOfStreamIsLogged(t *testing.T) {
+	c := qt.New(t)
+	o, out := newTestObserver(c)
+	x := &filters.Exchange{
+		ID: "request-1", Service: &catalog.Service{Name: "drafting-desk"}, Snapshot: &catalog.Snapshot{}, Stream: true,
+		Received: time.Now(), Deadline: time.Now().Add(time.Minute), MaxOutputTokens: 954, OutputTokensHint: 280,
+	}
+	o.RouteDecided(x, 1, routing.Decision{})
+	x.EventsSent = 38
+	o.Begin(x)(nil)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	c.Assert(lines, qt.HasLen, 2)
+	for n, want := range []string{`"events":0`, `"events":38`} {
+		c.Check(lines[n], qt.Contains, want)
+		c.Check(lines[n], qt.Contains, `"output_tokens":954,"output_hint":280`)
+		c.Check(lines[n], qt.Matches, `.*"remaining":59\d\d\d\b.*`)
+	}
+}
+
 // TestDecisionsAreReported checks that each decision and failed attempt writes
 // one log line, that decisions are counted in the metrics, and that no log line
 // contains content of the request.
