--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -426,5 +426,18 @@
 	if result.Outcome == outcome.Served {
 		return nil
 	}
-	return outcome.Fail(outcome.CodeBackendFailed, errors.Wrapf(result.Err, "response of %s", source), "the answer was cut before its end")
+	return cutResponse(x, result, errors.Wrapf(result.Err, "response of %s", source))
+}
+
+// cutResponse returns the error of a response that was not sent to its end. Only if
+// neither the caller nor the deadline has cut it is it a failure of the server.
+func cutResponse(x *filters.Exchange, result relay.Result, cause error) *outcome.Error {
+	failure := outcome.Fail(outcome.CodeBackendFailed, cause, "the answer was cut before its end")
+	switch {
+	case result.CallerLost || x.Request.Context().Err() != nil || errors.Is(cause, errStreamNotStarted):
+		failure.Code, failure.Message = outcome.CodeCanceled, "the caller left before the end of the answer"
+	case errors.Is(cause, context.DeadlineExceeded) && !time.Now().Before(x.Deadline):
+		failure.Code, failure.Status, failure.Message = outcome.CodeDeadline, http.StatusGatewayTimeout, "the answer did not end before the deadline"
+	}
+	return failure
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,8 @@
 	Bytes   int64           // body bytes sent to the caller
 	Events  int             // events sent to the caller by all responses so far
 	Err     error           // why the response is incomplete, or nil
+	// CallerLost means that the caller receives nothing any more.
+	CallerLost bool
 	// NeedsReset means that the caller can detect the truncation only if its
 	// connection is reset.
 	NeedsReset bool
@@ -163,7 +165,7 @@
 	if errors.Is(err, http.ErrBodyNotAllowed) {
 		err = nil
 	}
-	result := Result{Outcome: outcome.Served, Started: true, Bytes: int64(written), Err: err}
+	result := Result{Outcome: outcome.Served, Started: true, Bytes: int64(written), Err: err, CallerLost: err != nil}
 	if err != nil || complete {
 		return result
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -85,7 +85,9 @@
 			return r.endWithoutMarker(resp, decoder, err)
 		case err != nil:
 			r.notResumable = true
-			return r.endStream(outcome.MayHaveRun, err) // the caller has disconnected
+			result := r.endStream(outcome.MayHaveRun, err)
+			result.CallerLost = true
+			return result
 		}
 		r.ended = r.ended || event.Failed
 	}
