--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -44,6 +44,7 @@
 	uncontended    bool     // at the start, no prefill was pending on the server and a slot was free
 	firstTokenSeen bool     // the first token has been received
 	ended          bool
+	lastEvent      time.Time // of a stream; zero before the first one
 }
 
 // StartAttempt records a new request in flight on the server. The caller must
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -18,8 +18,8 @@
 	shards   [shardCount]shard
 	departed departedServers
 
-	mu    sync.Mutex
-	rates map[string]*rateEstimate // prefill rate of each service, over all of its servers
+	mu        sync.Mutex
+	estimates map[string]*serviceEstimates // by service
 }
 
 type shard struct {
@@ -29,7 +29,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	r := &Registry{rates: make(map[string]*rateEstimate)}
+	r := &Registry{estimates: make(map[string]*serviceEstimates)}
 	for i := range r.shards {
 		r.shards[i].services = make(map[string]*Group)
 	}
@@ -163,9 +163,9 @@
 		if old == nil {
 			old = r.departed.take(info.ID)
 		}
-		next[info.Service] = append(next[info.Service], updatedServer(old, info, r.serviceRate(info.Service)))
+		next[info.Service] = append(next[info.Service], updatedServer(old, info, r.estimatesOf(info.Service)))
 	}
-	r.dropRates(next)
+	r.dropEstimates(next)
 	for _, info := range list {
 		delete(known, info.ID)
 	}
@@ -177,39 +177,45 @@
 
 // updatedServer returns the server for info. If the description has changed, it
 // returns a new value, which shares the state of old unless the address or start
-// time shows that it is another process. serviceRate is the estimate of all servers of
-// its service.
-func updatedServer(old *Server, info Info, serviceRate *rateEstimate) *Server {
-	if old != nil && old.Info == info && old.serviceRate == serviceRate {
+// time shows that it is another process.
+func updatedServer(old *Server, info Info, estimates *serviceEstimates) *Server {
+	if old != nil && old.Info == info && old.service == estimates {
 		return old
 	}
 	s := NewServer(info)
-	s.serviceRate = serviceRate
+	s.service = estimates
 	if old != nil && old.Addr == info.Addr && old.Started == info.Started {
 		s.state = old.state
 	}
 	return s
 }
 
-// serviceRate returns the estimate of the prefill rate of a service.
-func (r *Registry) serviceRate(service string) *rateEstimate {
+// serviceEstimates are estimates over all servers of a service, from the samples of this
+// instance.
+type serviceEstimates struct {
+	prefillRate rateEstimate
+	interval    intervalEstimate
+	length      lengthEstimate
+}
+
+func (r *Registry) estimatesOf(service string) *serviceEstimates {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rate := r.rates[service]
-	if rate == nil {
-		rate = &rateEstimate{}
-		r.rates[service] = rate
+	estimates := r.estimates[service]
+	if estimates == nil {
+		estimates = &serviceEstimates{}
+		r.estimates[service] = estimates
 	}
-	return rate
+	return estimates
 }
 
-// dropRates deletes the estimates of services without servers.
-func (r *Registry) dropRates(servers map[string][]*Server) {
+// dropEstimates deletes the estimates of services without servers.
+func (r *Registry) dropEstimates(servers map[string][]*Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for service := range r.rates {
+	for service := range r.estimates {
 		if len(servers[service]) == 0 {
-			delete(r.rates, service)
+			delete(r.estimates, service)
 		}
 	}
 }
--- a/backend/prefillrate.go
+++ b/backend/prefillrate.go
@@ -42,8 +42,8 @@
 // the estimates of the server and of its service.
 func (s *Server) addPrefillSample(now time.Time, sample float64, exact bool) {
 	s.prefillRate.add(now, sample, newSampleWeight, exact)
-	if s.serviceRate != nil {
-		s.serviceRate.add(now, sample, serviceSampleWeight, exact)
+	if s.service != nil {
+		s.service.prefillRate.add(now, sample, serviceSampleWeight, exact)
 	}
 }
 
@@ -65,8 +65,8 @@
 	if own := s.PrefillRate(); own > 0 && s.PrefillRateAge(now) <= maxAge {
 		return own
 	}
-	if s.serviceRate == nil {
+	if s.service == nil {
 		return 0
 	}
-	return s.serviceRate.average.value()
+	return s.service.prefillRate.average.value()
 }
--- a/backend/prefillrate_test.go
+++ b/backend/prefillrate_test.go
@@ -69,6 +69,6 @@
 	}
 	c.Assert(r.Servers("a"), qt.HasLen, 2)
 	for _, s := range r.All() {
-		c.Check(s.serviceRate, qt.Equals, r.rates["a"], qt.Commentf("server %s", s.ID))
+		c.Check(s.service, qt.Equals, r.estimates["a"], qt.Commentf("server %s", s.ID))
 	}
 }
--- a/backend/server.go
+++ b/backend/server.go
@@ -50,7 +50,7 @@
 	Info
 	Key uint64 // hash of ID
 	*state
-	serviceRate *rateEstimate // over all servers of the service; nil for a server without a Registry
+	service *serviceEstimates // nil for a server without a Registry
 }
 
 // state is the state of a server that an instance has observed, as opposed to its
@@ -70,6 +70,7 @@
 	baseLatencyAt monotonic.Atomic // when baseLatency was last updated
 	// baseLatencySamples is the number of samples in baseLatency.
 	baseLatencySamples atomic.Int32
+	interval           intervalEstimate // between the events of streams
 	health             Health
 	coldUntil          monotonic.Atomic // when the caches count as warm
 	warmup             requestLimiter
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -44,6 +44,8 @@
 	// A server that sends the refusal again could make a further attempt there look
 	// refused.
 	refusedOn []*guardedConn
+	// streaming is the attempt at a backend server in progress, or nil.
+	streaming *backend.Attempt
 	// failedResponse is the response of a server that failed. The caller receives
 	// it if no other attempt succeeds.
 	failedResponse *http.Response
@@ -99,6 +101,7 @@
 			return decision, nil
 		}
 	}
+	r.req.EventsSent = r.x.EventsSent
 	decision := r.Router.Decide(r.req)
 	for decision.Server != nil && !r.Router.Reserve(r.req, decision.Server) {
 		decision = r.Router.Decide(r.req)
@@ -219,7 +222,14 @@
 	w := r.startAttempt(decision, cancel)
 	defer w.stopStallTimer()
 	served := false
-	defer func() { w.attempt.End(time.Now(), served) }()
+	r.streaming = w.attempt
+	defer func() {
+		r.streaming = nil
+		if served && r.x.Stream && r.callerResponse.LastEventID == "" {
+			w.attempt.StreamCompleted(r.x.OutputTokensHint, r.x.EventsSent)
+		}
+		w.attempt.End(time.Now(), served)
+	}()
 	r.Router.RecordDispatch(r.req, server)
 	err := r.sendToServer(ctx, r.x, server, w)
 	result := attemptResult{err: err, stalled: errors.Is(context.Cause(ctx), errStalled)}
@@ -250,6 +260,13 @@
 	return result
 }
 
+// eventSent records the time of an event of a stream.
+func (r *attemptLoop) eventSent() {
+	if r.streaming != nil {
+		r.streaming.EventReceived(time.Now())
+	}
+}
+
 // recordHealth reports the result of an attempt to the ejector.
 func (r *attemptLoop) recordHealth(decision routing.Decision, failed, unreachable, served bool) {
 	if unreachable {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -167,6 +167,7 @@
 		OnFirstByte: func() { started(); d.Observer.FirstByte(x) },
 	}}
 	r.suspect.loop = r
+	r.callerResponse.OnEvent = r.eventSent
 	return r.run()
 }
 
@@ -192,6 +193,7 @@
 		Deadline:     x.Deadline,
 		BodyBytes:    len(x.Body),
 		PromptTokens: x.PromptTokens,
+		OutputHint:   x.OutputTokensHint,
 		Prefix:       x.Prefix,
 		PrefixTokens: x.PrefixTokens,
 		SharedBlocks: x.SharedBlocks,
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -22,6 +22,10 @@
 	// cost must exceed before another region is considered. It leaves most of the
 	// target for estimation errors and for the response itself.
 	spillTargetFraction = 0.15
+	// spillEndFraction is the fraction of the time until its deadline that a stream may be
+	// expected to take before another region is considered. Callers' estimates of the
+	// length are often too low by a half or more.
+	spillEndFraction = 0.5
 	// rampStartRate is the number of requests per second that may be sent to a
 	// region that has just become reachable again: about the capacity of one
 	// backend server with cold caches.
@@ -178,7 +182,7 @@
 		RecomputeWeight: recomputeWeight, ExpectedReuses: expectedReuses, InterferenceWeight: interferenceWeight, MaxWaitFraction: maxWaitFraction,
 		SampleSize: sampleSize,
 		Spill: &routing.Spiller{
-			Summaries: i.summaries, Share: i.share, SpillOverdue: true, CountFreedSlots: true, TargetFraction: spillTargetFraction, EnterAfter: spillEnterDelay, ExitAfter: spillExitDelay, RampStart: rampStartRate,
+			Summaries: i.summaries, Share: i.share, SpillOverdue: true, CountFreedSlots: true, TargetFraction: spillTargetFraction, EndFraction: spillEndFraction, EnterAfter: spillEnterDelay, ExitAfter: spillExitDelay, RampStart: rampStartRate,
 		},
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,8 @@
 	Writer      http.ResponseWriter
 	RequestID   string
 	LastEventID string // from the request of a caller that resumes a stream, or ""
+	// OnEvent is called when an event of a stream has been sent; nil for none.
+	OnEvent     func()
 	OnFirstByte func() // called before the first byte of the body is sent
 	// Passthrough relays the response as the backend server sent it, without
 	// gateway headers. As it carries no outcome, the connection must be reset if
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -149,6 +149,9 @@
 	r.bytesSent += int64(n)
 	if err == nil {
 		r.eventsSent++
+		if r.OnEvent != nil {
+			r.OnEvent()
+		}
 	}
 	return err
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -42,6 +42,8 @@
 	Received     time.Time
 	Deadline     time.Time
 	PromptTokens int             // estimate
+	EventsSent   int             // events of the response that earlier attempts have sent to the caller
+	OutputHint   int             // estimate of the caller for the length of the response, in tokens; 0: unknown
 	BodyBytes    int             // bytes that cross the link if another region is chosen
 	Prefix       []uint64        // digests of the prompt's leading blocks, longest last
 	PrefixTokens []int           // tokens covered by each of Prefix; nil stands for BlockTokens per block
@@ -105,9 +107,13 @@
 	// SlowCandidates is the number of candidates that are expected to take longer than
 	// usual.
 	SlowCandidates int
-	TokensAhead    int         // prompt tokens that are pending on Server
-	Occupied       int         // requests that are expected on Server
-	Spill          SpillReason // why the request was or was not forwarded, if another region was considered
+	TokensAhead    int // prompt tokens that are pending on Server
+	// StreamTime is the expected time from the first to the last event of a stream, and
+	// Events the expected number of events; 0 if unknown.
+	StreamTime time.Duration
+	Events     float64
+	Occupied   int         // requests that are expected on Server
+	Spill      SpillReason // why the request was or was not forwarded, if another region was considered
 }
 
 // UncachedTokens returns the prompt tokens that Server has to compute.
@@ -387,6 +393,7 @@
 		}
 	}
 	slowdown := best.Server.LastSlowdown()
+	events := max(0, best.Server.ExpectedEvents(req.OutputHint)-float64(req.EventsSent))
 	s.sharers = 0
 	best.Cost = r.Scorer.Score(req, best.Server, best.CachedTokens) + best.fetchTime
 	if best.CachedTokens > 0 && reason == ReasonLeastCost {
@@ -398,6 +405,7 @@
 		Wait:     best.Cost - req.BaseLatency(best.Server) - best.ownPrefillTime(req),
 		Slowdown: slowdown.Slowdown, SlowdownAge: slowdown.Age(s.now), SlowCandidates: slow,
 		TokensAhead: best.Server.PendingPrefill(catalog.Batch), Occupied: best.Server.Occupied(),
+		StreamTime: time.Duration(events * float64(best.Server.ExpectedInterval(s.now))), Events: events,
 	}
 }
 
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -36,6 +36,10 @@
 	defaultRampMax       = 512.0 // requests per second
 	rampDoublingTime     = 2 * time.Second
 	remoteTargetFraction = 0.8 // fraction of the remaining target that the remote cost may use
+	// sooner is the fraction of the local time until the end of a stream within which it
+	// must end in another region to be sent there. The rest is for the error of intervals
+	// that are measured in streams of different length and age.
+	sooner = 0.75
 )
 
 // Spiller decides whether a request is sent to another region. It is safe for
@@ -64,6 +68,12 @@
 	// free slots. It suits short requests; for long responses the free slots of the
 	// summary alone are the safer limit.
 	CountFreedSlots bool
+	// EndFraction is the fraction of the time until the deadline, 0..1, above which the
+	// expected end of a stream counts as late. A stream that is late in this region is
+	// sent to one where it ends sooner, also if the target for its first token is met
+	// here. 0 disables this. A value below 1 allows for responses that are longer than
+	// expected.
+	EndFraction float64
 	// Share returns this instance's fraction of what its region may send, 0..1.
 	// Nil stands for 1.
 	Share func() float64
@@ -101,8 +111,11 @@
 func (s *Spiller) decide(now time.Time, req *Request, local Decision, r *Router) Decision {
 	remaining := remainingTarget(now, req)
 	missed := local.Server == nil || local.Cost > time.Duration(float64(remaining)*s.targetFraction())
-	spill := s.hysteresis(now, req, missed, local.Server == nil)
-	if !missed {
+	// The end depends on the length of the stream more than on the load, so that other
+	// requests don't tell whether this one is late.
+	late := local.StreamTime > 0 && s.endsLate(now, req, local.Cost+local.StreamTime)
+	spill := s.hysteresis(now, req, missed, local.Server == nil) || late
+	if !missed && !late {
 		local.Spill = SpillTargetMet
 		return local
 	}
@@ -113,6 +126,12 @@
 	return s.spillToBest(now, req, local, remaining, r)
 }
 
+// endsLate reports whether a stream that is expected to end after the given time takes too
+// much of the time until its deadline.
+func (s *Spiller) endsLate(now time.Time, req *Request, end time.Duration) bool {
+	return s.EndFraction > 0 && end > time.Duration(s.EndFraction*float64(req.Deadline.Sub(now)))
+}
+
 // remainingTarget returns the time left until the target. It returns the time left
 // until the deadline if the work has no target, or if the target has passed already
 // and is therefore missed in every region.
@@ -180,14 +199,22 @@
 
 // choice is the best other region for a request.
 type choice struct {
+	offer
 	summary     RegionSummary // of the chosen region; its Region is empty if there is none
-	cost        time.Duration
-	loadUnknown bool        // the load of the region is unknown
-	reason      SpillReason // why there is no region
+	loadUnknown bool          // the load of the region is unknown
+	reason      SpillReason   // why there is no region
+}
+
+// offer is what another region is expected to do for a request.
+type offer struct {
+	cost       time.Duration // expected time to first token
+	streamTime time.Duration // expected time from the first to the last event; 0: unknown
+	rank       time.Duration // the region with the least is chosen
 }
 
 // chooseRegion returns the region with the least expected time to first token among
-// those that meet the remaining target. If there is none and no local server is
+// those that meet the remaining target, or, for a stream that would end late here, the
+// region in which it ends first. If there is none and no local server is
 // available, it returns a region of unknown load, which is better than a refusal.
 // ignoreSlots admits regions whose free slots this instance has used up since their
 // summary.
@@ -203,11 +230,11 @@
 			unknownRegion = region
 			continue
 		}
-		cost, eligible := s.evaluateRegion(now, req, local, summary, remaining, ignoreSlots)
+		offer, eligible := s.evaluateRegion(now, req, local, summary, remaining, ignoreSlots)
 		if !eligible {
 			best.reason = SpillNotBetter
-		} else if best.summary.Region == "" || cost < best.cost {
-			best.summary, best.cost = summary, cost
+		} else if best.summary.Region == "" || offer.rank < best.rank {
+			best.summary, best.offer = summary, offer
 		}
 	}
 	noLocalServer := local.Server == nil && !req.NoLocalSlot
@@ -240,7 +267,7 @@
 	}
 	return Decision{
 		Region: choice.summary.Region, Reason: ReasonOtherRegion, Candidates: local.Candidates,
-		Cost: choice.cost, LocalCost: local.Cost, Spill: spill,
+		Cost: choice.cost, LocalCost: local.Cost, Spill: spill, StreamTime: choice.streamTime, Events: local.Events,
 	}
 }
 
@@ -251,18 +278,40 @@
 	return summary, ok && now.Sub(summary.At) <= s.maxAge()
 }
 
-// evaluateRegion returns the cost of a region and whether the request may be sent
-// there: the region meets the remaining target, has a free slot unless ignoreSlots
-// is set, and costs less than the local server, if any.
-func (s *Spiller) evaluateRegion(now time.Time, req *Request, local Decision, summary RegionSummary, remaining time.Duration, ignoreSlots bool) (time.Duration, bool) {
+// evaluateRegion returns what a region offers and whether the request may be sent there:
+// the region meets the remaining target, has a free slot unless ignoreSlots is set, and
+// is better than the local server, if any. A stream that would end late here is better
+// off where it ends sooner, and no other stream is sent to where it would end late.
+func (s *Spiller) evaluateRegion(now time.Time, req *Request, local Decision, summary RegionSummary, remaining time.Duration, ignoreSlots bool) (offer, bool) {
 	cost, met := s.remoteCost(req, summary, remaining)
+	o := offer{cost: cost, streamTime: summary.streamTime(local), rank: cost}
 	if !met || summary.Servers == 0 {
-		return cost, false
+		return o, false
 	}
 	if !ignoreSlots && s.sentSince(summary) >= s.freeSlots(summary, now.Sub(summary.At)) {
-		return cost, false
+		return o, false
+	}
+	localEnd, end := local.Cost+local.StreamTime, cost+o.streamTime
+	switch {
+	case local.Server == nil:
+		return o, true
+	case local.StreamTime > 0 && s.endsLate(now, req, localEnd):
+		o.rank = end
+		return o, float64(end) < sooner*float64(localEnd)
+	case s.endsLate(now, req, end):
+		return o, false
+	}
+	return o, cost < local.Cost
+}
+
+// streamTime returns the expected time from the first to the last event of the stream of a
+// local decision, if it ran in this region. A region without recent streams is taken to
+// send events at once if most of its slots are free, and else as fast as the local server.
+func (s *RegionSummary) streamTime(local Decision) time.Duration {
+	if s.EventInterval == 0 && 2*s.FreeSlots < s.Slots {
+		return local.StreamTime
 	}
-	return cost, local.Server == nil || cost < local.Cost
+	return time.Duration(local.Events * float64(s.EventInterval))
 }
 
 // remoteCost returns the expected time to first token in another region, including
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -21,7 +21,10 @@
 	Wait        time.Duration // least expected wait of these servers: for a slot and for pending prompts
 	Hold        time.Duration // median time that a request holds a slot; 0: unknown
 	PrefillRate float64       // median, in tokens per second; 0: unknown
-	At          time.Time     // time of measurement, by the clock of the instance that uses the summary
+	// EventInterval is the median over the servers of the mean interval between the events
+	// of recent streams; 0 if there were none.
+	EventInterval time.Duration
+	At            time.Time // time of measurement, by the clock of the instance that uses the summary
 	// Since is the time at which the first summary of the current series was
 	// measured, by the same clock as At. A series ends with a gap longer than
 	// maxSummaryGap. SummaryTable sets it.
@@ -91,7 +94,7 @@
 	summary := RegionSummary{Region: r.Region, Service: service, At: now}
 	req := &Request{}
 	var rates []float64
-	var holds []time.Duration
+	var holds, intervals []time.Duration
 	var wait time.Duration
 	for _, server := range r.Registry.Servers(service) {
 		if !r.usable(now, req, server) {
@@ -103,6 +106,9 @@
 		summary.FreeSlots += max(0, slots-server.Occupied())
 		rates = append(rates, expectedRate(now, server))
 		holds = append(holds, server.HoldTime())
+		if interval := server.EventInterval(now); interval > 0 {
+			intervals = append(intervals, interval)
+		}
 		if w := serverWait(now, server); summary.Servers == 1 || w < wait {
 			wait = w
 		}
@@ -113,6 +119,10 @@
 		slices.Sort(holds)
 		summary.Hold = holds[len(holds)/2]
 	}
+	if len(intervals) > 0 {
+		slices.Sort(intervals)
+		summary.EventInterval = intervals[len(intervals)/2]
+	}
 	summary.Wait = wait
 	if r.Waiting != nil {
 		summary.FreeSlots = max(0, summary.FreeSlots-r.Waiting(service))
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -92,6 +92,7 @@
 		Float64("slowdown", float64(d.Slowdown)).Dur("slowdown_age", d.SlowdownAge).Int("slow_candidates", d.SlowCandidates).
 		Int("prompt_tokens", x.PromptTokens).Int("tokens_ahead", d.TokensAhead).Int("running", d.Occupied).
 		Int("output_tokens", x.MaxOutputTokens).Int("output_hint", x.OutputTokensHint).Int("events", x.EventsSent).
+		Float64("expected_events", d.Events).Dur("stream_time", d.StreamTime).
 		Int64("remaining", remainingMS(x)).Msg("")
 }
 
