--- a/admission/admission.go
+++ b/admission/admission.go
@@ -3,7 +3,9 @@
 // and the ordering in one place.
 //
 // A Scheduler is the queue of one service. It orders requests by rank, then by
-// the tokens that their callers were served (fair queuing), then by StartBy.
+// the tokens that their callers were served (fair queuing), then by StartBy less their
+// Duration: a long request cannot make up for the time that it waits, and one that is
+// refused can end in time if it returns only if it is short.
 // It does no I/O, reads no clock and is not safe for concurrent use. A Queue
 // has one Scheduler for each service, guards each with a lock and blocks the
 // goroutines of waiting requests.
@@ -23,6 +25,9 @@
 	Tokens  int       // estimated prompt and completion tokens; at least 1 is charged
 	Bytes   int64     // memory held while the request waits
 	StartBy time.Time // latest start time that still meets the target
+	// Duration is how long the request is expected to run, if it ends in time then; 0 if
+	// that is unknown. Requests of a caller that run longer start earlier.
+	Duration time.Duration
 }
 
 // Reason is the cause of a Refusal.
--- a/admission/rankqueue.go
+++ b/admission/rankqueue.go
@@ -23,7 +23,7 @@
 type flow struct {
 	caller        string
 	virtualTokens float64  // tokens charged; raised to virtualTime when an entry joins an empty queue
-	entries       []*Entry // waiting, by StartBy
+	entries       []*Entry // waiting, in the order of Entry.before
 	bytes         int64
 	running       int
 
@@ -68,7 +68,7 @@
 	if a.virtualTokens != b.virtualTokens {
 		return a.virtualTokens < b.virtualTokens
 	}
-	return earlierStartBy(a.entries[0], b.entries[0])
+	return a.entries[0].before(b.entries[0])
 }
 
 // flowOf returns the state of a caller, and creates it if there is none. Unless
@@ -120,9 +120,9 @@
 
 func compareEntries(a, b *Entry) int {
 	switch {
-	case earlierStartBy(a, b):
+	case a.before(b):
 		return -1
-	case earlierStartBy(b, a):
+	case b.before(a):
 		return 1
 	}
 	return 0
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -147,7 +147,7 @@
 
 // Enqueue adds a request to the queue, or refuses it if it is not expected to
 // start in time or the queue is full. In a full queue it displaces the requests
-// with the latest StartBy of the caller that uses most of the queue, as long as
+// that are last in the order of the caller that uses most of the queue, as long as
 // that caller uses more than the new request's caller would.
 func (s *Scheduler) Enqueue(now time.Time, req Request) (*Entry, *Refusal) {
 	s.advance(now)
@@ -403,6 +403,14 @@
 	}
 }
 
+// before orders the entries of a caller.
+func (e *Entry) before(other *Entry) bool {
+	if at, otherAt := e.StartBy.Add(-e.Duration), other.StartBy.Add(-other.Duration); !at.Equal(otherAt) {
+		return at.Before(otherAt)
+	}
+	return e.sequence < other.sequence
+}
+
 func earlierStartBy(a, b *Entry) bool {
 	if !a.StartBy.Equal(b.StartBy) {
 		return a.StartBy.Before(b.StartBy)
--- a/filters/admission_test.go
+++ b/filters/admission_test.go
@@ -120,6 +120,37 @@
 	})
 }
 
+// TestStreamThatCannotEndGetsNoPrecedence guards against streams that pass others although
+// they will be cut at their deadline all the same.
+func TestStreamThatCannotEndGetsNoPrecedence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		service := testService(catalog.Limits{})
+		queue := admission.NewQueue(admission.DefaultBounds(), 1)
+		queue.SetCapacity(service, admission.Capacity{Slots: 1, Fraction: 1, Members: 1})
+		filter := Admit{
+			Queue: queue, Observer: &recorder{}, CanServeLocally: func(*Exchange) bool { return true },
+			StreamTime: func(x *Exchange) time.Duration { return time.Duration(x.OutputTokensHint) * time.Second },
+		}
+		var order []int
+		var group sync.WaitGroup
+		for _, hint := range []int{1, 2, 3, 9, 7, 5, 0} {
+			group.Go(func() {
+				x := testExchange(t.Context(), service, catalog.Batch)
+				x.Stream, x.OutputTokensHint, x.Deadline = true, hint, time.Now().Add(5*time.Second)
+				c.Check(filter.Handle(x, func(*Exchange) *outcome.Error {
+					order = append(order, hint)
+					time.Sleep(100 * time.Millisecond)
+					return nil
+				}) == nil, qt.IsTrue)
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		group.Wait()
+		c.Check(order, qt.DeepEquals, []int{1, 5, 3, 2, 9, 7, 0})
+	})
+}
+
 func TestAdmitLimitsConcurrencyToSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/filters/admit.go
+++ b/filters/admit.go
@@ -39,7 +39,10 @@
 	// CanSpill reports whether another region may serve a request that gets
 	// no slot here. If it is nil, such requests are refused.
 	CanSpill func(x *Exchange) bool
-	Observer AdmissionObserver
+	// StreamTime returns the expected time from the first to the last event of the
+	// response, or 0 if it is unknown. Nil means that it is always unknown.
+	StreamTime func(x *Exchange) time.Duration
+	Observer   AdmissionObserver
 }
 
 // Name implements Filter.
@@ -85,10 +88,29 @@
 		Rank:    x.Work.Rank,
 		Tokens:  x.TokenEstimate(),
 		Bytes:   int64(len(x.Body)),
-		StartBy: startBy,
+		StartBy: startBy, Duration: f.duration(x),
 	})
 }
 
+// maxOverrun is the ratio of the expected duration of a stream to the time until its
+// deadline up to which the stream may still end in time: half of all streams are shorter
+// than expected.
+const maxOverrun = 1.2
+
+// duration returns how long the request is expected to run. It returns 0 if that is
+// unknown or if the request is not expected to end before its deadline: starting such a
+// request earlier would only make others late too.
+func (f Admit) duration(x *Exchange) time.Duration {
+	if f.StreamTime == nil || !x.Stream {
+		return 0
+	}
+	duration := f.StreamTime(x)
+	if duration > time.Duration(maxOverrun*float64(time.Until(x.Deadline))) {
+		return 0
+	}
+	return duration
+}
+
 // startBy returns the time when the given fraction of the latency target has
 // passed since the request was received, or the deadline if that is earlier.
 func (x *Exchange) startBy(fraction float64) time.Time {
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -101,13 +101,17 @@
 }
 
 func (i *Instance) admitFilter() filters.Filter {
-	return filters.Admit{Queue: i.queue, CanServeLocally: i.canServeLocally, CanSpill: i.canSpill, Observer: i.admission}
+	return filters.Admit{Queue: i.queue, CanServeLocally: i.canServeLocally, CanSpill: i.canSpill, StreamTime: i.streamTime, Observer: i.admission}
 }
 
 func (i *Instance) canSpill(x *filters.Exchange) bool {
 	return i.router.CanSpill(dispatch.RoutingRequest(x))
 }
 
+func (i *Instance) streamTime(x *filters.Exchange) time.Duration {
+	return i.registry.ExpectedStreamTime(time.Now(), x.Service.Name, x.OutputTokensHint)
+}
+
 // canServeLocally reports whether a backend server of this region may run the request.
 func (i *Instance) canServeLocally(x *filters.Exchange) bool {
 	if !x.Work.MayRunIn(i.settings.Region) {
