--- a/filters/admit.go
+++ b/filters/admit.go
@@ -93,9 +93,9 @@
 }
 
 // maxOverrun is the ratio of the expected duration of a stream to the time until its
-// deadline up to which the stream may still end in time: half of all streams are shorter
-// than expected.
-const maxOverrun = 1.2
+// deadline up to which the stream may still end in time: callers' estimates are often too
+// high by a half or more, and some servers send faster than others.
+const maxOverrun = 3
 
 // duration returns how long the request is expected to run. It returns 0 if that is
 // unknown or if the request is not expected to end before its deadline: starting such a
