--- a/routing/longstream_test.go
+++ b/routing/longstream_test.go
@@ -96,3 +96,23 @@
 		qt.Check(t, d.Region, qt.Equals, want, qt.Commentf("%d events: %s", events, d.Spill))
 	}
 }
+
+// TestOverdueRequestOfUnknownLengthSpills guards against requests without an announced length
+// that stay at an overloaded server because the wait in the other region takes more than the
+// part of the time until the deadline that a stream may take.
+func TestOverdueRequestOfUnknownLengthSpills(t *testing.T) {
+	c := qt.New(t)
+	router := streamRouter(0)
+	for _, server := range router.Registry.Servers(testService.Name) {
+		server.SetPeerPrefill(testWork.Rank, 60000) // 15 s
+	}
+	summary, _ := router.Spill.Summaries.Summary("alex", testService.Name)
+	table := &SummaryTable{}
+	summary.Wait = 7 * time.Second
+	table.Put(summary)
+	router.Spill.Summaries = table
+	req := stream(0, 0)
+	req.Received = start.Add(-3 * time.Second) // past the target
+	d := router.Decide(req)
+	c.Check(d.Region, qt.Equals, "alex", qt.Commentf("%s", d.Spill))
+}
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -298,7 +298,7 @@
 	case local.StreamTime > 0 && s.endsLate(now, req, localEnd):
 		o.rank = end
 		return o, float64(end) < sooner*float64(localEnd)
-	case s.endsLate(now, req, end):
+	case o.streamTime > 0 && s.endsLate(now, req, end):
 		return o, false
 	}
 	return o, cost < local.Cost
