--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -122,8 +122,11 @@
 	start := time.Now()
 	f.eventually("draining", func() bool { return first.draining.Load() && second.draining.Load() })
 	f.eventually("both have left", func() bool { return len(first.roster.Live())+len(second.roster.Live()) == 0 })
-	early := make(chan response, 1)
-	go func() { early <- first.send(first.longRequest("/drafts/", "early")) }()
+	// While these streams run, the instances listen.
+	early := make(chan response, 2)
+	for _, n := range []*testInstance{first, second} {
+		go func() { early <- n.send(n.longRequest("/drafts/", "early-"+n.settings.Instance)) }()
+	}
 
 	// 2.3 s or less are left, and the instance still listens for callers with old
 	// directory responses.
@@ -142,10 +145,13 @@
 	f.Assert(got.body, qt.Equals, "answer to short by "+orders.ID)
 	f.checkRefused(first.send(first.longRequest("/orders/", "unbounded")), "unbounded", orders)
 
-	got = <-early
-	f.Assert(got.err, qt.IsNil)
-	f.Assert(got.body, qt.Equals, "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n")
+	for range 2 {
+		got = <-early
+		f.Assert(got.err, qt.IsNil)
+		f.Assert(got.body, qt.Equals, "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n")
+	}
 	<-first.done
+	<-second.done
 	f.Assert(time.Since(start) < grace, qt.IsTrue)
 }
 
