--- a/filters/admission_test.go
+++ b/filters/admission_test.go
@@ -82,6 +82,13 @@
 	c.Check(observer.reasons, qt.DeepEquals, []string{"limit:tokens_per_second"})
 }
 
+// newOneSlotQueue returns a queue in which one request of service may run at a time.
+func newOneSlotQueue(service *catalog.Service) *admission.Queue {
+	queue := admission.NewQueue(admission.DefaultBounds(), 1)
+	queue.SetCapacity(service, admission.Capacity{Slots: 1, Fraction: 1, Members: 1})
+	return queue
+}
+
 // TestWaitingRequestsAreReleased guards against requests that wait for a slot until
 // their latest start although no backend server accepts requests any more. Routing
 // decides what becomes of them.
@@ -89,8 +96,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		service := testService(catalog.Limits{})
-		queue := admission.NewQueue(admission.DefaultBounds(), 1)
-		queue.SetCapacity(service, admission.Capacity{Slots: 1, Fraction: 1, Members: 1})
+		queue := newOneSlotQueue(service)
 		observer := &recorder{}
 		filter := Admit{Queue: queue, Observer: observer, CanServeLocally: func(*Exchange) bool { return true }}
 		start := time.Now()
@@ -126,8 +132,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		service := testService(catalog.Limits{})
-		queue := admission.NewQueue(admission.DefaultBounds(), 1)
-		queue.SetCapacity(service, admission.Capacity{Slots: 1, Fraction: 1, Members: 1})
+		queue := newOneSlotQueue(service)
 		filter := Admit{
 			Queue: queue, Observer: &recorder{}, CanServeLocally: func(*Exchange) bool { return true },
 			StreamTime: func(x *Exchange) time.Duration { return time.Duration(x.OutputTokensHint) * time.Second },
@@ -216,8 +221,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			service := testService(catalog.Limits{})
-			queue := admission.NewQueue(admission.DefaultBounds(), 1)
-			queue.SetCapacity(service, admission.Capacity{Slots: 1, Fraction: 1, Members: 1})
+			queue := newOneSlotQueue(service)
 			filter := Admit{
 				Queue: queue, Observer: &recorder{}, CanServeLocally: func(*Exchange) bool { return true },
 				CanSpill: func(*Exchange) bool { return canSpill },
