--- a/admission/admission.go
+++ b/admission/admission.go
@@ -25,8 +25,9 @@
 	Tokens  int       // estimated prompt and completion tokens; at least 1 is charged
 	Bytes   int64     // memory held while the request waits
 	StartBy time.Time // latest start time that still meets the target
-	// Duration is how long the request is expected to run, if it ends in time then; 0 if
-	// that is unknown. Requests of a caller that run longer start earlier.
+	// Duration is how long the request is expected to run. It is 0 if that is unknown, or if
+	// the request is not expected to end in time. Requests of a caller that run longer start
+	// earlier.
 	Duration time.Duration
 }
 
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -36,10 +36,10 @@
 	defaultRampMax       = 512.0 // requests per second
 	rampDoublingTime     = 2 * time.Second
 	remoteTargetFraction = 0.8 // fraction of the remaining target that the remote cost may use
-	// sooner is the fraction of the local time until the end of a stream within which it
+	// soonerFraction is the fraction of the local time until the end of a stream within which it
 	// must end in another region to be sent there. The rest is for the error of intervals
 	// that are measured in streams of different length and age.
-	sooner = 0.75
+	soonerFraction = 0.75
 )
 
 // Spiller decides whether a request is sent to another region. It is safe for
@@ -230,11 +230,11 @@
 			unknownRegion = region
 			continue
 		}
-		offer, eligible := s.evaluateRegion(now, req, local, summary, remaining, ignoreSlots)
+		offered, eligible := s.evaluateRegion(now, req, local, summary, remaining, ignoreSlots)
 		if !eligible {
 			best.reason = SpillNotBetter
-		} else if best.summary.Region == "" || offer.rank < best.rank {
-			best.summary, best.offer = summary, offer
+		} else if best.summary.Region == "" || offered.rank < best.rank {
+			best.summary, best.offer = summary, offered
 		}
 	}
 	noLocalServer := local.Server == nil && !req.NoLocalSlot
@@ -297,7 +297,7 @@
 		return o, true
 	case local.StreamTime > 0 && s.endsLate(now, req, localEnd):
 		o.rank = end
-		return o, float64(end) < sooner*float64(localEnd)
+		return o, float64(end) < soonerFraction*float64(localEnd)
 	case o.streamTime > 0 && s.endsLate(now, req, end):
 		return o, false
 	}
