Log the warm-up of the chosen server and the share of its limit

No line of a request told whether its decision counted the server as cold, nor how much of the server's limit the instance took. Both tell an instance that does not know of the warm-up from one that takes too large a share. No decision is changed.

--- a/backend/warmup.go
+++ b/backend/warmup.go
@@ -36,6 +36,11 @@
 // Cold reports whether the caches of the server are cold.
 func (s *Server) Cold(now time.Time) bool { return monotonic.Of(now) < s.coldUntil.Load() }
 
+// ColdFor returns the time until the caches of the server count as warm, or 0.
+func (s *Server) ColdFor(now time.Time) time.Duration {
+	return max(0, s.coldUntil.Load().Sub(monotonic.Of(now)))
+}
+
 // WarmupAllows reports whether one more request may be sent to a cold server.
 func (s *Server) WarmupAllows(now time.Time, limit RequestLimit) bool {
 	return s.warmup.allows(now, limit)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -113,6 +113,10 @@
 	StreamTime time.Duration
 	Events     float64
 	Occupied   int         // requests that are expected on Server
+	// ColdFor is the time for which the caches of Server still count as cold, and LimitRate
+	// the requests per second that this instance may send it meanwhile; 0 if it is warm.
+	ColdFor   time.Duration
+	LimitRate float64
 	Spill      SpillReason // why the request was or was not forwarded, if another region was considered
 }
 
@@ -399,6 +403,7 @@
 	if best.CachedTokens > 0 && reason == ReasonLeastCost {
 		reason = ReasonPrefix
 	}
+	limit, _ := r.Warmup.limit(s.now, req, best.Server)
 	return Decision{
 		Server: best.Server, Reason: reason, Candidates: len(candidates),
 		Cost: best.Cost, CachedTokens: best.CachedTokens, FetchFrom: best.FetchFrom,
@@ -406,6 +411,7 @@
 		Slowdown: slowdown.Slowdown, SlowdownAge: slowdown.Age(s.now), SlowCandidates: slow,
 		TokensAhead: best.Server.PendingPrefill(catalog.Batch), Occupied: best.Server.Occupied(),
 		StreamTime: time.Duration(events * float64(best.Server.ExpectedInterval(s.now))), Events: events,
+		ColdFor: best.Server.ColdFor(s.now), LimitRate: limit.Rate,
 	}
 }
 
--- a/routing/warmup.go
+++ b/routing/warmup.go
@@ -34,6 +34,14 @@
 	return !limited || limit.Burst >= 1 && server.ReserveWarmup(now, limit)
 }
 
+// limit is like localLimit, and returns no limit if w is nil.
+func (w *Warmup) limit(now time.Time, req *Request, server *backend.Server) (limit backend.RequestLimit, limited bool) {
+	if w == nil {
+		return limit, false
+	}
+	return w.localLimit(now, req, server)
+}
+
 // localLimit returns this instance's share of a cold server's limit. limited is false
 // if no limit applies.
 func (w Warmup) localLimit(now time.Time, req *Request, server *backend.Server) (limit backend.RequestLimit, limited bool) {
