--- a/routing/routing.go
+++ b/routing/routing.go
@@ -112,12 +112,12 @@
 	// Events the expected number of events; 0 if unknown.
 	StreamTime time.Duration
 	Events     float64
-	Occupied   int         // requests that are expected on Server
+	Occupied   int // requests that are expected on Server
 	// ColdFor is the time for which the caches of Server still count as cold, and LimitRate
 	// the requests per second that this instance may send it meanwhile; 0 if it is warm.
 	ColdFor   time.Duration
 	LimitRate float64
-	Spill      SpillReason // why the request was or was not forwarded, if another region was considered
+	Spill     SpillReason // why the request was or was not forwarded, if another region was considered
 }
 
 // UncachedTokens returns the prompt tokens that Server has to compute.
