lease: let leases run out while the machine is suspended

A holder compared the end of its session with the monotonic clock alone, which stands still while a machine is suspended: after it, the holder went on for up to the whole TTL with a lease that the store had granted to another instance. The end of the session is now kept by the wall clock too, as mirror and its relays do.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,9 +1,9 @@
 // Package lease acquires and renews leases in the platform's key-value service.
 // All leases of an instance belong to one session, so that the rate of writes to
 // the store does not grow with the number of leases. The holder determines the
-// validity of its leases by the monotonic clock and treats them as lost some
-// time before the store may grant them to another instance. A process that was
-// paused therefore finds its leases invalid when it resumes.
+// validity of its leases by its own clocks and treats them as lost some time before
+// the store may grant them to another instance. A process that was paused, or whose
+// machine was suspended, therefore finds its leases invalid when it resumes.
 package lease
 
 import (
@@ -59,11 +59,21 @@
 // guards its fields.
 type session struct {
 	id      store.LeaseID
-	expires time.Time // end of the validity, by the monotonic clock
+	expires expiry
 	leases  map[*Lease]bool
 	ended   bool
 }
 
+// expiry is when a session becomes invalid, by the monotonic and by the wall clock: the
+// former stands still while the machine is suspended.
+type expiry struct{ monotonic, wall time.Time }
+
+func newExpiry(t time.Time) expiry { return expiry{t, t.Round(0)} }
+
+func (e expiry) passed(now time.Time) bool {
+	return !now.Before(e.monotonic) || !now.Round(0).Before(e.wall)
+}
+
 // Lease is a key that this instance holds.
 type Lease struct {
 	// Key is the key in the store.
@@ -171,8 +181,8 @@
 	k.session = &session{id: id, expires: k.sessionExpiry(sentAt), leases: make(map[*Lease]bool)}
 }
 
-func (k *Keeper) sessionExpiry(sentAt time.Time) time.Time {
-	return sentAt.Add(k.config.TTL - k.config.Margin)
+func (k *Keeper) sessionExpiry(sentAt time.Time) expiry {
+	return newExpiry(sentAt.Add(k.config.TTL - k.config.Margin))
 }
 
 func (k *Keeper) extendSession(s *session, sentAt time.Time) {
@@ -186,7 +196,7 @@
 func (k *Keeper) sessionValid(s *session) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !s.ended && time.Now().Before(s.expires)
+	return !s.ended && !s.expires.passed(time.Now())
 }
 
 // endSession invalidates a session and closes the Lost channels of its leases.
@@ -265,7 +275,7 @@
 func (l *Lease) ValidUntil() time.Time {
 	l.keeper.mu.Lock()
 	defer l.keeper.mu.Unlock()
-	return l.session.expires
+	return l.session.expires.monotonic
 }
 
 // Lost returns a channel that is closed when the keeper detects the loss of the
