lease, platform: release leases, and hold keys of the hosting platform's store

A lease could only be given up with its whole session, and the client of the hosting platform wrote keys under a lease without a condition. Release deletes one key at its own revision.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -43,10 +43,20 @@
 	ErrNoSession = errors.New("no session with the key-value service")
 )
 
+// Store is the part of the key-value service that a Keeper uses. Its Acquire fails with
+// store.ErrConflict if the key is held under another lease.
+type Store interface {
+	store.Leases
+	// Get returns the entry of key. An absent key gives store.ErrNotFound.
+	Get(ctx context.Context, key string) (store.Entry, error)
+	// Txn applies all operations or none. A failed condition gives store.ErrConflict.
+	Txn(ctx context.Context, ops []store.Op) error
+}
+
 // Keeper acquires and renews the leases of one instance. Acquire succeeds only
 // while Run is running.
 type Keeper struct {
-	store  store.Store
+	store  Store
 	config Config
 
 	mu               sync.Mutex
@@ -59,6 +69,7 @@
 // guards its fields.
 type session struct {
 	id      store.LeaseID
+	value   []byte // of all keys that are acquired in the session; unique
 	expires expiry
 	leases  map[*Lease]bool
 	ended   bool
@@ -81,13 +92,14 @@
 	// Fence is the fencing number. It is higher for each later holder of the key.
 	Fence uint64
 
-	keeper  *Keeper
-	session *session
-	lost    chan struct{}
+	keeper   *Keeper
+	session  *session
+	lost     chan struct{}
+	released bool // guarded by Keeper.mu
 }
 
 // NewKeeper returns a keeper without leases.
-func NewKeeper(s store.Store, config Config) *Keeper {
+func NewKeeper(s Store, config Config) *Keeper {
 	return &Keeper{store: s, config: config, wake: make(chan struct{}, 1)}
 }
 
@@ -178,7 +190,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.session = &session{id: id, expires: k.sessionExpiry(sentAt), leases: make(map[*Lease]bool)}
+	k.session = &session{id: id, value: []byte(uuid.NewString()), expires: k.sessionExpiry(sentAt), leases: make(map[*Lease]bool)}
 }
 
 func (k *Keeper) sessionExpiry(sentAt time.Time) expiry {
@@ -237,8 +249,7 @@
 		k.requestSession()
 		return nil, ErrNoSession
 	}
-	attemptID := []byte(uuid.NewString())
-	err := k.store.Acquire(ctx, key, attemptID, current.id)
+	err := k.store.Acquire(ctx, key, current.value, current.id)
 	if errors.Is(err, store.ErrConflict) {
 		return nil, errors.Wrap(ErrHeld, key)
 	}
@@ -249,7 +260,7 @@
 	if readErr != nil {
 		return nil, errors.Wrapf(readErr, "read back lease key %s", key)
 	}
-	if !bytes.Equal(entry.Value, attemptID) {
+	if !bytes.Equal(entry.Value, current.value) {
 		return nil, errors.Wrap(ErrHeld, key)
 	}
 	return k.addLease(current, key, entry.Version)
@@ -266,9 +277,38 @@
 	return l, nil
 }
 
+// Release gives up a lease, so that another instance may acquire its key. The lease is
+// invalid from then on, also if the key cannot be deleted: the key is then kept until the
+// session ends, or this instance acquires it again.
+func (k *Keeper) Release(ctx context.Context, l *Lease) error {
+	k.mu.Lock()
+	if !l.released && !l.session.ended {
+		close(l.lost)
+	}
+	l.released = true
+	delete(l.session.leases, l)
+	k.mu.Unlock()
+	return k.store.Txn(ctx, []store.Op{
+		{Kind: store.OpCheck, Key: l.Key, Version: l.Fence},
+		{Kind: store.OpDelete, Key: l.Key},
+	})
+}
+
+// RequestSession makes Run open a session unless one is open, so that a later Acquire
+// need not wait for it.
+func (k *Keeper) RequestSession() {
+	if k.currentSession() == nil {
+		k.requestSession()
+	}
+}
+
 // Valid reports whether the lease is still held. Check it immediately before each
 // action that only the holder may take.
-func (l *Lease) Valid() bool { return l.keeper.sessionValid(l.session) }
+func (l *Lease) Valid() bool {
+	l.keeper.mu.Lock()
+	defer l.keeper.mu.Unlock()
+	return !l.released && !l.session.ended && !l.session.expires.passed(time.Now())
+}
 
 // ValidUntil returns the time at which the lease becomes invalid unless it is
 // renewed.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -135,6 +135,33 @@
 	})
 }
 
+// TestReleasedLease checks that a released lease is invalid and free for another instance,
+// also if its key could not be deleted: the former holder acquires it again.
+func TestReleasedLease(t *testing.T) {
+	inVirtualTime(t, func(c *qt.C, ctx context.Context, server *kv.Server) {
+		a, _ := start(ctx, server)
+		b, _ := start(ctx, server)
+		first, err := a.Acquire(ctx, key)
+		c.Assert(err, qt.IsNil)
+		c.Assert(a.Release(ctx, first), qt.IsNil)
+		c.Check(first.Valid(), qt.IsFalse)
+		<-first.Lost()
+		second, err := b.Acquire(ctx, key)
+		c.Assert(err, qt.IsNil)
+		c.Check(second.Valid(), qt.IsTrue)
+		c.Check(a.Release(ctx, first), qt.IsNotNil) // the key of another holder stays
+		c.Check(second.Valid(), qt.IsTrue)
+
+		canceled, cancel := context.WithCancel(ctx)
+		cancel()
+		c.Check(b.Release(canceled, second), qt.IsNotNil)
+		c.Check(second.Valid(), qt.IsFalse)
+		again, err := b.Acquire(ctx, key)
+		c.Assert(err, qt.IsNil)
+		c.Check(again.Valid(), qt.IsTrue)
+	})
+}
+
 // ExampleKeeper acquires a lease and checks that it is valid.
 func ExampleKeeper() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -52,6 +52,7 @@
 	s := &Store{items: make(map[string]item), revision: 1, leases: make(map[uint64]*lease), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-range", s.handleRange)
+	mux.HandleFunc("GET /v1/kv-key", s.handleGet)
 	mux.HandleFunc("GET /v1/kv-watch", s.handleWatch)
 	mux.HandleFunc("POST /v1/kv-txn", s.handleTxn)
 	mux.HandleFunc("POST /v1/kv-lease", s.handleGrantLease)
@@ -248,8 +249,24 @@
 	}
 }
 
+func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, i)
+}
+
 func (s *Store) handleTxn(w http.ResponseWriter, r *http.Request) {
 	var txn struct {
+		ExpectRev []struct {
+			Key string `json:"key"`
+			Rev uint64 `json:"rev"`
+		} `json:"expect-rev"`
+		Delete []string `json:"delete"`
 		Puts []struct {
 			Key   string `json:"key"`
 			Value []byte `json:"value"`
@@ -268,10 +285,27 @@
 			return
 		}
 	}
+	current, failed := []item{}, false
+	for _, e := range txn.ExpectRev {
+		i, ok := s.items[e.Key]
+		if ok {
+			current = append(current, i)
+		}
+		failed = failed || i.Rev != e.Rev
+	}
+	if failed {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusPreconditionFailed)
+		_ = json.NewEncoder(w).Encode(map[string]any{"items": current})
+		return
+	}
 	s.revision++
 	for _, p := range txn.Puts {
 		s.put(p.Key, p.Value, p.Lease)
 	}
+	for _, key := range txn.Delete {
+		s.remove(key)
+	}
 	writeJSON(w, map[string]any{"rev": s.revision})
 }
 
