Let the store grant the shares of a cold server's limit

Cause: an instance computed its share of the limit from the instances of its region that it knew, and two selected ones used a server. Instances that start together are registered 0.5 to 1 s after they list the servers; until then each knew nobody else of its region and took a half. Log lines: all senders had listed the server as cold, and knew none of their region or few (hypothesis 1). Ruled out for these: senders that do not know of the warm-up, and a limiter that lets more pass than its share.

Class: a share of a common limit that is inferred from a view of the members that nobody knows to be complete.

Change: a share is a lease of the store. A server has two, a third of the limit each; the last third covers a former holder that still sends. Rendezvous hashing only tells which instance asks. An instance without a lease sends nothing to a cold server. A changed holder earns its burst from then on.

TestColdServerOfOtherHolders, TestColdServerWithoutStore and TestWarmServerNeedsNoLease are new.

--- a/backend/warmup.go
+++ b/backend/warmup.go
@@ -11,9 +11,10 @@
 // sends to a server.
 type requestLimiter struct {
 	mu         sync.Mutex
-	selected   bool      // this instance may use the server
+	permitted  bool      // this instance may use the server
+	since      time.Time // RequestLimit.Since of the last call
 	available  float64   // requests that may be sent now
-	refilledAt time.Time // zero if not selected yet
+	refilledAt time.Time // zero if not permitted yet
 }
 
 // RequestLimit is the share of this instance in the request rate that a server may
@@ -21,9 +22,9 @@
 type RequestLimit struct {
 	Rate  float64 // requests per second
 	Burst float64 // requests
-	// Since is when this instance may first have been selected for the server. The
-	// burst accrues from then on, as other instances may have just used theirs. If it
-	// is zero, the burst is available at once.
+	// Since is when this instance got its share. The burst accrues from then on, as the
+	// instance that had the share before may have just used it. If it is zero, the burst
+	// is available at once.
 	Since time.Time
 }
 
@@ -57,7 +58,7 @@
 func (s *Server) ForbidWarmup() {
 	s.warmup.mu.Lock()
 	defer s.warmup.mu.Unlock()
-	s.warmup.selected = false
+	s.warmup.permitted = false
 }
 
 // allows reports whether one more request may be sent.
@@ -82,8 +83,8 @@
 }
 
 func (l *requestLimiter) refill(now time.Time, limit RequestLimit) {
-	if !l.selected {
-		l.selected, l.available = true, 0
+	if !l.permitted || !limit.Since.Equal(l.since) {
+		l.permitted, l.since, l.available = true, limit.Since, 0
 		if limit.Since.After(l.refilledAt) {
 			l.refilledAt = limit.Since
 		}
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -46,6 +46,7 @@
 	group.Go(func() error { loop.Every(ctx, trafficInterval, i.traffic.LogSummary); return nil })
 	group.Go(func() error { i.logReloadSignals(ctx); return nil })
 	group.Go(func() error { i.exchanger.run(ctx); return nil })
+	group.Go(func() error { i.serverLeases.run(ctx); return nil })
 }
 
 // registerWhenReady waits until the instance is ready and then runs the roster,
@@ -94,8 +95,7 @@
 	if snapshot == nil {
 		return
 	}
-	ids, _ := i.regionInstances()
-	members := max(len(ids), 1)
+	members := max(len(i.roster.InRegion(i.settings.Region)), 1)
 	for _, service := range snapshot.Services {
 		total, free := 0, 0
 		for server := range i.router.Healthy(service.Name) {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -78,13 +78,12 @@
 	metrics   *telemetry.Metrics
 	observer  *telemetry.Observer
 
-	store      *platform.Store
-	mirror     *mirror.Mirror
-	roster     *roster.Roster
-	regionView regionView
-	servers    *servers
-	table      *catalog.Table
-	registry   *backend.Registry
+	store    *platform.Store
+	mirror   *mirror.Mirror
+	roster   *roster.Roster
+	servers  *servers
+	table    *catalog.Table
+	registry *backend.Registry
 
 	queue        *admission.Queue
 	guard        *overload.Guard
@@ -99,6 +98,7 @@
 	relayBudget  *byteBudget // changes of the store
 	exchanger    *exchanger
 	retry        *retry.Policy
+	serverLeases *serverLeases
 	parts        *quarantine.Parts
 	peers        *http.Client
 	transport    *http.Transport
@@ -184,6 +184,7 @@
 		Relay: i.storeRelay,
 	}
 	i.roster.StoreOutage = i.mirror.Outage
+	i.serverLeases = newServerLeases(i)
 	i.router = i.newRouter()
 	i.exchanger = newExchanger(i)
 	return i, nil
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -56,10 +56,6 @@
 	aliveStallTimeout = 700 * time.Millisecond
 	// mirrorPeerCount is how many instances are queried for changes at once.
 	mirrorPeerCount = 3
-	// warmupInstanceCount is how many instances use the same cold server. Each
-	// has a fraction of the server's rate limit, which must still allow for whole
-	// requests.
-	warmupInstanceCount = 2
 
 	dialTimeout = time.Second
 	// unackedTimeout is how long sent bytes may remain unacknowledged before the
--- /dev/null
+++ b/hosted/serverleases.go
@@ -0,0 +1,243 @@
+package hosted
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
+	"github.com/fuchsiastack/fuchsiastack/lease"
+	"github.com/fuchsiastack/fuchsiastack/membership"
+	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/routing"
+)
+
+const (
+	// serverLeasePrefix is the prefix of the keys of the leases of backend servers in
+	// the store. It is followed by the id of the server and the number of the share.
+	serverLeasePrefix = "fuchsiastack/leases/"
+	// serverShares is the number of leases of a server. Each allows for a fraction of the
+	// server's limit, which must still be enough for whole requests.
+	serverShares = 2
+	// reservedShares are not given to anyone. They cover a former holder that still sends
+	// while its successor begins, such as after the store has ended its lease early.
+	reservedShares = 1
+
+	// leaseInterval is short compared with the warm-up time of servers.
+	leaseInterval = 100 * time.Millisecond
+	// selectionDelay is how long an instance must have been selected for a share before it
+	// asks for the lease, and how long it keeps one that another instance is selected for.
+	// Instances that start together know each other within about that time. It only avoids
+	// calls in vain and leases at a few instances: the store decides who is the holder.
+	selectionDelay = 400 * time.Millisecond
+	// leaseRetryDelay is the time between two attempts to acquire a lease.
+	leaseRetryDelay = 500 * time.Millisecond
+	// maxLeaseCalls limits the leases that an instance acquires or releases at once.
+	maxLeaseCalls = 16
+)
+
+// serverLeaseConfig lets a successor have the leases of an instance that is lost within
+// the warm-up time of most servers.
+var serverLeaseConfig = lease.Config{TTL: 4 * time.Second, Margin: 400 * time.Millisecond}
+
+// serverLeases holds the leases by which this instance may use backend servers with a
+// limited request rate. The limit of a server applies to all instances together. As an
+// instance cannot know that it knows all others, its share of a limit is not computed
+// from the instances that it knows: it is a lease that the store grants to one instance
+// only. Rendezvous hashing only tells which instances should ask for it.
+type serverLeases struct {
+	instance *Instance
+	keeper   *lease.Keeper
+
+	mu             sync.RWMutex
+	shares         map[shareKey]*serverShare
+	sessionRetryAt time.Time // earliest time of the next request for a session
+}
+
+// shareKey is a share of the limit of a backend server.
+type shareKey struct {
+	server string // id
+	number int    // from 0 to serverShares-1
+}
+
+func (k shareKey) storeKey() string {
+	return serverLeasePrefix + k.server + "/" + strconv.Itoa(k.number)
+}
+
+// serverShare is the state of a share at this instance, which is selected for it or has
+// its lease.
+type serverShare struct {
+	selectedAt time.Time // when the instance was selected; zero if it is not
+	deselected time.Time // when the instance was not selected any more
+	lease      *lease.Lease
+	since      time.Time // when the lease was acquired
+	retryAt    time.Time // earliest time of the next call
+	calling    bool      // the lease is being acquired
+}
+
+func newServerLeases(i *Instance) *serverLeases {
+	return &serverLeases{
+		instance: i, keeper: lease.NewKeeper(platform.ExclusiveLeases{Store: i.store}, serverLeaseConfig),
+		shares: make(map[shareKey]*serverShare),
+	}
+}
+
+// share implements the Share function of routing.Warmup.
+func (l *serverLeases) share(server *backend.Server) routing.LimitShare {
+	var share routing.LimitShare
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for number := range serverShares {
+		s := l.shares[shareKey{server.ID, number}]
+		if s == nil || s.lease == nil || !s.lease.Valid() {
+			continue
+		}
+		share.Fraction += 1.0 / (serverShares + reservedShares)
+		if s.since.After(share.Since) {
+			share.Since = s.since
+		}
+	}
+	return share
+}
+
+// run acquires and releases leases until ctx ends.
+func (l *serverLeases) run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { l.keeper.Run(ctx) })
+	loop.Every(ctx, leaseInterval, func(context.Context) { l.update(ctx, &group) })
+}
+
+// update selects the shares of limited servers for this instance, and begins to acquire
+// those leases and to release others.
+func (l *serverLeases) update(ctx context.Context, group *sync.WaitGroup) {
+	now := time.Now()
+	selected := l.selected(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key := range selected {
+		if l.shares[key] == nil {
+			l.shares[key] = &serverShare{}
+		}
+	}
+	ready := len(selected) > 0 && l.sessionReady(now)
+	calls := 0
+	for key, share := range l.shares {
+		share.update(now, selected[key])
+		if share.lease != nil && !share.lease.Valid() {
+			l.log("lost", key, nil)
+			share.lease, share.retryAt = nil, now
+		}
+		switch {
+		case share.calling:
+			calls++
+		case share.selectedAt.IsZero() && share.lease == nil:
+			delete(l.shares, key)
+		case calls >= maxLeaseCalls || now.Before(share.retryAt):
+		case share.lease == nil && ready && now.Sub(share.selectedAt) >= selectionDelay:
+			calls++
+			share.calling = true
+			group.Go(func() { l.acquire(ctx, key, share) })
+		case share.lease != nil && !share.deselected.IsZero() && now.Sub(share.deselected) >= selectionDelay:
+			calls++
+			held := share.lease
+			share.lease = nil
+			group.Go(func() { l.release(ctx, key, held) })
+		}
+	}
+}
+
+// sessionReady reports whether there is a session for leases. If not, it asks for one at
+// most once per leaseRetryDelay. l.mu is held.
+func (l *serverLeases) sessionReady(now time.Time) bool {
+	if l.keeper.HasSession() {
+		return true
+	}
+	if !now.Before(l.sessionRetryAt) {
+		l.sessionRetryAt = now.Add(leaseRetryDelay)
+		l.keeper.RequestSession()
+	}
+	return false
+}
+
+// update records whether this instance is selected for the share now.
+func (s *serverShare) update(now time.Time, selected bool) {
+	switch {
+	case selected && s.selectedAt.IsZero():
+		s.selectedAt, s.deselected = now, time.Time{}
+	case !selected && s.deselected.IsZero():
+		s.selectedAt, s.deselected = time.Time{}, now
+	}
+}
+
+// selected returns the shares of limited servers that this instance should have. Until
+// the store lists this instance, others cannot know it, and it selects itself for none.
+func (l *serverLeases) selected(now time.Time) map[shareKey]bool {
+	i := l.instance
+	if _, listed := i.mirror.Get(instanceKeyPrefix + i.settings.Instance); !listed {
+		return nil
+	}
+	shares := make(map[shareKey]bool)
+	var instances []string
+	for _, server := range i.registry.All() {
+		if !l.limited(now, server) {
+			continue
+		}
+		if instances == nil {
+			instances = ids(i.roster.InRegion(i.settings.Region))
+		}
+		order := membership.Rendezvous(instances, server.ID, serverShares)
+		for number := range serverShares {
+			if len(order) > 0 && order[number%len(order)] == i.settings.Instance {
+				shares[shareKey{server.ID, number}] = true
+			}
+		}
+	}
+	return shares
+}
+
+// limited reports whether the request rate of a server is limited.
+func (l *serverLeases) limited(now time.Time, server *backend.Server) bool {
+	snapshot := l.instance.table.Current()
+	if snapshot == nil || !server.Accepts() {
+		return false
+	}
+	service := snapshot.Services[server.Service]
+	return service != nil && service.Warmup.Rate > 0 && server.Cold(now)
+}
+
+func (l *serverLeases) acquire(ctx context.Context, key shareKey, share *serverShare) {
+	held, err := l.keeper.Acquire(ctx, key.storeKey())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	share.calling = false
+	switch {
+	case err == nil:
+		share.lease, share.since = held, now
+		l.log("held", key, nil)
+	case errors.Is(err, lease.ErrNoSession), errors.Is(err, lease.ErrHeld):
+		share.retryAt = now.Add(leaseRetryDelay)
+	default:
+		share.retryAt = now.Add(leaseRetryDelay)
+		if ctx.Err() == nil {
+			l.log("failed", key, err)
+		}
+	}
+}
+
+// release gives up a lease, which was removed from shares before. If the call fails, the
+// key is kept until the session ends.
+func (l *serverLeases) release(ctx context.Context, key shareKey, held *lease.Lease) {
+	err := l.keeper.Release(ctx, held)
+	l.log("released", key, err)
+}
+
+func (l *serverLeases) log(state string, key shareKey, err error) {
+	l.instance.log.Info().Str("event", "server_lease").Str("server", key.server).Int("share", key.number).Str("state", state).
+		AnErr("error", err).Msg("")
+}
--- a/hosted/warmup_test.go
+++ b/hosted/warmup_test.go
@@ -100,3 +100,63 @@
 	}
 	f.Check(mostInASecond(arrivals()) <= coldBound, qt.IsTrue, qt.Commentf("%d requests in a second, bound %v", mostInASecond(arrivals()), coldBound))
 }
+
+// startBeforeColdServer starts an instance with traffic before a cold server, and returns
+// the server and its arrivals.
+func (f *fleet) startBeforeColdServer() (s *hosting.Server, arrivals func() []time.Time) {
+	f.configureCold()
+	s, arrivals = f.startColdServer()
+	n := f.start(f.settings("cairo")).waitForServers(1)
+	n.startTraffic(2, "/stock/")
+	return s, arrivals
+}
+
+// TestColdServerOfOtherHolders guards against requests to a cold server whose whole limit
+// belongs to instances that this one does not know.
+func TestColdServerOfOtherHolders(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	var keys []string
+	for number := range serverShares {
+		key := shareKey{"i-1", number}.storeKey()
+		f.store.Put(key, "another instance")
+		keys = append(keys, key)
+	}
+	_, arrivals := f.startBeforeColdServer()
+	time.Sleep(selectionDelay + 3*leaseRetryDelay)
+	f.Check(arrivals(), qt.HasLen, 0)
+	for _, key := range keys {
+		f.store.Delete(key)
+	}
+	f.eventually("requests once the shares are free", func() bool { return len(arrivals()) > 3 })
+	f.Check(mostInASecond(arrivals()) <= coldBound, qt.IsTrue)
+}
+
+// TestColdServerWithoutStore guards against an instance that goes on using a cold server
+// when the store may have granted its share to another instance.
+func TestColdServerWithoutStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	s, arrivals := f.startBeforeColdServer()
+	f.eventually("requests", func() bool { return len(arrivals()) > 3 })
+	f.Check(f.store.Keys(serverLeasePrefix), qt.DeepEquals, []string{shareKey{s.ID, 0}.storeKey(), shareKey{s.ID, 1}.storeKey()})
+	f.store.SetDown(true)
+	time.Sleep(serverLeaseConfig.TTL)
+	before := len(arrivals())
+	time.Sleep(2 * time.Second)
+	f.Check(len(arrivals()), qt.Equals, before)
+	f.store.SetDown(false)
+	f.eventually("requests after the outage", func() bool { return len(arrivals()) > before })
+	f.Check(mostInASecond(arrivals()) <= coldBound, qt.IsTrue)
+}
+
+// TestWarmServerNeedsNoLease checks that an instance writes no lease while no server is
+// cold, and releases those of a server that has left.
+func TestWarmServerNeedsNoLease(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	cold, arrivals := f.startBeforeColdServer()
+	f.eventually("requests", func() bool { return len(arrivals()) > 0 })
+	f.store.Delete(platform.ServerPrefix + cold.ID)
+	f.eventually("leases released", func() bool { return len(f.store.Keys(serverLeasePrefix)) == 0 })
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -156,8 +156,8 @@
 	return !k.sessionRequested.IsZero() && time.Since(k.sessionRequested) < k.config.TTL
 }
 
-// requestSession makes Run open a session.
-func (k *Keeper) requestSession() {
+// RequestSession makes Run open a session if none is open.
+func (k *Keeper) RequestSession() {
 	k.mu.Lock()
 	k.sessionRequested = time.Now()
 	k.mu.Unlock()
@@ -246,7 +246,7 @@
 func (k *Keeper) Acquire(ctx context.Context, key string) (*Lease, error) {
 	current := k.currentSession()
 	if current == nil {
-		k.requestSession()
+		k.RequestSession()
 		return nil, ErrNoSession
 	}
 	err := k.store.Acquire(ctx, key, current.value, current.id)
@@ -294,13 +294,8 @@
 	})
 }
 
-// RequestSession makes Run open a session unless one is open, so that a later Acquire
-// need not wait for it.
-func (k *Keeper) RequestSession() {
-	if k.currentSession() == nil {
-		k.requestSession()
-	}
-}
+// HasSession reports whether a session is open, so that Acquire need not wait for one.
+func (k *Keeper) HasSession() bool { return k.currentSession() != nil }
 
 // Valid reports whether the lease is still held. Check it immediately before each
 // action that only the holder may take.
--- a/routing/warmup.go
+++ b/routing/warmup.go
@@ -7,18 +7,17 @@
 )
 
 // Warmup limits the request rate of servers with cold caches. The limit of a server
-// applies to all instances together: only a few instances use a cold server, and
-// each of them enforces its share of the limit.
+// applies to all instances together: each of them enforces its share of the limit, and
+// the shares must add up to 1 at most, whatever the instances know of each other.
 type Warmup struct {
-	// Select returns which instances may use a cold server.
-	Select func(server *backend.Server) WarmupSelection
+	// Share returns this instance's share of the limit of a cold server.
+	Share func(server *backend.Server) LimitShare
 }
 
-// WarmupSelection describes the instances that may use a cold server.
-type WarmupSelection struct {
-	Count int       // number of instances
-	Self  bool      // this instance is one of them
-	Since time.Time // when the selection last may have changed
+// LimitShare is an instance's share of a limit that applies to all instances together.
+type LimitShare struct {
+	Fraction float64   // 0 for none
+	Since    time.Time // when the instance got it
 }
 
 // Keep implements Filter.
@@ -48,14 +47,11 @@
 	if req.Service == nil || req.Service.Warmup.Rate <= 0 || !server.Cold(now) {
 		return limit, false
 	}
-	selection := w.Select(server)
-	if !selection.Self || selection.Count == 0 {
+	share := w.Share(server)
+	if share.Fraction <= 0 {
 		server.ForbidWarmup()
 		return limit, true
 	}
-	// The limit is divided into one share more than there are instances, because
-	// partitioned instances may select a different instance for the server.
-	shares := float64(selection.Count + 1)
 	total := req.Service.Warmup
-	return backend.RequestLimit{Rate: total.Rate / shares, Burst: total.Burst / shares, Since: selection.Since}, true
+	return backend.RequestLimit{Rate: total.Rate * share.Fraction, Burst: total.Burst * share.Fraction, Since: share.Since}, true
 }
--- a/routing/warmup_test.go
+++ b/routing/warmup_test.go
@@ -10,21 +10,23 @@
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 )
 
-// TestWarmupBound lets several instances send requests to one cold server at their
-// maximum rate. One instance more than selected takes part, as may happen during a
-// partition. The requests in any second must stay within the limit.
+// TestWarmupBound guards against shares of a limit that add up to more than the limit:
+// instances that have all shares of it send requests to one cold server at their maximum
+// rate. The requests in any second must stay within the limit, and an instance without a
+// share sends none.
 func TestWarmupBound(t *testing.T) {
 	c := qt.New(t)
 	service := &catalog.Service{Name: "drafts", Warmup: catalog.Warmup{Rate: 2.18, Burst: 3}}
 	req := &Request{Service: service}
-	const instances = 3 // two selected, and one that is partitioned
+	const instances = 3
 	info := backend.Info{ID: "i-1", State: backend.StateLive, Service: service.Name}
 	var servers [instances]*backend.Server
 	for i := range servers {
 		servers[i] = backend.NewServer(info)
 		servers[i].SetCold(start.Add(time.Minute))
 	}
-	warmup := Warmup{Select: func(*backend.Server) WarmupSelection { return WarmupSelection{Count: 2, Self: true} }}
+	share := LimitShare{Fraction: 1.0 / instances}
+	warmup := Warmup{Share: func(*backend.Server) LimitShare { return share }}
 	var sent []time.Time
 	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		for _, server := range servers {
@@ -35,6 +37,8 @@
 	}
 	c.Assert(len(sent) > 0, qt.IsTrue)
 	checkWarmupBound(c, service.Warmup, sent, "")
+	share = LimitShare{}
+	c.Assert(warmup.Keep(start.Add(50*time.Second), req, servers[0]), qt.IsFalse)
 	c.Assert(warmup.Keep(start.Add(2*time.Minute), req, servers[0]), qt.IsTrue)
 }
 
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -267,7 +267,7 @@
 			Rev uint64 `json:"rev"`
 		} `json:"expect-rev"`
 		Delete []string `json:"delete"`
-		Puts []struct {
+		Puts   []struct {
 			Key   string `json:"key"`
 			Value []byte `json:"value"`
 			Lease uint64 `json:"lease"`
