Test: servers that name a limit get no more than it allows (known red)

Callers of three instances send steadily to two servers, of which one or both name a limit of 2 or 3 requests a second. The stand-in names the limit in all of its responses.

--- a/standin/hosting/server.go
+++ b/standin/hosting/server.go
@@ -15,6 +15,7 @@
 type Arrival struct {
 	ID, Method, Target, Host, Body string
 	Header                         http.Header
+	At                             time.Time
 }
 
 // Override handles a request in place of a backend server's default response. It
@@ -29,9 +30,10 @@
 
 	listener *restartListener
 
-	mu       sync.Mutex
-	override Override
-	arrivals []Arrival
+	mu        sync.Mutex
+	override  Override
+	rateLimit string
+	arrivals  []Arrival
 }
 
 // NewServer starts a backend server that responds with a stream of
@@ -80,6 +82,14 @@
 	s.override = override
 }
 
+// SetRateLimit sets the limit on requests per second that the server names in all
+// later responses; "" for none.
+func (s *Server) SetRateLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rateLimit = limit
+}
+
 // Arrivals returns the requests received so far, including those meant for
 // another server.
 func (s *Server) Arrivals() []Arrival {
@@ -94,10 +104,14 @@
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, Arrival{
 		ID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: string(body), Header: r.Header.Clone(),
+		At: time.Now(),
 	})
-	override := s.override
+	override, rateLimit := s.override, s.rateLimit
 	s.mu.Unlock()
 	header := w.Header()
+	if rateLimit != "" {
+		header.Set("Server-Limit", rateLimit)
+	}
 	header.Set("Request-Id", id)
 	if expected := r.Header.Get("Expect-Instance"); expected != s.ID {
 		header.Set("Instance", s.ID)
