Read the rate limit that a backend server names in its responses

Cause: callers saw nothing, but servers in need received up to six times what their limit allows, as no code read the header. A response without the header ends the limit; a value that cannot be used is reported and changes nothing; responses to earlier requests and of other processes tell nothing. The daemon's load queries read the header too.

--- a/backend/departed.go
+++ b/backend/departed.go
@@ -9,10 +9,10 @@
 // number of servers of a region that are replaced within minutes.
 const maxDeparted = 1024
 
-// departedServers holds the servers that have withdrawn from new requests and are
-// not listed any more. The entry of a server may be lost while its process serves
-// on, for example because its lease expired during an outage of the store. If the
-// entry returns, the withdrawal still holds. Only servers with a known start time
+// departedServers holds the servers that have withdrawn from new requests, or limit
+// them, and are not listed any more. The entry of a server may be lost while its process
+// serves on, for example because its lease expired during an outage of the store. If the
+// entry returns, the withdrawal and the limit still hold. Only servers with a known start time
 // are held: without one, a process cannot be told from its successor.
 type departedServers struct {
 	mu    sync.Mutex
@@ -20,12 +20,13 @@
 	order []string // ids, the first departed first
 }
 
-// add adds the servers that have withdrawn.
+// add adds the servers that have withdrawn or have a limit.
 func (d *departedServers) add(servers map[string]*Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, server := range servers {
-		if server.Started == 0 || !server.withdrawn() {
+		_, limited := server.RateLimit()
+		if server.Started == 0 || !server.withdrawn() && !limited {
 			continue
 		}
 		if d.byID == nil {
--- a/backend/server.go
+++ b/backend/server.go
@@ -61,6 +61,7 @@
 	peerPrefill   tokensByRank // the same of the other instances, as of their latest updates
 	report        atomic.Pointer[report]
 	slowdown      atomic.Pointer[SlowdownReport] // the newest one; nil if there was none
+	rateLimit     rateLimit
 	draining      atomic.Bool
 	pause         atomic.Pointer[pause] // the last one; nil if there was none
 	resume        requestLimiter        // after a pause
--- a/daemon/loads.go
+++ b/daemon/loads.go
@@ -58,6 +58,9 @@
 	}
 	defer resp.Body.Close()
 	draining = dispatch.AnnouncesLeaving(resp)
+	if limit := dispatch.RateLimitOf(resp); limit != nil {
+		server.RecordRateLimit(*limit)
+	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadReportBytes)).Decode(&report); err != nil {
 		return report, draining, errors.Wrapf(err, "decode load report of %s", server.Addr)
 	}
--- a/dispatch/protocol.go
+++ b/dispatch/protocol.go
@@ -53,6 +53,9 @@
 	// Ignored are the headers whose values, or parts of them, cannot be used.
 	Ignored []*check.FieldError
 	Load    *backend.Load
+	// RateLimit is the server's limit on requests, or that it has none. It is nil if the
+	// response does not tell.
+	RateLimit *backend.RateLimitReport
 }
 
 // WithdrawalCause is why a backend server receives no more requests, for a time or
@@ -96,6 +99,9 @@
 	if info.Load != nil {
 		server.SetLoad(*info.Load)
 	}
+	if info.RateLimit != nil {
+		server.RecordRateLimit(*info.RateLimit)
+	}
 	return withdrawals
 }
 
@@ -107,6 +113,9 @@
 	refusedHeader = "Fuchsia-Refused"
 	// leavingHeader announces that the server accepts no more requests.
 	leavingHeader = "Fuchsia-Leaving"
+	// rateLimitHeader holds the requests per second that the server takes from all
+	// instances together. A response without it ends the limit.
+	rateLimitHeader = "Fuchsia-Rate-Limit"
 	// refusedBusy is the value of refusedHeader of a server that may accept later
 	// requests.
 	refusedBusy = "busy"
@@ -130,6 +139,7 @@
 	info := ResponseInfo{Identified: echoedID == attempt.ID, Refused: refused != ""}
 	info.Mismatched = !info.Identified && (echoedID != "" || info.Refused && !attempt.FirstOnConnection)
 	info.ReadWithdrawal(resp, leavingHeader)
+	info.ReadRateLimit(resp, rateLimitHeader)
 	info.Draining = info.Draining || refusesAll(refused)
 	return info
 }
@@ -142,6 +152,14 @@
 	return info.Draining || refusesAll(resp.Header.Get(refusedHeader))
 }
 
+// RateLimitOf returns the limit in a response of a backend server that speaks the
+// gateway's own protocol, or nil if the response does not tell.
+func RateLimitOf(resp *http.Response) *backend.RateLimitReport {
+	var info ResponseInfo
+	info.ReadRateLimit(resp, rateLimitHeader)
+	return info.RateLimit
+}
+
 // refusesAll reports whether a value of refusedHeader, or "" for none, states that
 // the server accepts no more requests.
 func refusesAll(refused string) bool { return refused != "" && refused != refusedBusy }
