Instances of a region tell each other the rate limits of backend servers

Cause: an instance learned a limit, and its end, from responses to its own requests only. One that had just started, or sent nothing to the server, knew neither. Change: exchanges carry the limits of 32 servers at a time, the latest changes first, and for 10 s their ends; the newest report counts, one of another process of the server or out of range changes nothing. Collectors pass on what they were told. One line server_limit tells when a limit begins, changes or ends for an instance, and fuchsia_server_limit_changes_total counts them.

Nothing limits requests yet.

--- a/daemon/admission.go
+++ b/daemon/admission.go
@@ -110,6 +110,7 @@
 	a.limitShares.SetMembers(members)
 	a.guard.SetHeap(overload.ReadHeap())
 	d.registry.EndPauses(time.Now(), d.observer.ServerResumed)
+	d.registry.RateLimitChanges(d.observer.ServerLimitChanged)
 	snapshot := d.table.Current()
 	if snapshot == nil {
 		return
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -129,6 +129,7 @@
 func (i *Instance) expire(context.Context) {
 	i.servers.expire()
 	i.registry.EndPauses(time.Now(), i.observer.ServerResumed)
+	i.registry.RateLimitChanges(i.observer.ServerLimitChanged)
 	snapshot := i.table.Current()
 	if snapshot == nil {
 		return
--- a/hosted/exchange.go
+++ b/hosted/exchange.go
@@ -226,6 +226,7 @@
 		request.Placements, sentPlacements = own.Region, own.NextRegion
 		request.Work = e.hub.CellWork(now, i.ownWork()).Heaviest(maxReportedServers)
 		request.Slowdowns = recentSlowdowns(now, i.registry.All())
+		request.RateLimits = currentRateLimits(now, i.registry.All())
 		request.Summaries = role == collector.Member && e.summariesDue(now)
 		stall = exchangeStallTimeout
 	}
@@ -302,6 +303,7 @@
 		e.hub.Receive(now, response.Work)
 	}
 	response.Slowdowns.record(now, i.registry.All())
+	response.RateLimits.record(sent, i.registry.All())
 	i.router.Prefix.MergePlacements(now, response.Placements)
 	i.router.Remote.MergePlacements(now, response.Remote)
 	e.hub.AddPlacements(now, collector.Collector, response.Placements)
--- a/hosted/exchange_test.go
+++ b/hosted/exchange_test.go
@@ -82,6 +82,9 @@
 		`{` + known + `,"work":"?"}`:    http.StatusBadRequest,
 		`{` + known + `,"work":"AAA="}`: http.StatusBadRequest,
 		`{` + known + `,"since":-1}`:    http.StatusBadRequest,
+		`{` + known + `,"rate-limits":{"x":{"rate":1}}}`:                         http.StatusOK,
+		`{` + known + `,"rate-limits":{"x":{"rate":"1"}}}`:                       http.StatusBadRequest,
+		`{` + known + `,"rate-limits":{"x":{"rate":1e999}}}`:                     http.StatusBadRequest,
 		`{` + known + `,"region":18446744073709551615,"later":1}`:                http.StatusOK,
 		`{` + known + `,"id":"` + strings.Repeat("x", maxExchangeBytes+1) + `"}`: http.StatusBadRequest,
 	} {
--- a/hosted/exchangeserve.go
+++ b/hosted/exchangeserve.go
@@ -28,6 +28,7 @@
 	Role       collector.Source       `json:"role"`
 	Work       collector.Work         `json:"work,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
+	RateLimits rateLimits             `json:"rate-limits,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"`
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
 
@@ -46,6 +47,7 @@
 	Started    int64                  `json:"started"`
 	Work       collector.Work         `json:"work,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
+	RateLimits rateLimits             `json:"rate-limits,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"` // of the region
 	Remote     collector.Placements   `json:"remote,omitempty"`     // of other regions
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
@@ -74,6 +76,9 @@
 	if len(r.Slowdowns) > collector.MaxServers {
 		return check.Field("slowdowns", strconv.Itoa(len(r.Slowdowns)), check.ErrOutOfRange)
 	}
+	if len(r.RateLimits) > collector.MaxServers {
+		return check.Field("rate-limits", strconv.Itoa(len(r.RateLimits)), check.ErrOutOfRange)
+	}
 	return nil
 }
 
@@ -105,6 +110,7 @@
 		}
 		e.hub.Report(now, request.Role, request.ID, request.Work)
 		request.Slowdowns.record(now, i.registry.All())
+		request.RateLimits.record(now, i.registry.All())
 		i.router.Prefix.MergePlacements(now, request.Placements)
 		e.hub.AddPlacements(now, request.Role, request.Placements)
 		own := i.ownWork()
@@ -114,6 +120,7 @@
 			response.Work = e.hub.OthersWork(now, own, request.ID).Heaviest(maxReportedServers)
 		}
 		response.Slowdowns = recentSlowdowns(now, i.registry.All())
+		response.RateLimits = currentRateLimits(now, i.registry.All())
 	}
 	switch {
 	case !request.Summaries:
