Hold instances to the request rate that a backend server names

Cause: nothing read the limit. The limit is one for all instances together, like that of a cold server, and an instance cannot know how many others send.

Change: one limiter with two sources, the warm-up and the named limit; the lower one holds. Its shares are the leases that the store grants. Of a named limit each of the two shares allows for a half. A limited server counts with the slots that its rate needs, in the queue and in summaries, and its wait in summaries with the time between two requests.

Capacity is short by what the limits take; light requests take as much of a limit as heavy ones, and an instance without a share refuses.

--- a/backend/ratelimit.go
+++ b/backend/ratelimit.go
@@ -83,6 +83,18 @@
 	return RateLimitReport{}, time.Time{}
 }
 
+// UsableSlots returns how many of the given number of slots the server needs at most for
+// the request rate to which it limits all instances together: all of them without a limit,
+// or while it is unknown how long requests take.
+func (s *Server) UsableSlots(slots int) int {
+	rate, limited := s.RateLimit()
+	hold := s.HoldTime()
+	if !limited || hold == 0 {
+		return slots
+	}
+	return min(slots, max(1, int(math.Ceil(rate*hold.Seconds()))))
+}
+
 // RateLimitChange is the beginning, a change or the end of a server's limit.
 type RateLimitChange struct {
 	Server    *Server
--- a/backend/server.go
+++ b/backend/server.go
@@ -74,7 +74,7 @@
 	interval           intervalEstimate // between the events of streams
 	health             Health
 	coldUntil          monotonic.Atomic // when the caches count as warm
-	warmup             requestLimiter
+	shared             requestLimiter   // of the limit that holds for all instances together
 }
 
 // report is a load report together with this instance's requests in flight, which
--- a/backend/warmup.go
+++ b/backend/sharedlimit.go
@@ -42,23 +42,23 @@
 	return max(0, s.coldUntil.Load().Sub(monotonic.Of(now)))
 }
 
-// WarmupAllows reports whether one more request may be sent to a cold server.
-func (s *Server) WarmupAllows(now time.Time, limit RequestLimit) bool {
-	return s.warmup.allows(now, limit)
+// LimitAllows reports whether one more request may be sent to a server under a limit that
+// holds for all instances together.
+func (s *Server) LimitAllows(now time.Time, limit RequestLimit) bool {
+	return s.shared.allows(now, limit)
 }
 
-// ReserveWarmup counts one request against the limit and returns true, or
-// returns false if the limit is reached.
-func (s *Server) ReserveWarmup(now time.Time, limit RequestLimit) bool {
-	return s.warmup.reserve(now, limit)
+// ReserveLimit counts one request against that limit and returns true, or returns
+// false if the limit is reached.
+func (s *Server) ReserveLimit(now time.Time, limit RequestLimit) bool {
+	return s.shared.reserve(now, limit)
 }
 
-// ForbidWarmup records that this instance must not use the server while its caches
-// are cold.
-func (s *Server) ForbidWarmup() {
-	s.warmup.mu.Lock()
-	defer s.warmup.mu.Unlock()
-	s.warmup.permitted = false
+// ForbidLimit records that this instance has no share of that limit.
+func (s *Server) ForbidLimit() {
+	s.shared.mu.Lock()
+	defer s.shared.mu.Unlock()
+	s.shared.permitted = false
 }
 
 // allows reports whether one more request may be sent.
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -103,6 +103,7 @@
 			if slots == 0 {
 				slots = defaultServerSlots
 			}
+			slots = server.UsableSlots(slots)
 			total += slots
 			free += max(slots-max(server.Load().Running+server.Load().Waiting, server.InFlight()), 0)
 		}
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -178,7 +178,7 @@
 		Region: i.settings.Region, Registry: i.registry, Regions: regionPeers{i},
 		Filters:         []routing.Filter{routing.AcceptingFilter{}, routing.PauseFilter{}},
 		Health:          []routing.Filter{routing.HealthyFilter{}, routing.UntriedFilter{}},
-		Warmup:          &routing.Warmup{Share: i.serverLeases.share},
+		Limits:          &routing.SharedLimits{Share: i.serverLeases.share, Shares: serverShares},
 		Scorer:          routing.FirstTokenScorer{Zone: i.settings.Zone, ByRank: true},
 		Prefix:          routing.NewPrefixIndex(0),
 		Remote:          routing.NewRemoteCaches(),
--- a/hosted/serverleases.go
+++ b/hosted/serverleases.go
@@ -23,9 +23,6 @@
 	// serverShares is the number of leases of a server. Each allows for a fraction of the
 	// server's limit, which must still be enough for whole requests.
 	serverShares = 2
-	// reservedShares are not given to anyone. They cover a former holder that still sends
-	// while its successor begins, such as after the store has ended its lease early.
-	reservedShares = 1
 
 	// leaseInterval is short compared with the warm-up time of servers.
 	leaseInterval = 100 * time.Millisecond
@@ -86,7 +83,7 @@
 	}
 }
 
-// share implements the Share function of routing.Warmup.
+// share implements the Share function of routing.SharedLimits.
 func (l *serverLeases) share(server *backend.Server) routing.LimitShare {
 	var share routing.LimitShare
 	l.mu.RLock()
@@ -96,7 +93,7 @@
 		if s == nil || s.lease == nil || !s.lease.Valid() {
 			continue
 		}
-		share.Fraction += 1.0 / (serverShares + reservedShares)
+		share.Count++
 		if s.since.After(share.Since) {
 			share.Since = s.since
 		}
@@ -206,8 +203,7 @@
 	if snapshot == nil || !server.Accepts() {
 		return false
 	}
-	service := snapshot.Services[server.Service]
-	return service != nil && service.Warmup.Rate > 0 && server.Cold(now)
+	return routing.Limited(now, snapshot.Services[server.Service], server)
 }
 
 func (l *serverLeases) acquire(ctx context.Context, key shareKey, share *serverShare) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -114,7 +114,7 @@
 	Events     float64
 	Occupied   int // requests that are expected on Server
 	// ColdFor is the time for which the caches of Server still count as cold, and LimitRate
-	// the requests per second that this instance may send it meanwhile; 0 if it is warm.
+	// the requests per second that this instance may send it; 0 if it has no limit.
 	ColdFor   time.Duration
 	LimitRate float64
 	Spill     SpillReason // why the request was or was not forwarded, if another region was considered
@@ -199,8 +199,9 @@
 	// Health removes servers that should not be used. If it leaves none, it is
 	// ignored: a server that is considered unhealthy is better than no server.
 	Health []Filter
-	// Warmup limits the request rate of servers with cold caches; nil for no limit.
-	Warmup  *Warmup
+	// Limits limits the request rate of servers whose limit holds for all instances
+	// together; nil for no limit.
+	Limits  *SharedLimits
 	Scorer  Scorer
 	Picker  Picker       // nil picks the least cost
 	Prefix  *PrefixIndex // nil for no prefix affinity
@@ -271,8 +272,8 @@
 }
 
 // Healthy returns the servers of a service that pass Filters and Health. If there
-// are none, it returns those that pass Filters alone, as Decide does. Warm-up limits
-// are not applied.
+// are none, it returns those that pass Filters alone, as Decide does. Limits is not
+// applied.
 func (r *Router) Healthy(service string) iter.Seq[*backend.Server] {
 	return func(yield func(*backend.Server) bool) {
 		now, req := r.now(), &Request{}
@@ -403,7 +404,7 @@
 	if best.CachedTokens > 0 && reason == ReasonLeastCost {
 		reason = ReasonPrefix
 	}
-	limit, _ := r.Warmup.limit(s.now, req, best.Server)
+	limit, _ := r.Limits.localLimit(s.now, req, best.Server)
 	return Decision{
 		Server: best.Server, Reason: reason, Candidates: len(candidates),
 		Cost: best.Cost, CachedTokens: best.CachedTokens, FetchFrom: best.FetchFrom,
@@ -445,7 +446,7 @@
 // caller must call Decide again.
 func (r *Router) Reserve(req *Request, server *backend.Server) bool {
 	now := r.now()
-	return takeResume(now, server) && (r.Warmup == nil || r.Warmup.Take(now, req, server))
+	return takeResume(now, server) && r.Limits.Take(now, req, server)
 }
 
 // publishedDigests returns the digests of the shared blocks whose placement is
--- a/routing/sample.go
+++ b/routing/sample.go
@@ -193,10 +193,10 @@
 	return true
 }
 
-// permitted reports whether a server passes the warm-up limit and Filters, which
+// permitted reports whether a server passes Limits and Filters, which
 // apply even if no healthy server is left.
 func (r *Router) permitted(now time.Time, req *Request, server *backend.Server) bool {
-	if r.Warmup != nil && !r.Warmup.Keep(now, req, server) {
+	if !r.Limits.Keep(now, req, server) {
 		return false
 	}
 	for _, f := range r.Filters {
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -100,7 +100,7 @@
 		if !r.usable(now, req, server) {
 			continue
 		}
-		slots := max(server.SlotCount(), 1)
+		slots := server.UsableSlots(max(server.SlotCount(), 1))
 		summary.Servers++
 		summary.Slots += slots
 		summary.FreeSlots += max(0, slots-server.Occupied())
@@ -109,7 +109,11 @@
 		if interval := server.EventInterval(now); interval > 0 {
 			intervals = append(intervals, interval)
 		}
-		if w := serverWait(now, server); summary.Servers == 1 || w < wait {
+		w := serverWait(now, server)
+		if rate, limited := server.RateLimit(); limited {
+			w += time.Duration(float64(time.Second) / rate)
+		}
+		if summary.Servers == 1 || w < wait {
 			wait = w
 		}
 	}
