retry: earn the part of a common burst, and keep it while others are out of sight

Cause: the burst was divided by the instances that are known. One that has just started knows only itself, and had the whole burst, full at its first use. A restart also renewed the part that the process before had used. An instance that is cut off counts the others as gone and took their parts; other changes of the live instances than those of their keys were not applied at all.

Fix: a budget begins empty and is earned by the requests of the instance, so that what it does in its first seconds depends on no view. It keeps one retry at most until the store lists its own registration (that of this process: the start time tells it from the one of the process before).

One that starts during an outage of the store keeps one retry until it ends; the others keep the parts that they had. Weighed and dropped: a full part from the own listing on. The k-th instance that is listed would take 1/k of the burst, in sum several bursts.

--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -128,6 +128,7 @@
 
 func (i *Instance) expire(context.Context) {
 	i.servers.expire()
+	i.updateRetryBurst()
 	i.registry.EndPauses(time.Now(), i.observer.ServerResumed)
 	snapshot := i.table.Current()
 	if snapshot == nil {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -105,6 +105,7 @@
 
 	gate            drain.Gate
 	draining        atomic.Bool
+	listed          atomic.Bool               // the store has listed this process
 	noticeEnd       atomic.Pointer[time.Time] // of the drain; nil before it
 	noticedRequests atomic.Int64              // see countNoticedRequests
 	requests        context.Context
--- a/hosted/state.go
+++ b/hosted/state.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/platform"
+	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
@@ -39,13 +41,30 @@
 	}
 	if instances {
 		i.roster.Update(i.mirror.ByPrefix(instanceKeyPrefix))
-		i.retry.Budgets.SetInstances(len(i.roster.Live()))
+		i.updateRetryBurst()
 	}
 	if servers || config {
 		i.servers.update()
 	}
 }
 
+// updateRetryBurst divides the retry burst among the live instances. Before this instance
+// is listed, those that started together with it need not be listed either.
+func (i *Instance) updateRetryBurst() {
+	if i.listed.Load() || i.isListed() {
+		i.listed.Store(true)
+		i.retry.Budgets.SetInstances(time.Now(), len(i.roster.Live()), i.mirror.Outage() == 0)
+	}
+}
+
+// isListed reports whether the store lists this process. The entry of its previous process
+// has another start time.
+func (i *Instance) isListed() bool {
+	entry, ok := i.mirror.Get(instanceKeyPrefix + i.roster.Self.ID)
+	var listed roster.Instance
+	return ok && json.Unmarshal(entry.Value, &listed) == nil && listed == i.roster.Self
+}
+
 func (i *Instance) updateConfig() {
 	entry, ok := i.mirror.Get(platform.ConfigKey)
 	if !ok {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -214,9 +214,11 @@
 	MinPerSecond float64 // retries per second that are added regardless of traffic
 	Burst        float64 // maximum number of unused retries kept
 
+	startsEmpty bool // the budget begins with no retries, and else with Burst
+
 	mu        sync.Mutex
 	level     float64
-	updatedAt time.Time // zero: not used yet, the budget is full
+	updatedAt time.Time // zero: not used yet
 }
 
 // RecordFirstAttempt records a first attempt, which adds Ratio retries to the
@@ -243,7 +245,9 @@
 
 func (b *Budget) refill(now time.Time) {
 	if b.updatedAt.IsZero() {
-		b.level = b.maxLevel()
+		if !b.startsEmpty {
+			b.level = b.maxLevel()
+		}
 	} else if elapsed := now.Sub(b.updatedAt).Seconds(); elapsed > 0 {
 		b.level = min(b.level+elapsed*orDefault(b.MinPerSecond, defaultMinPerSecond), b.maxLevel())
 	}
