retry: let a fleet larger than the common burst retry

What callers could see: with more instances than retry-burst (62 and 195 against 52 to 54), a request that may be repeated is not repeated after a failed attempt, however low the rate of failures is; only failures to connect and refusals of other regions are, which are not charged.

Cause: an instance keeps at most its part of the burst, which is less than one retry there, and takes one only if it has a whole one.

Fix: it may keep a whole one. So that all instances do not exceed the common bound together, one whose part is less than one retry counts first attempts and retries of the last window (retry-window-s, which the settings name and the product did not read): the retries stay within the ratio of the first attempts plus the part. Instances with a part of at least one retry behave as before. The window is also the time for which instances that are gone count.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -164,7 +164,7 @@
 		summaries:    &routing.SummaryTable{},
 		reportBudget: newByteBudget(settings.LinkRate, reportLinkFraction),
 		relayBudget:  newByteBudget(settings.LinkRate, relayLinkFraction),
-		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
+		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst, settings.Bounds.RetryWindow)},
 	}
 	i.requests, i.cancelRequests = context.WithCancelCause(context.Background())
 	i.parts = &quarantine.Parts{Observer: i.observer, RetryDelay: rand.N(quarantine.MaxRetryDelay)}
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -11,6 +11,7 @@
 // called. It is safe for concurrent use.
 type Budgets struct {
 	ratio, burst float64
+	window       time.Duration
 
 	mu        sync.Mutex
 	instances instanceCount
@@ -24,25 +25,28 @@
 	// unknownShare is the part of the burst of an instance that does not know how many
 	// share it. With less it could not retry at all.
 	unknownShare = 1.0
-	// departureDelay is how long an instance that is gone is counted. The retries that it
-	// made before still count against the common burst.
-	departureDelay = 10 * time.Second
+	// defaultWindow is used if no window is given.
+	defaultWindow = 10 * time.Second
 )
 
-// NewBudgets returns budgets of ratio retries per first attempt and of burst unused
-// retries kept by all instances together.
-func NewBudgets(ratio, burst float64) *Budgets {
-	return &Budgets{ratio: ratio, burst: burst, services: make(map[string]*Budget)}
+// NewBudgets returns budgets of ratio retries per first attempt and of burst retries beyond
+// them by all instances together within a window; 0 stands for 10 s.
+func NewBudgets(ratio, burst float64, window time.Duration) *Budgets {
+	if window <= 0 {
+		window = defaultWindow
+	}
+	return &Budgets{ratio: ratio, burst: burst, window: window, services: make(map[string]*Budget)}
 }
 
 // SetInstances sets the number of instances that the burst is divided among. It must be
 // called regularly, and not before this instance is known to the others. A higher number
-// applies at once and a lower one after departureDelay, not counting the time in which
-// current is false: instances that cannot be seen may be running.
+// applies at once and a lower one after a window, in which the retries of instances that
+// are gone still count. The time in which current is false does not count: instances that
+// cannot be seen may be running.
 func (b *Budgets) SetInstances(now time.Time, instances int, current bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.instances.update(now, max(instances, 1), current)
+	b.instances.update(now, max(instances, 1), current, b.window)
 	for _, budget := range b.services {
 		budget.setBurst(b.share())
 	}
@@ -54,7 +58,7 @@
 	defer b.mu.Unlock()
 	budget, ok := b.services[service]
 	if !ok {
-		budget = &Budget{Ratio: b.ratio, MinPerSecond: noMinPerSecond, Burst: b.share(), startsEmpty: true}
+		budget = &Budget{Ratio: b.ratio, MinPerSecond: noMinPerSecond, Burst: b.share(), recent: &recentAttempts{window: b.window}}
 		b.services[service] = budget
 	}
 	return budget
@@ -72,23 +76,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.Burst = burst
-	b.level = min(b.level, burst)
+	b.level = min(b.level, b.maxLevel())
 }
 
-// instanceCount is the largest number of instances within departureDelay.
+// instanceCount is the largest number of instances within a window.
 type instanceCount struct {
 	count      int       // 0: unknown
 	lowerSince time.Time // since when fewer than count have been known; zero if as many are
 	largest    int       // number known since lowerSince
 }
 
-func (c *instanceCount) update(now time.Time, instances int, current bool) {
+func (c *instanceCount) update(now time.Time, instances int, current bool, window time.Duration) {
 	switch {
 	case instances >= c.count:
 		*c = instanceCount{count: instances}
 	case !current || c.lowerSince.IsZero():
 		c.lowerSince, c.largest = now, instances
-	case now.Sub(c.lowerSince) < departureDelay:
+	case now.Sub(c.lowerSince) < window:
 		c.largest = max(c.largest, instances)
 	default:
 		*c = instanceCount{count: max(c.largest, instances)}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -214,7 +214,9 @@
 	MinPerSecond float64 // retries per second that are added regardless of traffic
 	Burst        float64 // maximum number of unused retries kept
 
-	startsEmpty bool // the budget begins with no retries, and else with Burst
+	// recent is set if the budget is part of a common one. It then begins with no
+	// retries, and may keep a whole one if Burst is less.
+	recent *recentAttempts
 
 	mu        sync.Mutex
 	level     float64
@@ -228,6 +230,9 @@
 	defer b.mu.Unlock()
 	b.refill(now)
 	b.level = min(b.level+orDefault(b.Ratio, defaultRatio), b.maxLevel())
+	if b.recent != nil {
+		b.recent.recordFirst(now)
+	}
 }
 
 // TakeRetry takes one retry from the budget. It returns false if the budget is
@@ -236,16 +241,29 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	if b.level < 1 {
+	if b.level < 1 || b.exceedsShare(now) {
 		return false
 	}
 	b.level--
+	if b.recent != nil {
+		b.recent.recordRetry(now)
+	}
 	return true
 }
 
+// exceedsShare reports whether another retry would exceed this instance's part of the
+// common budget. A part of at least one retry is never exceeded, as no more are kept.
+func (b *Budget) exceedsShare(now time.Time) bool {
+	if b.recent == nil || b.Burst >= 1 {
+		return false
+	}
+	first, retries := b.recent.counts(now)
+	return float64(retries+1) > float64(first)*orDefault(b.Ratio, defaultRatio)+b.Burst
+}
+
 func (b *Budget) refill(now time.Time) {
 	if b.updatedAt.IsZero() {
-		if !b.startsEmpty {
+		if b.recent == nil {
 			b.level = b.maxLevel()
 		}
 	} else if elapsed := now.Sub(b.updatedAt).Seconds(); elapsed > 0 {
@@ -254,7 +272,12 @@
 	b.updatedAt = now
 }
 
-func (b *Budget) maxLevel() float64 { return orDefault(b.Burst, defaultBurst) }
+func (b *Budget) maxLevel() float64 {
+	if b.recent != nil {
+		return max(b.Burst, 1)
+	}
+	return orDefault(b.Burst, defaultBurst)
+}
 
 func orDefault(v, defaultValue float64) float64 {
 	if v <= 0 {
