dispatch: let a request earn a retry in one region only

What callers could see: while regions send requests to each other, twice the ratio of retries at the servers, when capacity is short (BUDGET counts a request once).

Cause: the instance that a caller uses recorded a first attempt also of a request that it forwards, and the instance of the other region recorded it again. Each had the fraction of a retry.

Fix: a first attempt is recorded when a server of the own region is chosen. A request that another region refuses and that runs here after all is recorded then.

Evidence: TestForwardedRequestEarnsOneRetry, before: 16 forwarded requests, ratio 0.2, 6 retries at both instances together, want 3.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -39,7 +39,8 @@
 	// mayHaveRun is set once an attempt may have run. From then on the request
 	// is never reported as not run.
 	mayHaveRun bool
-	runs       int // attempts that may have run
+	runs       int  // attempts that may have run
+	recorded   bool // the first attempt at a server of this region is recorded
 	// refusedOn are the connections on which a backend server refused the request.
 	// A server that sends the refusal again could make a further attempt there look
 	// refused.
@@ -54,12 +55,12 @@
 // run makes attempts until the request is served or must not be retried.
 func (r *attemptLoop) run() *outcome.Error {
 	defer r.suspect.abandonTrial()
-	r.Retry.RecordFirstAttempt(time.Now(), r.x.Service.Name)
 	for number := 1; ; number++ {
 		decision, refusal := r.route(number)
 		if refusal != nil {
 			return r.finish(refusal)
 		}
+		r.recordFirstAttempt(decision)
 		result := r.attempt(decision, number)
 		r.suspect.recordResult(result)
 		if result.err == nil {
@@ -312,6 +313,15 @@
 	underWay      bool        // the body still arrives startedAfter its first byte
 }
 
+// recordFirstAttempt records the first attempt at a server of this region. A request that
+// runs in another region counts there.
+func (r *attemptLoop) recordFirstAttempt(decision routing.Decision) {
+	if decision.Server != nil && !r.recorded {
+		r.recorded = true
+		r.Retry.RecordFirstAttempt(time.Now(), r.x.Service.Name)
+	}
+}
+
 // startAttempt registers an attempt at the server. The attempt of a repeatable
 // request is canceled if its response does not start within the stall timeout and
 // the retry budget allows another attempt.
--- a/hosted/retryshare_test.go
+++ b/hosted/retryshare_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -90,3 +92,33 @@
 	i.list(f.C, 2, i)
 	f.Assert(i.listed.Load(), qt.IsTrue)
 }
+
+// TestForwardedRequestEarnsOneRetry guards against retries beyond the ratio of all instances
+// together. It comes about when a request runs in another region than the caller's: the
+// instances of both regions would earn a fraction of a retry with it.
+func TestForwardedRequestEarnsOneRetry(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newRoute("orders", "safe", "orders"))
+	f.startServer("orders", "alex-a", 0)
+	var instances []*testInstance
+	for _, region := range []string{"cairo", "alex"} {
+		settings := f.settings(region)
+		settings.Bounds.RetryRatio, settings.Bounds.RetryBurst = 0.2, 50
+		instances = append(instances, f.start(settings))
+	}
+	instances[1].waitForServers(1)
+	f.eventually("live instance in alex", func() bool { return len(instances[0].roster.InRegion("alex")) == 1 })
+	const requests = 16
+	for k := range requests {
+		got := instances[0].send(instances[0].request("GET", "/orders/", fmt.Sprintf("id-%d", k), ""))
+		f.Assert(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+	}
+	retries := 0
+	for _, n := range instances {
+		for n.retry.TakeRetry(time.Now(), "orders") {
+			retries++
+		}
+	}
+	f.Assert(retries, qt.Equals, 3) // of 16 requests times 0.2
+}
