--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -105,6 +105,7 @@
 
 	gate            drain.Gate
 	draining        atomic.Bool
+	listed          atomic.Bool               // the store has listed this process
 	noticeEnd       atomic.Pointer[time.Time] // of the drain; nil before it
 	noticedRequests atomic.Int64              // see countNoticedRequests
 	requests        context.Context
@@ -163,7 +164,7 @@
 		summaries:    &routing.SummaryTable{},
 		reportBudget: newByteBudget(settings.LinkRate, reportLinkFraction),
 		relayBudget:  newByteBudget(settings.LinkRate, relayLinkFraction),
-		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)},
+		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst, settings.Bounds.RetryWindow)},
 	}
 	i.requests, i.cancelRequests = context.WithCancelCause(context.Background())
 	i.parts = &quarantine.Parts{Observer: i.observer, RetryDelay: rand.N(quarantine.MaxRetryDelay)}
