hosted: bound the lease calls of an instance, and finish releases

Calls are now counted while they run, repeated with growing delays and jitter, and a share is not acquired again before its release is done.

--- a/hosted/serverleases.go
+++ b/hosted/serverleases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/fuchsiastack/fuchsiastack/membership"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/routing"
+	"github.com/fuchsiastack/fuchsiastack/store"
 )
 
 const (
@@ -31,9 +33,11 @@
 	// Instances that start together know each other within about that time. It only avoids
 	// calls in vain and leases at a few instances: the store decides who is the holder.
 	selectionDelay = 400 * time.Millisecond
-	// leaseRetryDelay is the time between two attempts to acquire a lease.
-	leaseRetryDelay = 500 * time.Millisecond
-	// maxLeaseCalls limits the leases that an instance acquires or releases at once.
+	// leaseRetryDelay is the mean time between the first two attempts to acquire or to
+	// release a lease. It doubles with each further one, maxRetryDoublings times.
+	leaseRetryDelay   = 500 * time.Millisecond
+	maxRetryDoublings = 3
+	// maxLeaseCalls limits the leases that an instance acquires and releases at once.
 	maxLeaseCalls = 16
 )
 
@@ -52,6 +56,7 @@
 
 	mu             sync.RWMutex
 	shares         map[shareKey]*serverShare
+	calls          int       // calls to the store in progress
 	sessionRetryAt time.Time // earliest time of the next request for a session
 }
 
@@ -71,9 +76,11 @@
 	selectedAt time.Time // when the instance was selected; zero if it is not
 	deselected time.Time // when the instance was not selected any more
 	lease      *lease.Lease
-	since      time.Time // when the lease was acquired
-	retryAt    time.Time // earliest time of the next call
-	calling    bool      // the lease is being acquired
+	since      time.Time    // when the lease was acquired
+	releasing  *lease.Lease // released at this instance, but maybe not in the store
+	failures   int          // calls that failed one after the other
+	retryAt    time.Time    // earliest time of the next call
+	calling    bool         // a call to the store is in progress
 }
 
 func newServerLeases(i *Instance) *serverLeases {
@@ -122,32 +129,49 @@
 		}
 	}
 	ready := len(selected) > 0 && l.sessionReady(now)
-	calls := 0
 	for key, share := range l.shares {
 		share.update(now, selected[key])
 		if share.lease != nil && !share.lease.Valid() {
 			l.log("lost", key, nil)
 			share.lease, share.retryAt = nil, now
 		}
+		if share.lease != nil && !share.deselected.IsZero() && now.Sub(share.deselected) >= selectionDelay {
+			share.releasing, share.lease = share.lease, nil
+		}
 		switch {
 		case share.calling:
-			calls++
-		case share.selectedAt.IsZero() && share.lease == nil:
+		case share.selectedAt.IsZero() && share.lease == nil && share.releasing == nil:
 			delete(l.shares, key)
-		case calls >= maxLeaseCalls || now.Before(share.retryAt):
-		case share.lease == nil && ready && now.Sub(share.selectedAt) >= selectionDelay:
-			calls++
-			share.calling = true
-			group.Go(func() { l.acquire(ctx, key, share) })
-		case share.lease != nil && !share.deselected.IsZero() && now.Sub(share.deselected) >= selectionDelay:
-			calls++
-			held := share.lease
-			share.lease = nil
-			group.Go(func() { l.release(ctx, key, held) })
+		case l.calls >= maxLeaseCalls || now.Before(share.retryAt):
+		case share.releasing != nil:
+			l.call(group, share, func() error { return l.release(ctx, key, share) })
+		case share.lease == nil && ready && !share.selectedAt.IsZero() && now.Sub(share.selectedAt) >= selectionDelay:
+			l.call(group, share, func() error { return l.acquire(ctx, key, share) })
 		}
 	}
 }
 
+// call runs an operation on a share in the background. After an error the next one is
+// delayed, more so after each further error. l.mu is held.
+func (l *serverLeases) call(group *sync.WaitGroup, share *serverShare, operation func() error) {
+	l.calls++
+	share.calling = true
+	group.Go(func() {
+		err := operation()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.calls--
+		share.calling = false
+		if err == nil {
+			share.failures, share.retryAt = 0, time.Time{}
+			return
+		}
+		delay := leaseRetryDelay << min(share.failures, maxRetryDoublings)
+		share.failures++
+		share.retryAt = time.Now().Add(delay/2 + rand.N(delay))
+	})
+}
+
 // sessionReady reports whether there is a session for leases. If not, it asks for one at
 // most once per leaseRetryDelay. l.mu is held.
 func (l *serverLeases) sessionReady(now time.Time) bool {
@@ -206,31 +230,37 @@
 	return routing.Limited(now, snapshot.Services[server.Service], server)
 }
 
-func (l *serverLeases) acquire(ctx context.Context, key shareKey, share *serverShare) {
+func (l *serverLeases) acquire(ctx context.Context, key shareKey, share *serverShare) error {
 	held, err := l.keeper.Acquire(ctx, key.storeKey())
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	share.calling = false
-	switch {
-	case err == nil:
-		share.lease, share.since = held, now
-		l.log("held", key, nil)
-	case errors.Is(err, lease.ErrNoSession), errors.Is(err, lease.ErrHeld):
-		share.retryAt = now.Add(leaseRetryDelay)
-	default:
-		share.retryAt = now.Add(leaseRetryDelay)
-		if ctx.Err() == nil {
+	if err != nil {
+		if ctx.Err() == nil && !errors.Is(err, lease.ErrNoSession) && !errors.Is(err, lease.ErrHeld) {
 			l.log("failed", key, err)
 		}
+		return err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	share.lease, share.since = held, time.Now()
+	l.log("held", key, nil)
+	return nil
 }
 
-// release gives up a lease, which was removed from shares before. If the call fails, the
-// key is kept until the session ends.
-func (l *serverLeases) release(ctx context.Context, key shareKey, held *lease.Lease) {
+// release gives up the lease of a share that this instance no longer uses. Until that
+// has succeeded, or the session of the lease has ended, the instance does not acquire the
+// lease again: an earlier deletion could be done after that.
+func (l *serverLeases) release(ctx context.Context, key shareKey, share *serverShare) error {
+	l.mu.RLock()
+	held := share.releasing
+	l.mu.RUnlock()
 	err := l.keeper.Release(ctx, held)
-	l.log("released", key, err)
+	if err != nil && !errors.Is(err, store.ErrConflict) && l.keeper.HasSession() {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	share.releasing = nil
+	l.log("released", key, nil)
+	return nil
 }
 
 func (l *serverLeases) log(state string, key shareKey, err error) {
