routing: use one share of a cold server's limit only

Found in the review: an instance that has all shares of a limit, as the first of a region has, is not covered by the reserve when it goes on as a former holder: 7 requests in a second where 6.9 are allowed. While a server is cold, an instance now uses one of its shares. TestWarmupBoundAfterHolderOfAllShares failed before.

--- a/routing/sharedlimits.go
+++ b/routing/sharedlimits.go
@@ -68,7 +68,9 @@
 	}
 	limit = backend.RequestLimit{Rate: math.Inf(1), Burst: math.Inf(1), Since: share.Since}
 	if warmsUp(now, req.Service, server) {
-		fraction := float64(share.Count) / float64(l.Shares+reservedShares)
+		// Of several shares only one is used, so that the reserve covers a former holder
+		// of all of them as well.
+		fraction := 1 / float64(l.Shares+reservedShares)
 		limit.Rate, limit.Burst = req.Service.Warmup.Rate*fraction, req.Service.Warmup.Burst*fraction
 	}
 	if rate, named := server.RateLimit(); named {
