hosted: mark servers as cold before they are listed

Found in the review: servers were put into the registry and marked as cold after that, one after the other; until then no limit held for them (0.9 ms for 500 servers). The registry now prepares servers before requests can be routed to them. TestColdServersAreColdWhenListed failed before (a server is listed as warm).

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -152,7 +152,11 @@
 // state, such as its load report and requests in flight, unless its process has
 // been replaced. So does a server that has withdrawn from new requests and whose
 // entry, lost for a time, is listed again.
-func (r *Registry) Replace(list []Info) {
+func (r *Registry) Replace(list []Info) { r.ReplacePrepared(list, func(*Server) {}) }
+
+// ReplacePrepared is like Replace. It calls prepare for each server before requests can be
+// routed to it.
+func (r *Registry) ReplacePrepared(list []Info, prepare func(*Server)) {
 	known := make(map[string]*Server)
 	for _, s := range r.All() {
 		known[s.ID] = s
@@ -163,7 +167,9 @@
 		if old == nil {
 			old = r.departed.take(info.ID)
 		}
-		next[info.Service] = append(next[info.Service], updatedServer(old, info, r.estimatesOf(info.Service)))
+		server := updatedServer(old, info, r.estimatesOf(info.Service))
+		prepare(server)
+		next[info.Service] = append(next[info.Service], server)
 	}
 	r.dropEstimates(next)
 	for _, info := range list {
--- a/hosted/state.go
+++ b/hosted/state.go
@@ -212,7 +212,7 @@
 // other local ones into the registry.
 func (s *servers) publish(now time.Time) {
 	var list []backend.Info
-	var cold []*serverEntry
+	warmup := make(map[string]time.Duration) // remaining, by id
 	for key, entry := range s.local {
 		if !entry.missing.IsZero() && now.Sub(entry.missing) >= s.missingGrace {
 			delete(s.local, key)
@@ -225,19 +225,16 @@
 		}
 		list = append(list, info)
 		if entry.WarmupLeft > 0 {
-			cold = append(cold, entry)
+			warmup[entry.ID] = entry.WarmupLeft
+			entry.WarmupLeft = 0 // applied once, as it counts from when the entry was read
 		}
 	}
 	slices.SortFunc(list, func(a, b backend.Info) int { return strings.Compare(a.ID, b.ID) })
-	s.instance.registry.Replace(list)
-	for _, entry := range cold {
-		for _, server := range s.instance.registry.Servers(entry.Service) {
-			if server.ID == entry.ID {
-				server.ExtendCold(now.Add(entry.WarmupLeft))
-			}
+	s.instance.registry.ReplacePrepared(list, func(server *backend.Server) {
+		if remaining := warmup[server.ID]; remaining > 0 {
+			server.ExtendCold(now.Add(remaining))
 		}
-		entry.WarmupLeft = 0 // applied once, as it counts from when the entry was read
-	}
+	})
 }
 
 // publishRemote updates the router's list of servers in other regions from whose
