--- a/routing/routing.go
+++ b/routing/routing.go
@@ -118,8 +118,6 @@
 	ColdFor   time.Duration
 	LimitRate float64
 	Spill     SpillReason // why the request was or was not forwarded, if another region was considered
-
-	waitTooLong bool // the request is refused unless another region takes it
 }
 
 // UncachedTokens returns the prompt tokens that Server has to compute.
@@ -249,11 +247,10 @@
 		return r.considerSpill(now, req, Decision{Reason: ReasonNoSlot})
 	}
 	decision := r.decideLocal(now, req)
-	decision.waitTooLong = r.waitTooLong(req, decision)
 	if r.maySpill(req) && (decision.Server == nil || r.Spill != nil) {
 		decision = r.considerSpill(now, req, decision)
 	}
-	if decision.waitTooLong {
+	if r.waitTooLong(req, decision) {
 		decision.Server, decision.Reason = nil, ReasonWaitTooLong
 	}
 	return decision
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -110,7 +110,7 @@
 // else the local decision with the reason.
 func (s *Spiller) decide(now time.Time, req *Request, local Decision, r *Router) Decision {
 	remaining := remainingTarget(now, req)
-	missed := s.missesTarget(local, remaining)
+	missed := local.Server == nil || local.Cost > time.Duration(float64(remaining)*s.targetFraction())
 	// The end depends on the length of the stream more than on the load, so that other
 	// requests don't tell whether this one is late.
 	late := local.StreamTime > 0 && s.endsLate(now, req, local.Cost+local.StreamTime)
@@ -126,11 +126,6 @@
 	return s.spillToBest(now, req, local, remaining, r)
 }
 
-// missesTarget reports whether the local decision counts as a miss of the remaining target.
-func (s *Spiller) missesTarget(local Decision, remaining time.Duration) bool {
-	return local.Server == nil || local.Cost > time.Duration(float64(remaining)*s.targetFraction())
-}
-
 // endsLate reports whether a stream that is expected to end after the given time takes too
 // much of the time until its deadline.
 func (s *Spiller) endsLate(now time.Time, req *Request, end time.Duration) bool {
@@ -286,8 +281,7 @@
 // evaluateRegion returns what a region offers and whether the request may be sent there:
 // the region meets the remaining target, has a free slot unless ignoreSlots is set, and
 // is better than the local server, if any. A stream that would end late here is better
-// off where it ends sooner, and no other stream is sent to where it would end late, unless
-// it would be refused here.
+// off where it ends sooner, and no other stream is sent to where it would end late.
 func (s *Spiller) evaluateRegion(now time.Time, req *Request, local Decision, summary RegionSummary, remaining time.Duration, ignoreSlots bool) (offer, bool) {
 	cost, met := s.remoteCost(req, summary, remaining)
 	o := offer{cost: cost, streamTime: summary.streamTime(local), rank: cost}
@@ -301,13 +295,9 @@
 	switch {
 	case local.Server == nil:
 		return o, true
-	case local.waitTooLong:
-		// The alternative is a refusal, not the end of the stream in this region.
-		return o, cost < local.Cost
 	case local.StreamTime > 0 && s.endsLate(now, req, localEnd):
 		o.rank = end
-		sooner := float64(end) < soonerFraction*float64(localEnd)
-		return o, sooner || s.missesTarget(local, remaining) && cost < local.Cost
+		return o, float64(end) < soonerFraction*float64(localEnd)
 	case o.streamTime > 0 && s.endsLate(now, req, end):
 		return o, false
 	}
