hosted: name the states of a server's share

A share now has selected and when that changed; what is done is the same. A test is named for what it shows.

--- a/hosted/serverleases.go
+++ b/hosted/serverleases.go
@@ -75,17 +75,19 @@
 	return serverLeasePrefix + k.server + "/" + strconv.Itoa(k.number)
 }
 
-// serverShare is the state of a share at this instance, which is selected for it or has
-// its lease.
+// serverShare is the state of a share at this instance, which is selected for it, has its
+// lease or releases that.
 type serverShare struct {
-	selectedAt time.Time // when the instance was selected; zero if it is not
-	deselected time.Time // when the instance was not selected any more
-	lease      *lease.Lease
-	since      time.Time    // when the lease was acquired
-	releasing  *lease.Lease // released at this instance, but maybe not in the store
-	failures   int          // calls that failed one after the other
-	retryAt    time.Time    // earliest time of the next call
-	calling    bool         // a call to the store is in progress
+	selected  bool      // this instance should have the share
+	changedAt time.Time // when selected last changed
+
+	lease     *lease.Lease // by which the instance uses the server; nil for none
+	since     time.Time    // when lease was acquired
+	releasing *lease.Lease // not used any more, but maybe still held in the store
+
+	calling  bool      // a call to the store is in progress
+	failures int       // calls that failed one after the other
+	retryAt  time.Time // earliest time of the next call
 }
 
 func newServerLeases(i *Instance) *serverLeases {
@@ -135,22 +137,23 @@
 	}
 	ready := len(selected) > 0 && l.sessionReady(now)
 	for key, share := range l.shares {
-		share.update(now, selected[key])
+		share.setSelected(now, selected[key])
+		settled := now.Sub(share.changedAt) >= selectionDelay
 		if share.lease != nil && !share.lease.Valid() {
 			l.log("lost", key, nil)
 			share.lease, share.retryAt = nil, now
 		}
-		if share.lease != nil && !share.deselected.IsZero() && now.Sub(share.deselected) >= selectionDelay {
+		if share.lease != nil && !share.selected && settled {
 			share.releasing, share.lease = share.lease, nil
 		}
 		switch {
 		case share.calling:
-		case share.selectedAt.IsZero() && share.lease == nil && share.releasing == nil:
+		case !share.selected && share.lease == nil && share.releasing == nil:
 			delete(l.shares, key)
 		case l.calls >= maxLeaseCalls || now.Before(share.retryAt):
 		case share.releasing != nil:
 			l.call(group, share, func() error { return l.release(ctx, key, share) })
-		case share.lease == nil && ready && !share.selectedAt.IsZero() && now.Sub(share.selectedAt) >= selectionDelay:
+		case share.lease == nil && share.selected && settled && ready:
 			l.call(group, share, func() error { return l.acquire(ctx, key, share) })
 		}
 	}
@@ -190,13 +193,9 @@
 	return false
 }
 
-// update records whether this instance is selected for the share now.
-func (s *serverShare) update(now time.Time, selected bool) {
-	switch {
-	case selected && s.selectedAt.IsZero():
-		s.selectedAt, s.deselected = now, time.Time{}
-	case !selected && s.deselected.IsZero():
-		s.selectedAt, s.deselected = time.Time{}, now
+func (s *serverShare) setSelected(now time.Time, selected bool) {
+	if s.selected != selected {
+		s.selected, s.changedAt = selected, now
 	}
 }
 
@@ -239,7 +238,7 @@
 	return order
 }
 
-// limited reports whether the request rate of a server is limited.
+// limited reports whether the shares of a server's limit are needed.
 func (l *serverLeases) limited(now time.Time, server *backend.Server) bool {
 	snapshot := l.instance.table.Current()
 	if snapshot == nil || !server.Accepts() {
@@ -248,6 +247,7 @@
 	return routing.Limited(now, snapshot.Services[server.Service], server)
 }
 
+// acquire asks the store for the lease of a share.
 func (l *serverLeases) acquire(ctx context.Context, key shareKey, share *serverShare) error {
 	held, err := l.keeper.Acquire(ctx, key.storeKey())
 	if err != nil {
--- a/hosted/warmup_test.go
+++ b/hosted/warmup_test.go
@@ -150,9 +150,9 @@
 	f.Check(mostInASecond(arrivals()) <= coldBound, qt.IsTrue)
 }
 
-// TestWarmServerNeedsNoLease checks that an instance writes no lease while no server is
-// cold, and releases those of a server that has left.
-func TestWarmServerNeedsNoLease(t *testing.T) {
+// TestLeasesOfGoneServerAreReleased guards against keys that stay in the store for servers
+// that have left.
+func TestLeasesOfGoneServerAreReleased(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
 	cold, arrivals := f.startBeforeColdServer()
