dispatch: count the responses of each step of the test of rate limits

Cause, by the outcome of each step: the request had not reached the server (not run, no response), as its connection was just being closed after the response to an earlier request; the checks of such a step hold without a response.

--- a/dispatch/ratelimit_test.go
+++ b/dispatch/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -81,6 +82,7 @@
 // is a refusal, a failure or too large, and against one that is set or ended by a
 // response to an earlier request.
 func TestResponsesSetRateLimit(t *testing.T) {
+	const maxUnsent = 10
 	c := qt.New(t)
 	var respond http.HandlerFunc
 	i, observer := newWithdrawalDispatcher(t, func(w http.ResponseWriter, r *http.Request) { respond(w, r) })
@@ -109,13 +111,22 @@
 		{"bad value", []func(http.ResponseWriter){named("-7")}, 5},
 		{"end", nil, 0},
 	} {
+		var responses atomic.Int32
 		respond = func(w http.ResponseWriter, r *http.Request) {
+			responses.Add(1)
 			w.Header().Set("Fuchsia-Attempt", r.Header.Get("Fuchsia-Attempt"))
 			for _, part := range step.parts {
 				part(w)
 			}
 		}
-		_, _ = i.send("order", deskService)
+		// A request on a connection that is just being closed after the response to an
+		// earlier one does not reach the server.
+		for range maxUnsent {
+			if _, _ = i.send("order", deskService); responses.Load() > 0 {
+				break
+			}
+		}
+		c.Assert(responses.Load(), qt.Equals, int32(1), qt.Commentf(step.name))
 		rate, limited := server.RateLimit()
 		c.Check(rate, qt.Equals, step.want, qt.Commentf(step.name))
 		c.Check(limited, qt.Equals, step.want > 0, qt.Commentf(step.name))
