--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -220,6 +220,8 @@
 	Callers  map[string]*Caller  `json:"callers"` // keyed by Caller.KeyDigest
 	Routes   Routes              `json:"-"`       // nil if requests name their service
 	Limits   RequestLimits       `json:"-"`
+	// Organizations are nil if the configuration has none: callers need no key then.
+	Organizations *Organizations `json:"-"`
 }
 
 // Resolve finds a service and its work. An empty work selects the service's
--- a/catalog/route.go
+++ b/catalog/route.go
@@ -14,6 +14,7 @@
 	Prefix  string // path prefix; begins and ends with a slash
 	Timeout time.Duration
 	Targets []RouteTarget // never empty
+	Public  bool          // needs no API key
 }
 
 // RouteTarget is one service of a route. Requests are distributed over the
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -23,10 +23,13 @@
 	Hop      *Hop              // set if another instance forwarded the request
 	Snapshot *catalog.Snapshot // configuration that all decisions on the request use
 	Caller   string            // name of the caller
-	Service  *catalog.Service
-	Work     catalog.Work
-	Path     string // path and query at the backend server
-	Deadline time.Time
+	// Organization is the organization that the caller belongs to. It is nil on public
+	// routes, and if the configuration has no organizations.
+	Organization *catalog.Organization
+	Service      *catalog.Service
+	Work         catalog.Work
+	Path         string // path and query at the backend server
+	Deadline     time.Time
 	// FirstEventDeadline is the time by which the caller has disconnected if its
 	// stream has not begun. Zero if unknown.
 	FirstEventDeadline time.Time
