--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -46,7 +46,8 @@
 	// refused.
 	refusedOn []*guardedConn
 	// streaming is the attempt at a backend server in progress, or nil.
-	streaming *backend.Attempt
+	streaming   *backend.Attempt
+	lastEventAt time.Time // when the last event was sent to the caller; zero before the first one
 	// failedResponse is the response of a server that failed. The caller receives
 	// it if no other attempt succeeds.
 	failedResponse *http.Response
@@ -263,8 +264,13 @@
 
 // eventSent records the time of an event of a stream.
 func (r *attemptLoop) eventSent() {
+	now := time.Now()
+	if !r.lastEventAt.IsZero() {
+		r.x.LongestGap = max(r.x.LongestGap, now.Sub(r.lastEventAt))
+	}
+	r.lastEventAt = now
 	if r.streaming != nil {
-		r.streaming.EventReceived(time.Now())
+		r.streaming.EventReceived(now)
 	}
 }
 
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -59,8 +59,10 @@
 	// OutputTokensHint is the caller's estimate of the length of the response, in
 	// tokens; 0 if there is none.
 	OutputTokensHint int
-	// EventsSent is the number of events that were sent to the caller.
+	// EventsSent is the number of events that were sent to the caller, and LongestGap the
+	// longest time between two of them.
 	EventsSent int
+	LongestGap time.Duration
 	// NoLocalSlot reports that no slot of this region becomes free in time, so that
 	// only another region can serve the request.
 	NoLocalSlot bool
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -52,7 +52,7 @@
 		entry = entry.Dur("first_byte", x.FirstByteAt.Sub(x.Received))
 	}
 	if x.Stream {
-		entry = entry.Int("events", x.EventsSent).Int("output_tokens", x.MaxOutputTokens).Int("output_hint", x.OutputTokensHint)
+		entry = entry.Int("events", x.EventsSent).Dur("longest_gap", x.LongestGap).Int("output_tokens", x.MaxOutputTokens).Int("output_hint", x.OutputTokensHint)
 	}
 	status := x.Status
 	if err != nil {
