--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -102,6 +102,8 @@
 	// FirstEventTimeout is how long a caller of streamed work waits for the first
 	// event before it disconnects; 0: unknown.
 	FirstEventTimeout time.Duration `json:"patience,omitempty"`
+	// Public work needs no API key.
+	Public bool `json:"public,omitempty"`
 }
 
 // MayRunIn reports whether the work may run in region.
@@ -160,6 +162,8 @@
 	// server can fetch from the cache of another server of its region; 0: servers
 	// cannot fetch.
 	TransferRate float64 `json:"transfer_rate,omitempty"`
+	// Levels order the requests of organizations with priorities; nil if none has one.
+	Levels *Levels `json:"-"`
 }
 
 // Warmup bounds the requests sent to a backend server with cold caches.
--- a/catalog/organization.go
+++ b/catalog/organization.go
@@ -49,45 +49,51 @@
 	}
 }
 
-// digest is the SHA-256 of an API key. Looking up a digest in a map takes no time that
+// Digest is the SHA-256 of an API key. Looking up a digest in a map takes no time that
 // depends on how much of a key is right.
-type digest [sha256.Size]byte
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of an API key.
+func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
 
 // Organizations are the organizations of a configuration. They must not be modified
 // after the Snapshot is in force.
 type Organizations struct {
-	byKey  map[digest]*Organization
+	byKey  map[Digest]*Organization
 	byName map[string]*Organization
 }
 
 // NewOrganizations returns a set without organizations.
 func NewOrganizations() *Organizations {
-	return &Organizations{byKey: make(map[digest]*Organization), byName: make(map[string]*Organization)}
+	return &Organizations{byKey: make(map[Digest]*Organization), byName: make(map[string]*Organization)}
 }
 
-// Add adds an organization with its keys. It returns false, and adds nothing, if the
-// name or a key is of another organization.
-func (o *Organizations) Add(organization *Organization, keys []string) bool {
+// Add adds an organization with the digests of its keys. It returns false, and adds
+// nothing, if the name or a key is of another organization.
+func (o *Organizations) Add(organization *Organization, keys []Digest) bool {
 	if _, known := o.byName[organization.Name]; known {
 		return false
 	}
 	for _, key := range keys {
-		if _, known := o.byKey[sha256.Sum256([]byte(key))]; known {
+		if _, known := o.byKey[key]; known {
 			return false
 		}
 	}
 	o.byName[organization.Name] = organization
 	for _, key := range keys {
-		o.byKey[sha256.Sum256([]byte(key))] = organization
+		o.byKey[key] = organization
 	}
 	return true
 }
 
 // Authenticate returns the organization that holds an API key, or nil.
 func (o *Organizations) Authenticate(key string) *Organization {
-	return o.byKey[sha256.Sum256([]byte(key))]
+	return o.byKey[DigestOf(key)]
 }
 
+// HasKey reports whether an organization holds the key with a digest.
+func (o *Organizations) HasKey(key Digest) bool { return o.byKey[key] != nil }
+
 // ByName returns the organization with a name, or nil.
 func (o *Organizations) ByName(name string) *Organization { return o.byName[name] }
 
