filters: authenticate organizations and apply their homes and priority

Cause: callers had no identity on the hosting platform. Change: after Match and before the body is read, the key selects the organization; both headers are removed from the request. Homes are those that the route and the organization permit, and an empty intersection is refused with 421. A forwarded request carries the organization's name, and the receiving instance applies its own configuration or answers 503. The 401 closes the connection of a request with a body: net/http would otherwise read a short body before it responds. route, queued and refused lines name the organization, the priority and the revision. Measured: go test ./filters passes and the new tests of ./hosted pass; they fail with the headers kept, with raw keys in the mirror, with the connection kept, and without the intersection.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -20,11 +20,13 @@
 
 // Request asks for one slot of a service.
 type Request struct {
-	Caller  string
-	Rank    catalog.Rank
-	Tokens  int       // estimated prompt and completion tokens; at least 1 is charged
-	Bytes   int64     // memory held while the request waits
-	StartBy time.Time // latest start time that still meets the target
+	Caller string
+	Rank   catalog.Rank
+	// Priority precedes the tokens of the callers in the order of a rank; 0 is the first.
+	Priority int
+	Tokens   int       // estimated prompt and completion tokens; at least 1 is charged
+	Bytes    int64     // memory held while the request waits
+	StartBy  time.Time // latest start time that still meets the target
 	// Duration is how long the request is expected to run. It is 0 if that is unknown, or if
 	// the request is not expected to end in time. Requests of a caller that run longer start
 	// earlier.
--- a/filters/admit.go
+++ b/filters/admit.go
@@ -84,11 +84,12 @@
 
 func (f Admit) acquireBy(x *Exchange, startBy time.Time) (*admission.Ticket, *admission.Refusal) {
 	return f.Queue.Acquire(x.Request.Context(), x.Service, admission.Request{
-		Caller:  x.Caller,
-		Rank:    x.Work.Rank,
-		Tokens:  x.TokenEstimate(),
-		Bytes:   int64(len(x.Body)),
-		StartBy: startBy, Duration: f.duration(x),
+		Caller:   x.Caller,
+		Rank:     x.Work.Rank,
+		Priority: x.Service.QueuePriority(&x.Work),
+		Tokens:   x.TokenEstimate(),
+		Bytes:    int64(len(x.Body)),
+		StartBy:  startBy, Duration: f.duration(x),
 	})
 }
 
--- a/filters/hop.go
+++ b/filters/hop.go
@@ -56,6 +56,9 @@
 	// nil, the headers are trusted without authentication, as in development and
 	// in package hosted.
 	Sender func(*http.Request) (instance, region string, err error)
+	// Organization applies the rules of organizations to the request, whose caller is one.
+	// It is nil if callers are not the organizations of the configuration.
+	Organization *Organization
 }
 
 // Name implements Filter.
@@ -96,6 +99,11 @@
 		x.Work.MaxServers = maxServers
 	}
 	x.Path = x.Request.RequestURI // as received: url.URL may encode it anew
+	if f.Organization != nil {
+		if err := f.Organization.accept(x); err != nil {
+			return err
+		}
+	}
 	return next(x)
 }
 
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -59,6 +59,8 @@
 	Attempts  int      `json:"attempts"`
 	Resumable bool     `json:"resumable"`
 	Homes     []string `json:"home-regions"`
+	Priority  int      `json:"priority,omitempty"`
+	Public    bool     `json:"public,omitempty"`
 }
 
 const host = "desk.example"
@@ -71,8 +73,13 @@
 
 // configure writes a configuration to the store.
 func (f *fleet) configure(version int, routes ...route) {
+	f.configureTenants(version, nil, routes...)
+}
+
+// configureTenants writes a configuration with organizations to the store.
+func (f *fleet) configureTenants(version int, tenants []tenant, routes ...route) {
 	data, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes,
+		"version": version, "routes": routes, "tenants": tenants,
 		"services": []any{
 			map[string]any{"name": "orders", "health-path": "/healthz"},
 			map[string]any{"name": "drafts", "health-path": "/healthz", "engine": map[string]any{"kv-capacity": 100000}},
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -73,6 +73,7 @@
 		i.overloadFilter(),
 		filters.Ready{Table: i.table},
 		filters.Match{Reader: callerProtocol},
+		i.organizationFilter(),
 		countRoute{i.usage},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
 		filters.RefuseParts{Known: i.partsKnown, Refuse: dispatcher.RefusePart},
@@ -83,11 +84,12 @@
 
 // peerChain returns the filter chain for requests that other instances forward.
 func (i *Instance) peerChain(callerProtocol platform.CallerProtocol, dispatcher *dispatch.Dispatcher) filters.Handler {
+	organization := i.organizationFilter()
 	return filters.Chain(
 		dispatcher.Handle,
 		i.overloadFilter(),
 		filters.Ready{Table: i.table},
-		filters.AcceptHop{Instance: i.settings.Instance, Region: i.settings.Region},
+		filters.AcceptHop{Instance: i.settings.Instance, Region: i.settings.Region, Organization: &organization},
 		filters.Describe{Reader: callerProtocol},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
 		filters.RefuseParts{Known: i.partsKnown, Refuse: dispatcher.RefusePart},
@@ -100,6 +102,10 @@
 	return filters.Overload{Guard: i.guard, Observer: i.admission, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout}
 }
 
+func (i *Instance) organizationFilter() filters.Organization {
+	return filters.Organization{KeyHeader: platform.KeyHeader, NameHeader: platform.TenantHeader, Observer: i.admission}
+}
+
 func (i *Instance) admitFilter() filters.Filter {
 	return filters.Admit{Queue: i.queue, CanServeLocally: i.canServeLocally, CanSpill: i.canSpill, StreamTime: i.streamTime, Observer: i.admission}
 }
--- a/telemetry/admission.go
+++ b/telemetry/admission.go
@@ -51,7 +51,7 @@
 	a.wait.Record(context.Background(), wait.Seconds(), metric.WithAttributes(
 		attribute.String("service", x.Service.Name), attribute.String("rank", x.Work.Rank.String())))
 	a.log.Info().Str("event", "queued").Str("request_id", x.ID).Str("service", x.Service.Name).
-		Str("rank", x.Work.Rank.String()).Str("caller", x.Caller).Dur("wait", wait).Msg("")
+		Str("rank", x.Work.Rank.String()).Str("caller", x.Caller).Int("priority", x.Work.Priority).Dur("wait", wait).Msg("")
 }
 
 // Refused implements filters.AdmissionObserver.
@@ -70,9 +70,13 @@
 // refused counts a refusal and returns its log line.
 func (a *AdmissionObserver) refused(x *filters.Exchange, filter, reason string, refusal *outcome.Error) *log.Entry {
 	service, rank := a.countRefusal(x, filter, reason, refusal)
+	revision := uint64(0) // before the request is assigned a configuration
+	if x.Snapshot != nil {
+		revision = x.Snapshot.Revision
+	}
 	return a.log.Info().Str("event", "refused").Str("request_id", x.ID).Str("service", service).Str("rank", rank).
 		Str("caller", x.Caller).Str("filter", filter).Str("reason", reason).Str("code", string(refusal.Code)).
-		Str("outcome", refusal.Outcome.String()).Dur("retry_after", refusal.RetryAfter)
+		Str("outcome", refusal.Outcome.String()).Dur("retry_after", refusal.RetryAfter).Uint64("revision", revision)
 }
 
 func (a *AdmissionObserver) countRefusal(x *filters.Exchange, filter, reason string, refusal *outcome.Error) (service, rank string) {
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -86,6 +86,7 @@
 	}
 	o.Log.Info().Str("event", "route").Str("request_id", x.ID).Int("attempt", attempt).
 		Str("service", x.Service.Name).Str("rank", x.Work.Rank.String()).Uint64("revision", x.Snapshot.Revision).
+		Str("caller", x.Caller).Int("priority", x.Work.Priority).
 		Str("reason", string(d.Reason)).Str("server", server).Str("region", d.Region).
 		Int("candidates", d.Candidates).Dur("cost", d.Cost).Dur("local_cost", d.LocalCost).
 		Dur("wait", d.Wait).Int("cached_tokens", d.CachedTokens).Str("fetch_from", source).Str("spill", string(d.Spill)).
