filters: refused callers that will be late anyway return spread over their time

Cause: after a crash or a burst all refused callers returned after 1 to 1.5 s and were refused again; the one retry of a caller was used up where there was no more room than before. Change: a caller that misses its target even if it returns at once is told a time up to 0.3 of what is left; others as before.

--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -71,6 +71,7 @@
 	return filters.Chain(
 		dispatcher.Handle,
 		i.overloadFilter(),
+		filters.SpreadReturn{},
 		filters.Ready{Table: i.table},
 		filters.Match{Reader: callerProtocol},
 		i.organizationFilter(),
