dispatch: a response whose status is not 200 to 599 is a failed attempt

net/http accepts every status of three digits. 000, 001 and 099 from a backend server made the handler panic with "invalid WriteHeader code", so that the caller got a closed connection; 101, 600 and 999 reached the caller.

Such a response now fails the attempt, from a backend server and from another instance: nothing else in it is believed, its connection is not used again, and the request is repeated where its kind allows it and otherwise answered with 502.

TestBadStatusIsFailedAttempt failed before and passes now for all six statuses, with and without a body, here and over a hop. TestUnaskedInterimResponsesAreSkipped passed before; it keeps 1xx responses other than 101 from taking the place of the response.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -227,6 +227,10 @@
 	}
 	w.onHeader(resp)
 	defer resp.Body.Close()
+	if failure := gate.rejectStatus(resp, server.ID); failure != nil {
+		w.serverError = true
+		return failure
+	}
 	attempt.FirstOnConnection = gate.first.Load()
 	info := d.protocol().ReadResponse(attempt, resp)
 	w.recordWithdrawal(&info, resp.StatusCode)
@@ -298,11 +302,15 @@
 	callerResponse.SetResume(req.Header)
 	ack := newAckTimer(cancel)
 	defer ack.stop()
-	resp, failure := d.send(req.WithContext(ack.withTrace(ctx)), newGate(ctx, nil))
+	gate := newGate(ctx, nil)
+	resp, failure := d.send(req.WithContext(ack.withTrace(ctx)), gate)
 	if failure != nil {
 		return ack.classify(failure), false
 	}
 	defer resp.Body.Close()
+	if failure := gate.rejectStatus(resp, "region "+region); failure != nil {
+		return failure, true
+	}
 	if o := outcome.Parse(resp.Header.Get(outcome.Header)); o != outcome.Unknown && o != outcome.Served {
 		return peerError(resp, o), true
 	}
