gateway: answer a request whose handling panics

net/http closes the connection after a panic, so that the caller got no answer.

The handler now answers with 500 if nothing was sent yet, without the header of the response that was given up, and resets the connection otherwise. The request ends in the observer as any other; fuchsia.panics counts panics and one log line has the stack.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,10 +3,14 @@
 package gateway
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
@@ -16,6 +20,9 @@
 	// Begin is called when a request arrives. The returned function is called
 	// when the request has ended, with its error or nil.
 	Begin(x *filters.Exchange) (end func(err *outcome.Error))
+	// Panicked is called when the chain has panicked with cause. started reports
+	// whether the response had begun, so that its connection is reset.
+	Panicked(x *filters.Exchange, cause any, stack []byte, started bool)
 }
 
 // Codec defines how request ids are read and how errors are encoded.
@@ -60,9 +67,9 @@
 	if codec == nil {
 		codec = defaultCodec{}
 	}
-	x := &filters.Exchange{Writer: w, Request: r, ID: codec.RequestID(r), Received: time.Now()}
+	x := &filters.Exchange{Writer: &startWriter{ResponseWriter: w}, Request: r, ID: codec.RequestID(r), Received: time.Now()}
 	end := h.Observer.Begin(x)
-	err := h.Chain(x)
+	err := h.runChain(x)
 	if err != nil && !x.Started {
 		if err.Status == 0 {
 			err.Status = http.StatusInternalServerError
@@ -76,6 +83,59 @@
 	}
 }
 
+// startWriter records whether the response has been started.
+type startWriter struct {
+	http.ResponseWriter
+	started bool
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *startWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter. An invalid status panics and starts nothing.
+func (w *startWriter) WriteHeader(status int) {
+	w.ResponseWriter.WriteHeader(status)
+	w.started = w.started || status >= http.StatusOK
+}
+
+// Write implements http.ResponseWriter.
+func (w *startWriter) Write(p []byte) (int, error) {
+	w.started = true
+	return w.ResponseWriter.Write(p)
+}
+
+// errPanicked is the cause of a request whose handling panicked.
+var errPanicked = errors.New("panic while the request was handled")
+
+// runChain runs the chain. A panic becomes an error: net/http would close the connection
+// without a response.
+func (h *Handler) runChain(x *filters.Exchange) (err *outcome.Error) {
+	writer := x.Writer.(*startWriter)
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if cause == http.ErrAbortHandler {
+			panic(cause)
+		}
+		h.Observer.Panicked(x, cause, debug.Stack(), writer.started)
+		err = outcome.Fail(outcome.CodeInternal, errPanicked, "internal error")
+		err.Status = http.StatusInternalServerError
+		x.Writer, x.Started, x.ResetRequired = writer, writer.started, writer.started
+		if !writer.started {
+			discardHeader(writer.Header())
+		}
+	}()
+	return h.Chain(x)
+}
+
+// discardHeader deletes the header of a response that is replaced, except for what
+// applies to the connection.
+func discardHeader(header http.Header) {
+	maps.DeleteFunc(header, func(name string, _ []string) bool { return name != "Connection" })
+}
+
 // resetUnframed resets the connection if only its end shows the end of the response.
 // A regular end, as after a panic, would make the response look complete.
 func resetUnframed(w http.ResponseWriter, r *http.Request) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -23,6 +23,8 @@
 
 func (nopObserver) Begin(*filters.Exchange) func(*outcome.Error) { return func(*outcome.Error) {} }
 
+func (nopObserver) Panicked(*filters.Exchange, any, []byte, bool) {}
+
 // TestAbortedResponseLooksIncomplete guards against a response that fails after its
 // start and ends like a complete one, for callers of every version of HTTP/1.
 func TestAbortedResponseLooksIncomplete(t *testing.T) {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -35,6 +35,7 @@
 	firstByte metric.Float64Histogram
 	inFlight  metric.Int64UpDownCounter
 	rejected  metric.Int64Counter
+	panics    metric.Int64Counter
 	routing   routingMetrics
 }
 
@@ -52,7 +53,7 @@
 		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		provider: provider,
 	}
-	var errs [8]error
+	var errs [9]error
 	m.requests, errs[0] = meter.Int64Counter("fuchsia.requests", metric.WithDescription("Requests by service, rank and outcome."))
 	m.attempts, errs[1] = meter.Int64Counter("fuchsia.attempts", metric.WithDescription("Attempts at backend servers and regions by outcome."))
 	m.forwarded, errs[2] = meter.Int64Counter("fuchsia.sent_elsewhere", metric.WithDescription("Requests sent to another region."))
@@ -64,6 +65,7 @@
 	m.discarded, errs[6] = meter.Int64Counter("fuchsia.responses_discarded", metric.WithDescription("Responses of backend servers that may belong to another attempt."))
 	m.rejected, errs[7] = meter.Int64Counter("fuchsia.rejected_entries",
 		metric.WithDescription("Entries and configurations that cannot be used, by kind."))
+	m.panics, errs[8] = meter.Int64Counter("fuchsia.panics", metric.WithDescription("Panics while a request was handled."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Wrap(err, "create request instrument")
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/phuslu/log"
@@ -34,6 +35,15 @@
 	}
 }
 
+// maxPanicText limits the text of a panic in a log line.
+const maxPanicText = 200
+
+// Panicked implements gateway.Observer.
+func (o *Observer) Panicked(x *filters.Exchange, cause any, stack []byte, started bool) {
+	o.Metrics.panics.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("started", started)))
+	o.Log.Error().Str("event", "panic").Str("request_id", x.ID).Bool("started", started).Str("cause", fmt.Sprintf("%.*s", maxPanicText, fmt.Sprint(cause))).Bytes("stack", stack).Msg("")
+}
+
 func (o *Observer) recordEnd(x *filters.Exchange, err *outcome.Error) {
 	elapsed := time.Since(x.Received)
 	result, code := outcome.Served, outcome.Code("")
