dispatch: an answer without a length is incomplete if it ends before its request is written

If a server resets the connection while the request is still being written, the write may receive the error of the socket. A read then reports a regular end, and the caller got the part of a 200 without a length as the whole answer.

The end of such an answer now counts only if the transport has reported that the whole request was written; it waits at most 250 ms for the report.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -397,7 +397,7 @@
 	w.gotHeader = true
 	w.success = resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	w.serverError = resp.StatusCode >= http.StatusInternalServerError
-	w.unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && w.loop.x.Request.Method != http.MethodHead
+	w.unframed = isUnframed(resp) && w.loop.x.Request.Method != http.MethodHead
 	w.stopStallTimer()
 	resp.Body = &watchedBody{ReadCloser: resp.Body, watcher: w}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -395,6 +395,7 @@
 func (d *Dispatcher) send(req *http.Request, gate *gate) (*http.Response, *outcome.Error) {
 	resp, err := d.Transport.RoundTrip(req.WithContext(gate.withTrace(req.Context())))
 	if err == nil && !gate.rejectEarly() {
+		guardUnframed(req, resp, &gate.write)
 		return resp, nil
 	}
 	if err == nil {
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -81,6 +81,7 @@
 	sent     atomic.Bool
 	first    atomic.Bool                 // the attempt is the first one on the owner
 	obtained atomic.Pointer[guardedConn] // the connection that the transport obtained last
+	write    requestWrite
 }
 
 // closedGate is the owner of a gate that rejects all writes.
@@ -94,10 +95,11 @@
 }
 
 func (g *gate) withTrace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: g.gotConn})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: g.gotConn, WroteRequest: g.write.end})
 }
 
 func (g *gate) gotConn(info httptrace.GotConnInfo) {
+	g.write.begin()
 	conn := info.Conn
 	if tlsConn, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = tlsConn.NetConn()
