store: revisions have a meaning only together with the era of the store

A store that returns from an older copy assigns revisions and leases again. Copies that compare revisions alone then ignore its data, and a lease or condition may name the lease or revision of another instance.

Entries, pages, changes, leases and conditions carry the era; mirrors, relays, the roster and the table of servers order by era and revision, and list the keys again in a new era. Missing evacuations and server entries are kept for a while, removed ones do not come back, presence is written again over 1.5 s, and no lease is acquired until those of the earlier era have ended. Messages between instances have the era as a new field that is absent for era 0.

--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -158,7 +158,7 @@
 // loopback address, so that outgoing connections do not take its ports.
 func (f *fleet) settings(region string) *platform.Settings {
 	number := instanceCount.Add(1)
-	ip := fmt.Sprintf("127.0.1.%d", number)
+	ip := fmt.Sprintf("127.0.%d.%d", 1+number/250, 1+number%250)
 	var listeners []net.Listener // open until all ports are chosen, so that they differ
 	defer func() {
 		for _, l := range listeners {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -181,11 +181,12 @@
 		// The other half of the bound is left for detecting an unresponsive
 		// connection and reading again.
 		Wait:  settings.Bounds.ConfigDelay / 2,
-		Peers: i.mirrorPeers, Changed: i.applyChanges, Observer: storeLog{logger},
+		Peers: i.mirrorPeers, Changed: i.applyChanges, Observer: storeLog{i},
 		Relay: i.storeRelay,
 	}
 	i.roster.StoreOutage = i.mirror.Outage
 	i.serverLeases = newServerLeases(i)
+	i.store.NewEra = i.applyEra
 	i.router = i.newRouter()
 	i.exchanger = newExchanger(i)
 	return i, nil
@@ -222,7 +223,7 @@
 	default:
 		return false
 	}
-	return !i.draining.Load() && i.table.Current() != nil && i.mirror.Revision() > 0
+	return !i.draining.Load() && i.table.Current() != nil && !i.mirror.Revision().IsZero()
 }
 
 // httpServers are the servers that drain shuts down: those for callers first,
--- a/hosted/observers.go
+++ b/hosted/observers.go
@@ -3,23 +3,33 @@
 import (
 	"time"
 
-	"github.com/phuslu/log"
-
+	"github.com/fuchsiastack/fuchsiastack/mirror"
 	"github.com/fuchsiastack/fuchsiastack/roster"
+	"github.com/fuchsiastack/fuchsiastack/store"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
 // storeLog logs when the store becomes unreachable and when it is reachable again.
-type storeLog struct{ log *log.Logger }
+type storeLog struct{ instance *Instance }
 
 // SourceLost implements mirror.Observer.
 func (l storeLog) SourceLost(err error) {
-	l.log.Warn().Str("event", "store_lost").Err(err).Msg("")
+	l.instance.log.Warn().Str("event", "store_lost").Err(err).Msg("")
 }
 
 // SourceRecovered implements mirror.Observer.
-func (l storeLog) SourceRecovered(revision uint64, outage time.Duration) {
-	l.log.Info().Str("event", "store_back").Uint64("store_revision", revision).Dur("away", outage).Msg("")
+func (l storeLog) SourceRecovered(revision store.Revision, outage time.Duration) {
+	l.instance.log.Info().Str("event", "store_back").Str("store_revision", revision.String()).Dur("away", outage).Msg("")
+}
+
+// EraChanged implements mirror.Observer.
+func (l storeLog) EraChanged(change mirror.EraChange) {
+	// A peer may have been the first to name the era.
+	l.instance.store.LearnEra(change.To.Era)
+	if change.From.IsZero() {
+		return // nothing of an earlier era was known
+	}
+	l.instance.observer.StoreEraChanged(change.From, change.To, change.Dropped, change.Kept)
 }
 
 // rosterLog logs instances that appear or disappear, failed registrations and
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -24,6 +24,7 @@
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/routing"
+	"github.com/fuchsiastack/fuchsiastack/store"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
@@ -269,9 +270,9 @@
 	var peers []mirror.Peer
 	for _, addr := range addrs {
 		if addr != i.settings.PeerAddr {
-			peers = append(peers, func(ctx context.Context, since uint64) (mirror.Update, error) {
+			peers = append(peers, func(ctx context.Context, since store.Revision) (mirror.Update, error) {
 				var response changesResponse
-				err := i.queryPeer(ctx, peerQuery{addr, changesPath, url.Values{"since": {strconv.FormatUint(since, 10)}}, remoteStallTimeout}, &response)
+				err := i.queryPeer(ctx, peerQuery{addr, changesPath, sinceQuery(since), remoteStallTimeout}, &response)
 				return response.update(), err
 			})
 		}
--- a/hosted/publishcold_test.go
+++ b/hosted/publishcold_test.go
@@ -40,7 +40,7 @@
 
 func newServersWithCold(count int) *servers {
 	i := &Instance{registry: backend.NewRegistry()}
-	s := &servers{instance: i, local: make(map[string]*serverEntry), evacuated: make(map[string]bool), missingGrace: time.Second}
+	s := &servers{instance: i, local: make(map[string]*serverEntry), evacuated: make(map[string]evacuation), missingGrace: time.Second}
 	for n := range count {
 		info := backend.Info{ID: fmt.Sprintf("i-%d", n), Service: "cold", State: backend.StateLive, Addr: fmt.Sprintf("10.0.0.1:%d", n)}
 		s.local[info.ID] = &serverEntry{Server: platform.Server{Info: info, WarmupLeft: time.Minute}}
--- a/hosted/relay.go
+++ b/hosted/relay.go
@@ -33,23 +33,24 @@
 type changesResponse struct {
 	Changes  []store.Change     `json:"changes"`
 	Revision uint64             `json:"revision"`
+	Era      uint64             `json:"era,omitempty"` // of Revision
 	Full     bool               `json:"full,omitempty"`
 	Status   mirror.RelayStatus `json:"status,omitempty"` // set if the query waits for a change
 }
 
 func newChangesResponse(update mirror.Update, status mirror.RelayStatus) changesResponse {
-	return changesResponse{update.Changes, update.Revision, update.Full, status}
+	return changesResponse{update.Changes, update.Revision.Number, update.Revision.Era, update.Full, status}
 }
 
 func (r changesResponse) update() mirror.Update {
-	return mirror.Update{Changes: r.Changes, Revision: r.Revision, Full: r.Full}
+	return mirror.Update{Changes: r.Changes, Revision: store.Revision{Era: r.Era, Number: r.Revision}, Full: r.Full}
 }
 
 // serveChanges responds with the changes of the store after the revision "since". With
 // "wait-ms" it waits for a change, as long as this instance follows the store.
 func (i *Instance) serveChanges(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	since, err := strconv.ParseUint(query.Get("since"), 10, 64)
+	since, err := parseSince(query)
 	if err != nil {
 		http.Error(w, "since: want a revision", http.StatusBadRequest)
 		return
@@ -75,6 +76,27 @@
 	i.writeJSON(w, newChangesResponse(update, status))
 }
 
+// sinceQuery returns the parameters of a query for changes after a revision. The era is
+// left out while it is 0.
+func sinceQuery(since store.Revision) url.Values {
+	params := url.Values{"since": {strconv.FormatUint(since.Number, 10)}}
+	if since.Era > 0 {
+		params.Set("era", strconv.FormatUint(since.Era, 10))
+	}
+	return params
+}
+
+// parseSince is the inverse of sinceQuery.
+func parseSince(params url.Values) (since store.Revision, err error) {
+	if since.Number, err = strconv.ParseUint(params.Get("since"), 10, 64); err != nil {
+		return since, err
+	}
+	if text := params.Get("era"); text != "" {
+		since.Era, err = strconv.ParseUint(text, 10, 64)
+	}
+	return since, err
+}
+
 // updateSize returns about the encoded size of an update.
 func updateSize(update mirror.Update) int {
 	const changeBytes = 100
@@ -108,13 +130,13 @@
 	if !found || watcher.ID == i.settings.Instance {
 		return nil
 	}
-	return func(ctx context.Context, since uint64, wait time.Duration) (mirror.Update, mirror.RelayStatus, error) {
+	return func(ctx context.Context, since store.Revision, wait time.Duration) (mirror.Update, mirror.RelayStatus, error) {
 		var response changesResponse
-		err := i.queryPeer(ctx, peerQuery{watcher.PeerAddr, changesPath, url.Values{
-			"since": {strconv.FormatUint(since, 10)}, "wait-ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
-		}, wait + relayStallTimeout}, &response)
+		params := sinceQuery(since)
+		params.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
+		err := i.queryPeer(ctx, peerQuery{watcher.PeerAddr, changesPath, params, wait + relayStallTimeout}, &response)
 		if failed := err != nil || response.Status != mirror.RelayCurrent && response.Status != mirror.RelayBehind; failed && ctx.Err() == nil {
-			i.log.Info().Str("event", "relay_failed").Str("peer", watcher.ID).Uint64("store_revision", since).
+			i.log.Info().Str("event", "relay_failed").Str("peer", watcher.ID).Str("store_revision", since.String()).
 				Str("status", string(response.Status)).Err(err).Msg("")
 		}
 		return response.update(), response.Status, err
--- a/hosted/relay_test.go
+++ b/hosted/relay_test.go
@@ -101,7 +101,7 @@
 	n := f.start(f.settings("cairo"))
 	budget := int(n.settings.LinkRate * relayLinkFraction)
 	// An instance is ready once it has the configuration, before it has all entries.
-	f.eventually("listing complete", func() bool { return n.mirror.Revision() > 0 })
+	f.eventually("listing complete", func() bool { return !n.mirror.Revision().IsZero() })
 	since := n.mirror.Revision()
 	f.store.Put(platform.ServerPrefix+"i-large", strings.Repeat("x", budget/4))
 	f.eventually("large entry known", func() bool { _, known := n.mirror.Get(platform.ServerPrefix + "i-large"); return known })
@@ -109,7 +109,7 @@
 	for range 20 {
 		var response changesResponse
 		err := n.queryPeer(t.Context(), peerQuery{n.settings.PeerAddr, changesPath, url.Values{
-			"since": {strconv.FormatUint(since, 10)}, "wait-ms": {"1000"},
+			"since": {strconv.FormatUint(since.Number, 10)}, "wait-ms": {"1000"},
 		}, waitTimeout}, &response)
 		f.Assert(err, qt.IsNil)
 		if len(response.Changes) == 0 {
--- a/hosted/retryshare_test.go
+++ b/hosted/retryshare_test.go
@@ -31,7 +31,7 @@
 		c.Assert(err, qt.IsNil)
 		changes = append(changes, store.Change{Entry: store.Entry{Key: instanceKeyPrefix + other.roster.Self.ID, Value: value, Version: revision}})
 	}
-	i.mirror.Apply(changes, revision)
+	i.mirror.Apply(changes, store.Revision{Number: revision})
 }
 
 // retryAll makes requests of which every attempt fails, and returns the number of retries.
--- a/hosted/state.go
+++ b/hosted/state.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/roster"
+	"github.com/fuchsiastack/fuchsiastack/store"
 	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
@@ -83,7 +84,11 @@
 	if i.table.Advance(snapshot) {
 		i.usage.setRoutes(snapshot)
 		i.log.Info().Str("event", "config_in_force").Uint64("revision", snapshot.Revision).
-			Uint64("store_revision", entry.Version).Int("services", len(snapshot.Services)).Msg("")
+			Str("store_revision", entry.Revision().String()).Int("services", len(snapshot.Services)).Msg("")
+	} else if current := i.revision(); snapshot.Revision < current {
+		// The store has returned from a copy that is older than this configuration.
+		i.log.Warn().Str("event", "config_not_taken").Uint64("revision", snapshot.Revision).Uint64("in_force", current).
+			Str("store_revision", entry.Revision().String()).Msg("")
 	}
 }
 
@@ -94,22 +99,24 @@
 	missingGrace time.Duration // how long a server is used after its entry was removed
 
 	mu        sync.Mutex
-	local     map[string]*serverEntry // of this region
-	remote    map[string]*serverEntry // of other regions, for fetches from their caches
-	rejected  map[string]uint64       // revisions of the entries that cannot be used
-	evacuated map[string]bool         // availability zones
+	local     map[string]*serverEntry   // of this region
+	remote    map[string]*serverEntry   // of other regions, for fetches from their caches
+	rejected  map[string]store.Revision // revisions of the entries that cannot be used
+	evacuated map[string]evacuation     // by availability zone
+	removed   map[string]removedEntry   // entries that must not come back, by key
 }
 
 type serverEntry struct {
 	platform.Server
-	version uint64    // of the entry
-	missing time.Time // when the entry was found to be missing; zero if it exists
+	revision store.Revision // of the entry
+	value    []byte         // of the entry
+	missing  time.Time      // when the entry was found to be missing; zero if it exists
 }
 
 func newServers(i *Instance) *servers {
 	return &servers{
 		instance: i, local: make(map[string]*serverEntry), remote: make(map[string]*serverEntry),
-		rejected: make(map[string]uint64), evacuated: make(map[string]bool),
+		rejected: make(map[string]store.Revision), evacuated: make(map[string]evacuation), removed: make(map[string]removedEntry),
 		missingGrace: min(maxMissingTime, i.settings.Bounds.DrainDelay/2),
 	}
 }
@@ -122,42 +129,49 @@
 	listed := make(map[string]bool)
 	for _, e := range s.instance.mirror.ByPrefix(platform.ServerPrefix) {
 		listed[e.Key] = true
-		if entry := s.local[e.Key]; entry != nil && entry.version == e.Version {
-			entry.missing = time.Time{}
+		if s.isRemoved(now, e) {
+			delete(listed, e.Key)
 			continue
 		}
-		if entry := s.remote[e.Key]; entry != nil && entry.version == e.Version {
+		if entry := s.local[e.Key]; entry != nil && entry.covers(e) {
+			entry.revision, entry.missing = e.Revision(), time.Time{}
 			continue
 		}
-		if version, rejected := s.rejected[e.Key]; rejected && version == e.Version {
+		if entry := s.remote[e.Key]; entry != nil && entry.covers(e) {
+			entry.revision = e.Revision()
 			continue
 		}
-		s.addEntry(e.Key, e.Value, e.Version)
+		if revision, rejected := s.rejected[e.Key]; rejected && revision == e.Revision() {
+			continue
+		}
+		s.addEntry(e)
 	}
 	for key, entry := range s.local {
 		if !listed[key] && entry.missing.IsZero() {
 			entry.missing = now
 			s.logState(entry, "missing")
+			s.remember(now, key, entry)
 		}
 	}
 	maps.DeleteFunc(s.remote, func(key string, _ *serverEntry) bool { return !listed[key] })
-	maps.DeleteFunc(s.rejected, func(key string, _ uint64) bool { return !listed[key] })
+	maps.DeleteFunc(s.rejected, func(key string, _ store.Revision) bool { return !listed[key] })
 	s.updateEvacuations(now)
 	s.publish(now)
 	s.publishRemote()
 }
 
-func (s *servers) addEntry(key string, value []byte, version uint64) {
-	server, err := platform.DecodeServer(key, value, s.instance.settings.Regions)
+func (s *servers) addEntry(e store.Entry) {
+	key := e.Key
+	server, err := platform.DecodeServer(key, e.Value, s.instance.settings.Regions)
 	if err != nil {
-		s.instance.observer.EntryRejected(telemetry.ServerEntry, key, version, err)
-		s.rejected[key] = version
+		s.instance.observer.EntryRejected(telemetry.ServerEntry, key, e.Version, err)
+		s.rejected[key] = e.Revision()
 		delete(s.local, key)
 		delete(s.remote, key)
 		return
 	}
 	delete(s.rejected, key)
-	entry := &serverEntry{Server: *server, version: version}
+	entry := &serverEntry{Server: *server, revision: e.Revision(), value: e.Value}
 	if server.Region != s.instance.settings.Region {
 		delete(s.local, key)
 		s.remote[key] = entry
@@ -170,24 +184,28 @@
 
 func (s *servers) logState(entry *serverEntry, state string) {
 	s.instance.log.Info().Str("event", "server").Str("server", entry.ID).Str("service", entry.Service).Str("addr", entry.Addr).
-		Str("state", state).Uint64("store_revision", entry.version).Dur("warmup_left", entry.WarmupLeft).Msg("")
+		Str("state", state).Str("store_revision", entry.revision.String()).Dur("warmup_left", entry.WarmupLeft).Msg("")
 }
 
 // updateEvacuations updates the set of evacuated zones. When the evacuation of a
 // zone ends, its servers are marked cold, as their caches may be cold.
 func (s *servers) updateEvacuations(now time.Time) {
-	zones := make(map[string]bool)
+	zones := make(map[string]evacuation)
 	for _, e := range s.instance.mirror.ByPrefix(platform.EvacuatePrefix) {
-		zones[strings.TrimPrefix(e.Key, platform.EvacuatePrefix)] = true
+		zones[strings.TrimPrefix(e.Key, platform.EvacuatePrefix)] = evacuation{revision: e.Revision()}
 	}
-	for zone := range s.evacuated {
-		if !zones[zone] {
+	for zone, known := range s.evacuated {
+		if _, listed := zones[zone]; !listed && s.lostWithEra(now, zone, &known) {
+			zones[zone] = known
+			continue
+		}
+		if _, listed := zones[zone]; !listed {
 			s.instance.log.Info().Str("event", "zone_back").Str("zone", zone).Msg("")
 			s.markCold(now, zone)
 		}
 	}
 	for zone := range zones {
-		if !s.evacuated[zone] {
+		if _, known := s.evacuated[zone]; !known {
 			s.instance.log.Info().Str("event", "zone_evacuated").Str("zone", zone).Msg("")
 		}
 	}
@@ -220,7 +238,7 @@
 			continue
 		}
 		info := entry.Info
-		if s.evacuated[entry.Zone] {
+		if _, evacuated := s.evacuated[entry.Zone]; evacuated {
 			info.State = backend.StateDraining
 		}
 		list = append(list, info)
@@ -242,7 +260,7 @@
 func (s *servers) publishRemote() {
 	var list []backend.Info
 	for _, entry := range s.remote {
-		if entry.State == backend.StateLive && !s.evacuated[entry.Zone] {
+		if _, evacuated := s.evacuated[entry.Zone]; entry.State == backend.StateLive && !evacuated {
 			list = append(list, entry.Info)
 		}
 	}
@@ -254,6 +272,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if s.evacuationEnds(now) {
+		s.updateEvacuations(now)
+		s.publish(now)
+		s.publishRemote()
+		return
+	}
 	for _, entry := range s.local {
 		if !entry.missing.IsZero() && now.Sub(entry.missing) >= s.missingGrace {
 			s.publish(now)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -62,6 +62,8 @@
 	mu               sync.Mutex
 	session          *session
 	sessionRequested time.Time     // last call of Acquire that found no valid session
+	era              uint64        // of the store, as last learned
+	held             expiry        // no session is opened before; see EnterEra
 	wake             chan struct{} // signals Run that a session is needed
 }
 
@@ -89,8 +91,11 @@
 type Lease struct {
 	// Key is the key in the store.
 	Key string
-	// Fence is the fencing number. It is higher for each later holder of the key.
+	// Fence is the fencing number. It is higher for each later holder of the key in the
+	// same era of the store.
 	Fence uint64
+	// Era is the era of the store in which Fence was assigned.
+	Era uint64
 
 	keeper   *Keeper
 	session  *session
@@ -132,7 +137,9 @@
 	defer cancel()
 	sentAt := time.Now()
 	if current == nil {
-		k.openSession(callCtx, sentAt)
+		if !k.waitsForEra() {
+			k.openSession(callCtx, sentAt)
+		}
 		return
 	}
 	err := k.store.KeepAlive(callCtx, current.id)
@@ -141,7 +148,9 @@
 		k.extendSession(current, sentAt)
 	case errors.Is(err, store.ErrNotFound):
 		k.endSession(current)
-		k.openSession(callCtx, sentAt)
+		if !k.waitsForEra() {
+			k.openSession(callCtx, sentAt)
+		}
 	}
 }
 
@@ -184,12 +193,18 @@
 }
 
 func (k *Keeper) openSession(ctx context.Context, sentAt time.Time) {
+	k.mu.Lock()
+	era := k.era
+	k.mu.Unlock()
 	id, err := k.store.Grant(ctx, k.config.TTL)
 	if err != nil {
 		return // Run retries at the next tick; a session whose response was lost expires
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.era != era {
+		return // the session may be of the earlier era
+	}
 	k.session = &session{id: id, value: []byte(uuid.NewString()), expires: k.sessionExpiry(sentAt), leases: make(map[*Lease]bool)}
 }
 
@@ -263,16 +278,16 @@
 	if !bytes.Equal(entry.Value, current.value) {
 		return nil, errors.Wrap(ErrHeld, key)
 	}
-	return k.addLease(current, key, entry.Version)
+	return k.addLease(current, key, entry)
 }
 
-func (k *Keeper) addLease(s *session, key string, fence uint64) (*Lease, error) {
+func (k *Keeper) addLease(s *session, key string, entry store.Entry) (*Lease, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if s.ended {
 		return nil, ErrNoSession
 	}
-	l := &Lease{Key: key, Fence: fence, keeper: k, session: s, lost: make(chan struct{})}
+	l := &Lease{Key: key, Fence: entry.Version, Era: entry.Era, keeper: k, session: s, lost: make(chan struct{})}
 	s.leases[l] = true
 	return l, nil
 }
@@ -289,7 +304,7 @@
 	delete(l.session.leases, l)
 	k.mu.Unlock()
 	return k.store.Txn(ctx, []store.Op{
-		{Kind: store.OpCheck, Key: l.Key, Version: l.Fence},
+		{Kind: store.OpCheck, Key: l.Key, Version: l.Fence, Era: l.Era},
 		{Kind: store.OpDelete, Key: l.Key},
 	})
 }
--- a/lease/suspended_test.go
+++ b/lease/suspended_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/store"
 )
 
 // TestSuspendedHolder guards against a holder that acts on a lease which has run out while
@@ -15,7 +17,7 @@
 	k := NewKeeper(nil, DefaultConfig)
 	s := &session{expires: k.sessionExpiry(time.Now()), leases: make(map[*Lease]bool)}
 	k.session = s
-	l, err := k.addLease(s, "fuchsia/orders/cairo/desk", 1)
+	l, err := k.addLease(s, "fuchsia/orders/cairo/desk", store.Entry{Version: 1})
 	c.Assert(err, qt.IsNil)
 	c.Check(l.Valid(), qt.IsTrue)
 	s.expires.wall = s.expires.wall.Add(-DefaultConfig.TTL) // as if the wall clock had moved on by as much
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -2,8 +2,10 @@
 // key-value service. A few instances follow the service itself and relay its changes
 // to the others, which return to the service when their relay fails. While the service
 // is unavailable, a copy applies changes fetched from the copies of other instances.
-// All changes are ordered by revision: a key is never set back to an older
-// revision, whatever the source of a change.
+// All changes are ordered by era and revision: a key is never set back to an older
+// revision, whatever the source of a change. In a new era, in which the service has
+// returned from an older copy, the keys are listed again; until that is complete, the
+// entries of the earlier era are kept.
 package mirror
 
 import (
@@ -38,12 +40,12 @@
 
 // Peer fetches from another instance the changes after a revision. It aborts early
 // if no response data arrives.
-type Peer func(ctx context.Context, since uint64) (Update, error)
+type Peer func(ctx context.Context, since store.Revision) (Update, error)
 
 // Update holds the changes of a copy after a revision.
 type Update struct {
 	Changes  []store.Change
-	Revision uint64 // the changes are complete up to it
+	Revision store.Revision // the changes are complete up to it
 	// Full means that Changes are all entries of the copy, because it does not know
 	// all removals after the requested revision. A key that is missing was removed.
 	Full bool
@@ -56,7 +58,9 @@
 	SourceLost(err error)
 	// SourceRecovered is called with the revision up to which the copy is complete,
 	// and with the duration of the outage.
-	SourceRecovered(revision uint64, outage time.Duration)
+	SourceRecovered(revision store.Revision, outage time.Duration)
+	// EraChanged is called when the copy has the entries of a later era.
+	EraChanged(change EraChange)
 }
 
 // Mirror is a copy of the entries below some key prefixes. Its methods are safe
@@ -80,11 +84,13 @@
 
 	mu         sync.Mutex
 	entries    map[string]store.Entry
-	tombstones map[string]uint64 // revision of the removal by key
-	revision   uint64            // all changes up to it have been applied
+	tombstones map[string]store.Revision // of the removal by key
+	revision   store.Revision            // all changes up to it have been applied
+	knownEra   uint64                    // highest era that is known; that of revision, or a later one
+	relist     context.CancelFunc        // ends the call in progress, so that the keys are listed again; nil for none
 	// completeSince is the revision after which all removals are known. Earlier ones
 	// are missing from tombstones if the copy began, or was listed anew, after them.
-	completeSince uint64
+	completeSince store.Revision
 	outageStart   time.Time     // when the service became unavailable; zero: it is available
 	confirmedAt   time.Time     // when the service itself confirmed the copy; zero: it is not followed
 	advanced      chan struct{} // closed when revision or confirmedAt changes; nil if nobody waits
@@ -94,6 +100,9 @@
 func (m *Mirror) Run(ctx context.Context) {
 	var directUntil time.Time
 	for listed := false; ctx.Err() == nil; {
+		if m.behindEra() {
+			listed = false
+		}
 		if relay := m.relay(); listed && relay != nil && !time.Now().Before(directUntil) {
 			switch m.followRelay(ctx, relay) {
 			case RelayCurrent:
@@ -109,7 +118,7 @@
 			m.sourceAvailable()
 			continue
 		}
-		if errors.Is(err, store.ErrCompacted) {
+		if errors.Is(err, store.ErrCompacted) || m.behindEra() && errors.Is(err, context.Canceled) {
 			listed = false
 			continue
 		}
@@ -126,16 +135,26 @@
 // step lists all keys if *listed is false, and waits for changes otherwise.
 func (m *Mirror) step(ctx context.Context, listed *bool) error {
 	if !*listed {
+		if m.behindEra() && m.relay() != nil {
+			loop.Sleep(ctx, rand.N(relistSpread))
+		}
 		if err := m.list(ctx); err != nil {
 			return err
 		}
 		*listed = true
 		return nil
 	}
-	changes, revision, err := m.Feed.Changes(ctx, "", m.Revision(), m.wait())
+	ctx, done := m.interruptible(ctx)
+	defer done()
+	since := m.Revision()
+	changes, revision, err := m.Feed.Changes(ctx, "", since, m.wait())
 	if err != nil {
 		return err
 	}
+	if revision.Era != since.Era {
+		m.LearnEra(revision.Era)
+		return errors.Wrapf(store.ErrCompacted, "changes since %v are of era %d", since, revision.Era)
+	}
 	m.Apply(changes, revision)
 	if len(changes) > 0 {
 		loop.Sleep(ctx, batchDelay)
@@ -147,7 +166,7 @@
 // been removed, unless it was written after the first page was read.
 func (m *Mirror) list(ctx context.Context) error {
 	present := make(map[string]bool)
-	firstRevision := uint64(0)
+	var first store.Revision
 	for _, prefix := range m.Prefixes {
 		after := ""
 		for {
@@ -155,8 +174,15 @@
 			if err != nil {
 				return err
 			}
-			if firstRevision == 0 {
-				firstRevision = page.Revision
+			m.LearnEra(page.Revision.Era)
+			if first.IsZero() {
+				first = page.Revision
+			}
+			if page.Revision.Era != first.Era {
+				return errors.Wrapf(store.ErrCompacted, "listing began in era %d, the service is in era %d", first.Era, page.Revision.Era)
+			}
+			if page.Revision.Era < m.era() {
+				return errors.Wrapf(errEarlierEra, "list %q: era %d", prefix, page.Revision.Era)
 			}
 			changes := make([]store.Change, 0, len(page.Entries))
 			for _, e := range page.Entries {
@@ -170,48 +196,64 @@
 			after = page.Entries[len(page.Entries)-1].Key
 		}
 	}
-	m.replaceUpTo(present, firstRevision)
+	m.replaceUpTo(present, first)
 	return nil
 }
 
 // replaceUpTo removes every key that is not in present, the keys of a listing that is
 // complete at revision.
-func (m *Mirror) replaceUpTo(present map[string]bool, revision uint64) {
-	m.Apply(m.missingKeys(present, revision), revision)
+func (m *Mirror) replaceUpTo(present map[string]bool, revision store.Revision) {
+	removals := m.missingKeys(present, revision)
 	m.mu.Lock()
-	m.completeSince = max(m.completeSince, revision)
+	m.completeSince = m.completeSince.Later(revision)
+	change := EraChange{From: m.revision, To: revision, Dropped: len(removals), Kept: len(present)}
 	m.mu.Unlock()
+	m.Apply(removals, revision)
+	if change.To.Era > change.From.Era && m.Observer != nil {
+		m.Observer.EraChanged(change)
+	}
 }
 
 // missingKeys returns a removal for every key that is not in present and whose
 // revision in the copy is not after the given one, that of the listing's first
 // page.
-func (m *Mirror) missingKeys(present map[string]bool, revision uint64) []store.Change {
+func (m *Mirror) missingKeys(present map[string]bool, revision store.Revision) []store.Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var removals []store.Change
 	for key, e := range m.entries {
-		if !present[key] && e.Version <= revision {
-			removals = append(removals, store.Change{Entry: store.Entry{Key: key, Version: revision}, Removed: true})
+		if !present[key] && !e.Revision().After(revision) {
+			removals = append(removals, removal(key, revision))
 		}
 	}
 	return removals
 }
 
+func removal(key string, revision store.Revision) store.Change {
+	return store.Change{Entry: store.Entry{Key: key, Version: revision.Number, Era: revision.Era}, Removed: true}
+}
+
 // Apply applies changes to the copy, and records that all changes up to revision
 // have been applied.
-func (m *Mirror) Apply(changes []store.Change, revision uint64) {
+func (m *Mirror) Apply(changes []store.Change, revision store.Revision) {
 	m.apply(changes)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision > m.revision {
+	if revision.After(m.revision) {
 		m.revision = revision
+		m.knownEra = max(m.knownEra, revision.Era)
 		m.wake()
 	}
 }
 
-// Merge applies an update of another instance.
+// Merge applies an update of another instance, unless it is of an earlier era than the
+// known one. One of a later era is applied if it has all entries, as the copy is otherwise
+// not complete in that era.
 func (m *Mirror) Merge(update Update) {
+	m.LearnEra(update.Revision.Era)
+	if update.Revision.Era < m.era() || !update.Full && update.Revision.Era > m.Revision().Era {
+		return
+	}
 	if !update.Full {
 		m.Apply(update.Changes, update.Revision)
 		return
@@ -243,10 +285,14 @@
 func (m *Mirror) applyChange(change store.Change) bool {
 	if m.entries == nil {
 		m.entries = make(map[string]store.Entry)
-		m.tombstones = make(map[string]uint64)
+		m.tombstones = make(map[string]store.Revision)
 	}
 	known, present := m.entries[change.Key]
-	if present && known.Version >= change.Version || m.tombstones[change.Key] > change.Version {
+	revision := change.Revision()
+	if revision.Era < m.revision.Era {
+		return false // the copy is complete in a later era
+	}
+	if present && !revision.After(known.Revision()) || m.tombstones[change.Key].After(revision) {
 		return false
 	}
 	if !change.Removed {
@@ -254,23 +300,23 @@
 		delete(m.tombstones, change.Key)
 		return true
 	}
-	if m.tombstones[change.Key] == change.Version {
+	if m.tombstones[change.Key] == revision {
 		return false
 	}
 	delete(m.entries, change.Key)
 	m.evictTombstones()
-	m.tombstones[change.Key] = change.Version
+	m.tombstones[change.Key] = revision
 	return present
 }
 
 // evictTombstones deletes arbitrary tombstones until fewer than maxTombstones are
 // left. m.mu is held.
 func (m *Mirror) evictTombstones() {
-	for key, version := range m.tombstones {
+	for key, removed := range m.tombstones {
 		if len(m.tombstones) < maxTombstones {
 			return
 		}
-		m.completeSince = max(m.completeSince, version)
+		m.completeSince = m.completeSince.Later(removed)
 		delete(m.tombstones, key)
 	}
 }
@@ -284,9 +330,9 @@
 	return false
 }
 
-// Revision returns the revision up to which all changes have been applied; 0
+// Revision returns the revision up to which all changes have been applied; the zero Revision
 // before the first listing or the first response of a peer.
-func (m *Mirror) Revision() uint64 {
+func (m *Mirror) Revision() store.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.revision
@@ -315,27 +361,27 @@
 }
 
 // Since returns the changes after a revision.
-func (m *Mirror) Since(revision uint64) Update {
+func (m *Mirror) Since(revision store.Revision) Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.since(revision)
 }
 
 // since implements Since. m.mu is held.
-func (m *Mirror) since(revision uint64) Update {
-	full := revision < m.completeSince
+func (m *Mirror) since(revision store.Revision) Update {
+	full := revision.Before(m.completeSince)
 	if full {
-		revision = 0
+		revision = store.Revision{}
 	}
 	var changes []store.Change
 	for _, e := range m.entries {
-		if e.Version > revision {
+		if e.Revision().After(revision) {
 			changes = append(changes, store.Change{Entry: e})
 		}
 	}
-	for key, version := range m.tombstones {
-		if version > revision && !full {
-			changes = append(changes, store.Change{Entry: store.Entry{Key: key, Version: version}, Removed: true})
+	for key, removed := range m.tombstones {
+		if removed.After(revision) && !full {
+			changes = append(changes, removal(key, removed))
 		}
 	}
 	return Update{Changes: changes, Revision: m.revision, Full: full}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -19,6 +19,7 @@
 	mu        sync.Mutex
 	entries   map[string]store.Entry
 	changes   []store.Change
+	era       uint64
 	revision  uint64
 	compacted uint64 // changes after an earlier revision are not available
 	down      bool
@@ -31,7 +32,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision++
-	e := store.Entry{Key: key, Value: []byte(value), Version: f.revision}
+	e := store.Entry{Key: key, Value: []byte(value), Version: f.revision, Era: f.era}
 	f.entries[key] = e
 	f.changes = append(f.changes, store.Change{Entry: e})
 }
@@ -41,7 +42,7 @@
 	defer f.mu.Unlock()
 	f.revision++
 	delete(f.entries, key)
-	f.changes = append(f.changes, store.Change{Entry: store.Entry{Key: key, Version: f.revision}, Removed: true})
+	f.changes = append(f.changes, store.Change{Entry: store.Entry{Key: key, Version: f.revision, Era: f.era}, Removed: true})
 }
 
 func (f *feed) withLock(change func()) {
@@ -57,7 +58,7 @@
 		return store.Page{}, store.ErrUnavailable
 	}
 	f.pageCalls++
-	page := store.Page{Revision: f.revision}
+	page := store.Page{Revision: store.Revision{Era: f.era, Number: f.revision}}
 	for key, e := range f.entries {
 		if key > after && len(key) >= len(prefix) && key[:len(prefix)] == prefix {
 			page.Entries = append(page.Entries, e)
@@ -66,32 +67,32 @@
 	return page, nil
 }
 
-func (f *feed) Changes(ctx context.Context, _ string, since uint64, wait time.Duration) ([]store.Change, uint64, error) {
+func (f *feed) Changes(ctx context.Context, _ string, since store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
 	end := time.Now().Add(wait)
 	for {
 		f.mu.Lock()
 		switch {
 		case f.down:
 			f.mu.Unlock()
-			return nil, 0, store.ErrUnavailable
-		case since < f.compacted:
+			return nil, store.Revision{}, store.ErrUnavailable
+		case since.Number < f.compacted || since.Number > f.revision:
 			f.mu.Unlock()
-			return nil, 0, store.ErrCompacted
+			return nil, store.Revision{}, store.ErrCompacted
 		}
 		var found []store.Change
 		for _, c := range f.changes {
-			if c.Version > since {
+			if c.Version > since.Number {
 				found = append(found, c)
 			}
 		}
-		revision := f.revision
+		revision := store.Revision{Era: f.era, Number: f.revision}
 		f.mu.Unlock()
 		if len(found) > 0 || !time.Now().Before(end) {
 			return found, revision, nil
 		}
 		loop.Sleep(ctx, 10*time.Millisecond)
 		if ctx.Err() != nil {
-			return nil, 0, ctx.Err()
+			return nil, store.Revision{}, ctx.Err()
 		}
 	}
 }
@@ -158,7 +159,7 @@
 		downFeed := newFeed()
 		downFeed.down = true
 		other := &Mirror{Feed: downFeed, Prefixes: []string{"a/"}, Peers: func() []Peer {
-			return []Peer{func(_ context.Context, since uint64) (Update, error) { return m.Since(since), nil }}
+			return []Peer{func(_ context.Context, since store.Revision) (Update, error) { return m.Since(since), nil }}
 		}}
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
@@ -192,7 +193,7 @@
 		}
 		seen := make(map[string]uint64)
 		for _, i := range rapid.Permutation([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 11, 5, 0}).Draw(t, "order") {
-			m.Apply(all[i:i+1], 0)
+			m.Apply(all[i:i+1], store.Revision{})
 			if e, ok := m.Get(all[i].Key); ok && e.Version < seen[all[i].Key] {
 				t.Fatalf("version of %s decreased to %d", all[i].Key, e.Version)
 			}
--- a/mirror/relay.go
+++ b/mirror/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/internal/loop"
+	"github.com/fuchsiastack/fuchsiastack/store"
 )
 
 const (
@@ -20,7 +21,7 @@
 // Relay fetches from another instance the changes after a revision. The instance waits
 // for a change, for at most the given time. The update counts only if the status is
 // RelayCurrent.
-type Relay func(ctx context.Context, since uint64, wait time.Duration) (Update, RelayStatus, error)
+type Relay func(ctx context.Context, since store.Revision, wait time.Duration) (Update, RelayStatus, error)
 
 // RelayStatus is what an instance that is asked for changes can do for the one that asks.
 type RelayStatus string
@@ -44,8 +45,16 @@
 func (m *Mirror) followRelay(ctx context.Context, relay Relay) RelayStatus {
 	m.unconfirm()
 	before := m.Revision()
-	update, status, err := relay(ctx, before, m.relayWait())
-	if err != nil || status == RelayCurrent && update.Revision < before {
+	relayCtx, done := m.interruptible(ctx)
+	update, status, err := relay(relayCtx, before, m.relayWait())
+	done()
+	if err == nil {
+		m.LearnEra(update.Revision.Era)
+	}
+	if m.behindEra() {
+		return RelayBehind // the keys are listed again
+	}
+	if err != nil || status == RelayCurrent && (update.Revision.Before(before) || update.Revision.Era != before.Era) {
 		return RelayDetached
 	}
 	if status != RelayCurrent {
@@ -53,7 +62,7 @@
 	}
 	m.Merge(update)
 	m.sourceAvailable()
-	if update.Revision > before {
+	if update.Revision.After(before) {
 		loop.Sleep(ctx, batchDelay)
 	}
 	return RelayCurrent
@@ -75,18 +84,18 @@
 // RelayDetached if this copy does not follow the service itself, and with RelayBehind if it
 // does not know all changes after the revision: all entries would take up the link of this
 // instance, while the service has the history.
-func (m *Mirror) Await(ctx context.Context, since uint64, wait time.Duration) (Update, RelayStatus) {
+func (m *Mirror) Await(ctx context.Context, since store.Revision, wait time.Duration) (Update, RelayStatus) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
 		status, advanced := m.relayStatus(since)
-		update := Update{Revision: since}
-		if status == RelayCurrent && m.revision > since {
+		update := Update{Revision: m.withKnownEra(since)}
+		if status == RelayCurrent && m.revision.After(since) {
 			update = m.since(since)
 		}
 		m.mu.Unlock()
-		if status != RelayCurrent || update.Revision > since {
+		if status != RelayCurrent || update.Revision.After(since) {
 			return update, status
 		}
 		select {
@@ -94,6 +103,7 @@
 		case <-timer.C:
 			m.mu.Lock()
 			status, _ = m.relayStatus(since)
+			update.Revision = m.withKnownEra(since)
 			m.mu.Unlock()
 			return update, status
 		case <-ctx.Done():
@@ -102,13 +112,20 @@
 	}
 }
 
+// withKnownEra returns a revision, or the start of the known era if that is later. It tells
+// an instance that follows this one of the era before this copy has its entries. m.mu is
+// held.
+func (m *Mirror) withKnownEra(revision store.Revision) store.Revision {
+	return revision.Later(store.Revision{Era: m.knownEra})
+}
+
 // relayStatus returns what this copy is to an instance at a revision, and the channel that
 // is closed at the next change. m.mu is held.
-func (m *Mirror) relayStatus(since uint64) (RelayStatus, <-chan struct{}) {
+func (m *Mirror) relayStatus(since store.Revision) (RelayStatus, <-chan struct{}) {
 	switch {
-	case !m.confirmed(time.Now()):
+	case !m.confirmed(time.Now()), m.revision.Era < m.knownEra, m.revision.Era < since.Era:
 		return RelayDetached, nil
-	case since < m.completeSince:
+	case since.Before(m.completeSince):
 		return RelayBehind, nil
 	}
 	if m.advanced == nil {
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -55,14 +55,14 @@
 	return f.zone.feed.Page(ctx, prefix, after)
 }
 
-func (f watchedFeed) Changes(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]store.Change, uint64, error) {
+func (f watchedFeed) Changes(ctx context.Context, prefix string, since store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
 	if err := f.zone.reach(ctx, f.mirror, wait); err != nil {
-		return nil, 0, err
+		return nil, store.Revision{}, err
 	}
 	changes, revision, err := f.zone.feed.Changes(ctx, prefix, since, wait)
 	if f.zone.is(f.zone.cutOff, f.mirror) {
 		loop.Sleep(ctx, relayStall)
-		return nil, 0, errSilent
+		return nil, store.Revision{}, errSilent
 	}
 	return changes, revision, err
 }
@@ -127,7 +127,7 @@
 
 // relay returns the relay that a mirror is for others.
 func (z *zone) relay(watcher int) Relay {
-	return func(ctx context.Context, since uint64, wait time.Duration) (Update, RelayStatus, error) {
+	return func(ctx context.Context, since store.Revision, wait time.Duration) (Update, RelayStatus, error) {
 		end := time.Now().Add(wait + relayStall)
 		if !z.is(z.frozen, watcher) {
 			update, status := z.mirrors[watcher].Await(ctx, since, wait)
@@ -261,10 +261,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		m := &Mirror{}
-		_, status := m.Await(t.Context(), 0, time.Second)
+		_, status := m.Await(t.Context(), store.Revision{}, time.Second)
 		c.Check(status, qt.Equals, RelayDetached, qt.Commentf("before the first listing"))
 		m.confirm()
-		_, status = m.Await(t.Context(), 0, time.Second)
+		_, status = m.Await(t.Context(), store.Revision{}, time.Second)
 		c.Check(status, qt.Equals, RelayCurrent)
 		c.Check(m.confirmed(time.Now().Round(0).Add(10*time.Second)), qt.IsFalse, qt.Commentf("by the wall clock alone"))
 		time.Sleep(defaultWait + maxConfirmationAge)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -34,6 +35,10 @@
 	// livenessTTL is how long a successful probe counts as evidence that an
 	// instance is live.
 	livenessTTL = 2500 * time.Millisecond
+	// reregisterSpread is the time over which instances register again after a change of
+	// era. At 350 instances with two writes each, that is less than half of the 1,200 writes
+	// per second that the store allows. Instances that are not listed meanwhile are probed.
+	reregisterSpread = 1500 * time.Millisecond
 	// viewTTL is how long a view is used while the liveness of instances depends on
 	// the age of their probes. It is short compared with livenessTTL.
 	viewTTL = 50 * time.Millisecond
@@ -113,22 +118,23 @@
 
 	mu           sync.Mutex
 	members      map[string]*member
-	view         *view             // of the live instances; nil after a change
-	unreadable   map[string]uint64 // revisions of the entries that cannot be used, by key
+	view         *view                     // of the live instances; nil after a change
+	unreadable   map[string]store.Revision // revisions of the entries that cannot be used, by key
 	lease        store.LeaseID
 	renewedAt    time.Time // when lease was last granted or renewed
 	keyMissing   bool      // the key of Self was missing at the last Update although there is a lease
 	deregistered bool      // Deregister has been called
+	registerAt   time.Time // no registration before; see EnterEra
 }
 
 // member is the state of an instance, as last listed or probed.
 type member struct {
 	Instance
-	version     uint64    // of its key, as last listed
-	listed      bool      // its key is in the store
-	probedAt    time.Time // start of the last probe
-	aliveAt     time.Time // last successful probe
-	probeFailed bool      // the last probe failed
+	revision    store.Revision // of its key, as last listed
+	listed      bool           // its key is in the store
+	probedAt    time.Time      // start of the last probe
+	aliveAt     time.Time      // last successful probe
+	probeFailed bool           // the last probe failed
 }
 
 // view is the live instances at a time.
@@ -150,17 +156,17 @@
 	}
 	r.view = nil
 	listed := make(map[string]bool)
-	unreadable := make(map[string]uint64)
+	unreadable := make(map[string]store.Revision)
 	for _, e := range entries {
 		id := strings.TrimPrefix(e.Key, r.Prefix)
-		if m := r.members[id]; m != nil && m.version == e.Version {
+		if m := r.members[id]; m != nil && m.revision == e.Revision() {
 			listed[id], m.listed = true, true
 			continue
 		}
 		instance, err := decodeInstance(id, e.Value)
 		if err != nil {
-			unreadable[e.Key] = e.Version
-			if r.unreadable[e.Key] != e.Version {
+			unreadable[e.Key] = e.Revision()
+			if r.unreadable[e.Key] != e.Revision() {
 				r.Observer.EntryUnreadable(e.Key, e.Version, errors.Wrapf(err, "decode %q", e.Key))
 			}
 			continue
@@ -168,11 +174,11 @@
 		listed[instance.ID] = true
 		m := r.members[instance.ID]
 		if m == nil || m.Instance != instance {
-			r.members[instance.ID] = &member{Instance: instance, version: e.Version, listed: true}
+			r.members[instance.ID] = &member{Instance: instance, revision: e.Revision(), listed: true}
 			r.Observer.InstanceSeen(instance, true)
 			continue
 		}
-		m.listed, m.version = true, e.Version
+		m.listed, m.revision = true, e.Revision()
 	}
 	for id, m := range r.members {
 		if !listed[id] {
@@ -206,7 +212,7 @@
 	r.mu.Lock()
 	lease, renewalDue, keyMissing, deregistered := r.lease, time.Since(r.renewedAt) >= renewInterval, r.keyMissing, r.deregistered
 	r.mu.Unlock()
-	if deregistered || lease != "" && !renewalDue && !keyMissing {
+	if deregistered || r.waitsForEra() || lease != "" && !renewalDue && !keyMissing {
 		return
 	}
 	var err error
@@ -221,6 +227,9 @@
 			return
 		}
 	}
+	if r.waitsForEra() {
+		return // learned from the response
+	}
 	if err = r.acquireKey(ctx); err == nil {
 		err = r.revokeIfDeregistered(ctx)
 	}
@@ -229,6 +238,26 @@
 	}
 }
 
+// EnterEra records that the store is in a new era, so that the lease and maybe the key of
+// this instance are gone. It registers this instance again after a random time, so that not
+// all instances write at once. An instance that has no lease registers as before.
+func (r *Roster) EnterEra(uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lease == "" {
+		return
+	}
+	r.lease = ""
+	r.registerAt = time.Now().Add(rand.N(reregisterSpread))
+}
+
+// waitsForEra reports whether the random time after a change of era has not passed.
+func (r *Roster) waitsForEra() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.registerAt)
+}
+
 // revokeIfDeregistered revokes the lease if Deregister was called while this
 // instance was being registered.
 func (r *Roster) revokeIfDeregistered(ctx context.Context) error {
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -21,6 +21,7 @@
 type Store struct {
 	*httptest.Server
 
+	rolling         sync.RWMutex // held by requests other than watches; see RollBack
 	mu              sync.Mutex
 	items           map[string]item
 	events          []item // history for watches, oldest first
@@ -30,6 +31,9 @@
 	down            bool
 	changed         chan struct{} // closed and replaced at each change
 	watchCalls      int
+	era             uint64  // sent with each response unless it is 0
+	header          *string // sent as the era instead, "" for none; nil for the era
+	copied          *storeCopy
 	held            string // listings of keys with this prefix wait; "" for none
 }
 
@@ -59,11 +63,7 @@
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.handleKeepAlive)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.handleEndLease)
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.isDown() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		mux.ServeHTTP(w, r)
+		s.serve(mux, w, r)
 	}))
 	return s
 }
@@ -117,12 +117,6 @@
 	return s.watchCalls
 }
 
-func (s *Store) isDown() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down
-}
-
 // Compact discards the history, so that a watch from an older revision fails with
 // status 410.
 func (s *Store) Compact() {
@@ -221,7 +215,8 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if after < s.compactRevision {
+		if after < s.compactRevision || after > s.revision {
+			setEra(w.Header(), s.eraText())
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -233,6 +228,7 @@
 			}
 		}
 		revision, changed := s.revision, s.changed
+		setEra(w.Header(), s.eraText())
 		s.mu.Unlock()
 		if len(events) > 0 {
 			writeEvents(w, events, revision)
--- a/store/feed.go
+++ b/store/feed.go
@@ -21,8 +21,8 @@
 // form a consistent snapshot: each shows the keys at its own revision.
 type Page struct {
 	Entries  []Entry
-	Revision uint64 // revision of the service when the page was read
-	More     bool   // more entries follow the last one
+	Revision Revision // of the service when the page was read
+	More     bool     // more entries follow the last one
 }
 
 // Feed is a key-value service that has one revision for all keys and returns the
@@ -32,8 +32,9 @@
 	Page(ctx context.Context, prefix, after string) (Page, error)
 	// Changes waits until a key that starts with prefix changes after the
 	// revision since, or until wait has passed. It returns the changes and the
-	// revision for the next call, or ErrCompacted.
-	Changes(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]Change, uint64, error)
+	// revision for the next call, or ErrCompacted. A revision of a later era than that
+	// of since means that changes may be missing.
+	Changes(ctx context.Context, prefix string, since Revision, wait time.Duration) ([]Change, Revision, error)
 }
 
 // Leases manages keys that are deleted when their lease ends. It is a part of
--- a/store/store.go
+++ b/store/store.go
@@ -14,6 +14,7 @@
 	Key     string
 	Value   []byte
 	Version uint64 // changes with each write of the key; never 0 for an existing key
+	Era     uint64 `json:",omitempty"` // of the service in which Version was read; see Revision
 }
 
 // OpKind is the kind of an Op.
@@ -33,6 +34,7 @@
 	Key     string
 	Value   []byte
 	Version uint64 // used by OpCAS and OpCheck
+	Era     uint64 // of Version
 }
 
 // MaxOps is the maximum number of operations in one transaction.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -22,6 +22,12 @@
 // latencyBoundsSeconds are the bucket boundaries of latency histograms, in seconds.
 var latencyBoundsSeconds = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 1.9, 2.5, 5, 10, 30, 60, 120, 300}
 
+// Labels of Metrics.eraDropped.
+var (
+	eraLeases  = metric.WithAttributes(attribute.String("kind", "lease"))
+	eraEntries = metric.WithAttributes(attribute.String("kind", "entry"))
+)
+
 // Metrics holds the instruments for requests, attempts and routing, and serves
 // all metrics of an instance over HTTP.
 type Metrics struct {
@@ -36,7 +42,10 @@
 	inFlight  metric.Int64UpDownCounter
 	rejected  metric.Int64Counter
 	panics    metric.Int64Counter
-	routing   routingMetrics
+	eras      metric.Int64Counter
+	// eraDropped counts what was dropped, with eraLeases or eraEntries.
+	eraDropped metric.Int64Counter
+	routing    routingMetrics
 }
 
 // NewMetrics creates a meter provider with a Prometheus exporter and registers
@@ -53,7 +62,7 @@
 		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		provider: provider,
 	}
-	var errs [9]error
+	var errs [11]error
 	m.requests, errs[0] = meter.Int64Counter("fuchsia.requests", metric.WithDescription("Requests by service, rank and outcome."))
 	m.attempts, errs[1] = meter.Int64Counter("fuchsia.attempts", metric.WithDescription("Attempts at backend servers and regions by outcome."))
 	m.forwarded, errs[2] = meter.Int64Counter("fuchsia.sent_elsewhere", metric.WithDescription("Requests sent to another region."))
@@ -66,6 +75,9 @@
 	m.rejected, errs[7] = meter.Int64Counter("fuchsia.rejected_entries",
 		metric.WithDescription("Entries and configurations that cannot be used, by kind."))
 	m.panics, errs[8] = meter.Int64Counter("fuchsia.panics", metric.WithDescription("Panics while a request was handled."))
+	m.eras, errs[9] = meter.Int64Counter("fuchsia.store_eras", metric.WithDescription("Changes of the era of the store."))
+	m.eraDropped, errs[10] = meter.Int64Counter("fuchsia.store_era_dropped",
+		metric.WithDescription("Leases and entries of an earlier era of the store that were dropped, by kind."))
 	for _, err := range errs {
 		if err != nil {
 			return nil, errors.Wrap(err, "create request instrument")
