--- a/lease/era.go
+++ b/lease/era.go
@@ -9,7 +9,7 @@
 // The session and its leases are void at once. No session is opened until every holder of
 // the earlier era knows of the new one or has lost its leases: its last renewal was sent
 // before the store changed, so that its leases end within TTL-Margin. The wait is one TTL,
-// which leaves the margin for clocks of different speed, and up to half a TTL more, so that
+// which leaves the margin for clocks of different speed, and up to a quarter of a TTL more, so that
 // instances don't open their sessions at once. An era that is not later than the known one
 // has no effect.
 func (k *Keeper) EnterEra(era uint64) (lost int) {
@@ -19,7 +19,7 @@
 		return 0
 	}
 	k.era = era
-	k.held = newExpiry(time.Now().Add(k.config.TTL + rand.N(k.config.TTL/2)))
+	k.held = newExpiry(time.Now().Add(k.config.TTL + rand.N(k.config.TTL/4)))
 	current := k.session
 	if current != nil {
 		lost = len(current.leases)
