--- a/hosted/observers.go
+++ b/hosted/observers.go
@@ -19,7 +19,7 @@
 
 // SourceRecovered implements mirror.Observer.
 func (l storeLog) SourceRecovered(revision store.Revision, outage time.Duration) {
-	l.instance.log.Info().Str("event", "store_back").Str("store_revision", revision.String()).Dur("away", outage).Msg("")
+	telemetry.Revision(l.instance.log.Info().Str("event", "store_back"), revision).Dur("away", outage).Msg("")
 }
 
 // EraChanged implements mirror.Observer.
--- a/hosted/relay.go
+++ b/hosted/relay.go
@@ -12,6 +12,7 @@
 	"github.com/fuchsiastack/fuchsiastack/mirror"
 	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/store"
+	"github.com/fuchsiastack/fuchsiastack/telemetry"
 )
 
 const (
@@ -136,7 +137,7 @@
 		params.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
 		err := i.queryPeer(ctx, peerQuery{watcher.PeerAddr, changesPath, params, wait + relayStallTimeout}, &response)
 		if failed := err != nil || response.Status != mirror.RelayCurrent && response.Status != mirror.RelayBehind; failed && ctx.Err() == nil {
-			i.log.Info().Str("event", "relay_failed").Str("peer", watcher.ID).Str("store_revision", since.String()).
+			telemetry.Revision(i.log.Info().Str("event", "relay_failed").Str("peer", watcher.ID), since).
 				Str("status", string(response.Status)).Err(err).Msg("")
 		}
 		return response.update(), response.Status, err
--- a/hosted/state.go
+++ b/hosted/state.go
@@ -83,12 +83,12 @@
 	}
 	if i.table.Advance(snapshot) {
 		i.usage.setRoutes(snapshot)
-		i.log.Info().Str("event", "config_in_force").Uint64("revision", snapshot.Revision).
-			Str("store_revision", entry.Revision().String()).Int("services", len(snapshot.Services)).Msg("")
+		telemetry.Revision(i.log.Info().Str("event", "config_in_force").Uint64("revision", snapshot.Revision), entry.Revision()).
+			Int("services", len(snapshot.Services)).Msg("")
 	} else if current := i.revision(); snapshot.Revision < current {
 		// The store has returned from a copy that is older than this configuration.
-		i.log.Warn().Str("event", "config_not_taken").Uint64("revision", snapshot.Revision).Uint64("in_force", current).
-			Str("store_revision", entry.Revision().String()).Msg("")
+		telemetry.Revision(i.log.Warn().Str("event", "config_not_taken").Uint64("revision", snapshot.Revision).Uint64("in_force", current), entry.Revision()).
+			Msg("")
 	}
 }
 
@@ -183,8 +183,8 @@
 }
 
 func (s *servers) logState(entry *serverEntry, state string) {
-	s.instance.log.Info().Str("event", "server").Str("server", entry.ID).Str("service", entry.Service).Str("addr", entry.Addr).
-		Str("state", state).Str("store_revision", entry.revision.String()).Dur("warmup_left", entry.WarmupLeft).Msg("")
+	telemetry.Revision(s.instance.log.Info().Str("event", "server").Str("server", entry.ID).Str("service", entry.Service).Str("addr", entry.Addr).
+		Str("state", state), entry.revision).Dur("warmup_left", entry.WarmupLeft).Msg("")
 }
 
 // updateEvacuations updates the set of evacuated zones. When the evacuation of a
