lease: delete a key that was written in a new era under a lease of an earlier one

An instance that does not know of a new era may write a key under a lease whose number is another instance's by then. The key would stay as long as that lease, and nobody could acquire the share. The keeper now deletes it, on the condition of its revision.

--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -118,3 +118,35 @@
 		c.Check(k.waitsForEra(), qt.IsFalse)
 	}
 }
+
+// newEraStore returns from an older copy before it acquires a key, as if the lease had the
+// number of one of the new era.
+type newEraStore struct {
+	*eraStore
+	keeper  *Keeper
+	deleted []store.Op
+}
+
+func (s *newEraStore) Acquire(ctx context.Context, key string, value []byte, id store.LeaseID) error {
+	s.era = 1
+	s.keeper.EnterEra(1)
+	_ = s.eraStore.Acquire(ctx, key, value, id)
+	return &store.Error{Effect: store.MayBeApplied}
+}
+
+func (s *newEraStore) Txn(_ context.Context, ops []store.Op) error {
+	s.deleted = ops
+	return nil
+}
+
+// TestKeyOfEarlierSessionIsDeleted guards against a key that nobody can acquire, because it
+// was written in a new era under a lease that is another instance's there.
+func TestKeyOfEarlierSessionIsDeleted(t *testing.T) {
+	c := qt.New(t)
+	s := &newEraStore{eraStore: &eraStore{holder: make(map[string][]byte)}}
+	s.keeper = NewKeeper(s, DefaultConfig)
+	s.keeper.session = &session{id: "1", value: []byte("v"), expires: s.keeper.sessionExpiry(time.Now()), leases: make(map[*Lease]bool)}
+	_, err := s.keeper.Acquire(t.Context(), "key")
+	c.Check(err, qt.ErrorIs, ErrNoSession)
+	c.Check(s.deleted, qt.DeepEquals, []store.Op{{Kind: store.OpCheck, Key: "key", Version: 1, Era: 1}, {Kind: store.OpDelete, Key: "key"}})
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -71,6 +71,7 @@
 // guards its fields.
 type session struct {
 	id      store.LeaseID
+	era     uint64 // of the store when the session was opened
 	value   []byte // of all keys that are acquired in the session; unique
 	expires expiry
 	leases  map[*Lease]bool
@@ -205,7 +206,7 @@
 	if k.era != era {
 		return // the session may be of the earlier era
 	}
-	k.session = &session{id: id, value: []byte(uuid.NewString()), expires: k.sessionExpiry(sentAt), leases: make(map[*Lease]bool)}
+	k.session = &session{id: id, era: era, value: []byte(uuid.NewString()), expires: k.sessionExpiry(sentAt), leases: make(map[*Lease]bool)}
 }
 
 func (k *Keeper) sessionExpiry(sentAt time.Time) expiry {
@@ -278,7 +279,13 @@
 	if !bytes.Equal(entry.Value, current.value) {
 		return nil, errors.Wrap(ErrHeld, key)
 	}
-	return k.addLease(current, key, entry)
+	l, err := k.addLease(current, key, entry)
+	if err != nil && entry.Era != current.era {
+		// The key was written in a new era, under a lease whose number may be that of
+		// another instance, which would keep it.
+		_ = k.deleteKey(ctx, key, entry.Revision())
+	}
+	return l, err
 }
 
 func (k *Keeper) addLease(s *session, key string, entry store.Entry) (*Lease, error) {
@@ -303,9 +310,14 @@
 	l.released = true
 	delete(l.session.leases, l)
 	k.mu.Unlock()
+	return k.deleteKey(ctx, l.Key, store.Revision{Era: l.Era, Number: l.Fence})
+}
+
+// deleteKey deletes a key unless it has another revision.
+func (k *Keeper) deleteKey(ctx context.Context, key string, revision store.Revision) error {
 	return k.store.Txn(ctx, []store.Op{
-		{Kind: store.OpCheck, Key: l.Key, Version: l.Fence, Era: l.Era},
-		{Kind: store.OpDelete, Key: l.Key},
+		{Kind: store.OpCheck, Key: key, Version: revision.Number, Era: revision.Era},
+		{Kind: store.OpDelete, Key: key},
 	})
 }
 
--- a/mirror/era_test.go
+++ b/mirror/era_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +46,7 @@
 // configured is a mirror with the configuration that an instance takes from it.
 type configured struct {
 	table    catalog.Table
+	mu       sync.Mutex
 	versions []uint64 // in force one after the other
 }
 
@@ -55,6 +58,8 @@
 		}
 		version, _ := strconv.ParseUint(string(e.Value), 10, 64)
 		if n.table.Advance(&catalog.Snapshot{Revision: version}) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
 			n.versions = append(n.versions, version)
 		}
 	}
@@ -89,7 +94,7 @@
 				m := z.newMirror(n)
 				m.Peers = func() []Peer {
 					return []Peer{func(_ context.Context, since store.Revision) (Update, error) {
-						return z.mirrors[(n+1)%mirrors].Since(since), nil
+						return z.mirror((n + 1) % mirrors).Since(since), nil
 					}}
 				}
 				nodes[n], seen[n] = &configured{}, make(map[string]store.Revision)
@@ -156,9 +161,9 @@
 				}
 				z.feed.withLock(func() { c.Check(got, qt.DeepEquals, z.feed.entries, qt.Commentf("mirror %d", n)) })
 				c.Check(nodes[n].table.Current().Revision, qt.Equals, uint64(version+1))
-				for k := 1; k < len(nodes[n].versions); k++ {
-					c.Check(nodes[n].versions[k] > nodes[n].versions[k-1], qt.IsTrue)
-				}
+				nodes[n].mu.Lock()
+				c.Check(slices.IsSorted(nodes[n].versions), qt.IsTrue)
+				nodes[n].mu.Unlock()
 			}
 		})
 	})
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -125,12 +125,19 @@
 	return m
 }
 
+// mirror returns the n-th mirror, which may have been replaced.
+func (z *zone) mirror(n int) *Mirror {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.mirrors[n]
+}
+
 // relay returns the relay that a mirror is for others.
 func (z *zone) relay(watcher int) Relay {
 	return func(ctx context.Context, since store.Revision, wait time.Duration) (Update, RelayStatus, error) {
 		end := time.Now().Add(wait + relayStall)
 		if !z.is(z.frozen, watcher) {
-			update, status := z.mirrors[watcher].Await(ctx, since, wait)
+			update, status := z.mirror(watcher).Await(ctx, since, wait)
 			if !z.is(z.frozen, watcher) {
 				return update, status, nil
 			}
