quota: buckets of organizations for the whole deployment

Nothing bounded what all instances together admit for an organization. Each instance now keeps a bucket that represents the deployment, deducts its own charges at once and those of others as collectors report them, and limits the spending that others cannot know yet. The filter charges callers' requests before their bodies are read and refunds those that did not run. Costs are added as floating-point numbers, as the sum of two token counts could overflow to a negative cost.

--- a/catalog/organization.go
+++ b/catalog/organization.go
@@ -45,7 +45,7 @@
 	case promptTokens <= 0 && maxOutputTokens <= 0:
 		return float64(q.PlainTokens)
 	default:
-		return float64(max(promptTokens, 0) + max(maxOutputTokens, 0))
+		return float64(max(promptTokens, 0)) + float64(max(maxOutputTokens, 0)) // the sum of integers could overflow
 	}
 }
 
--- a/hosted/exchange.go
+++ b/hosted/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/collector"
 	"github.com/fuchsiastack/fuchsiastack/internal/loop"
+	"github.com/fuchsiastack/fuchsiastack/quota"
 	"github.com/fuchsiastack/fuchsiastack/roster"
 )
 
@@ -116,6 +117,7 @@
 func (e *exchanger) exchangeInRegion(ctx context.Context) {
 	i := e.instance
 	collectors := e.collectors()
+	i.quotas.Tick(time.Now(), i.quotaMembers())
 	e.publishOwn()
 	if slices.Contains(collectors, i.settings.Instance) {
 		e.hub.Receive(time.Now(), nil)
@@ -220,6 +222,9 @@
 		Region: state.nextRegion, Remote: state.nextRemote, Since: state.partVersion,
 		Parts: i.parts.Report(now, state.sentParts), Summaries: role == collector.Remote,
 	}
+	if role != collector.Remote {
+		request.Quota = i.quotas.Report(now, quota.Role(role), other.ID)
+	}
 	sentPlacements, stall := state.sentPlacements, remoteStallTimeout
 	if role != collector.Remote {
 		own := e.hub.Placements(collector.Collector, state.sentPlacements, 0)
@@ -293,13 +298,16 @@
 		i.parts.Merge(now, response.Parts)
 	}
 	if role == collector.Remote {
+		i.quotas.Merge(now, now.Sub(sent), quota.Remote, response.Region, response.Quota)
 		i.router.Remote.MergePlacements(now, response.Placements)
 		e.hub.AddPlacements(now, collector.Remote, response.Placements)
 		return
 	}
 	if role == collector.Collector {
+		i.quotas.Merge(now, now.Sub(sent), quota.Collector, response.ID, response.Quota)
 		e.hub.Report(now, collector.Collector, response.ID, response.Work)
 	} else {
+		i.quotas.Merge(now, now.Sub(sent), quota.Upstream, response.ID, response.Quota)
 		e.hub.Receive(now, response.Work)
 	}
 	response.Slowdowns.record(now, i.registry.All())
--- a/hosted/exchangeserve.go
+++ b/hosted/exchangeserve.go
@@ -10,6 +10,7 @@
 	"github.com/fuchsiastack/fuchsiastack/collector"
 	"github.com/fuchsiastack/fuchsiastack/internal/check"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
+	"github.com/fuchsiastack/fuchsiastack/quota"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
 
@@ -31,6 +32,7 @@
 	RateLimits rateLimits             `json:"rate-limits,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"`
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
+	Quota      *quota.Message         `json:"quota,omitempty"`
 
 	// Summaries asks for the summaries of other regions, or of the receiver's region if
 	// the sender is of another one.
@@ -52,6 +54,8 @@
 	Remote     collector.Placements   `json:"remote,omitempty"`     // of other regions
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
 	Summaries  []agedSummary          `json:"summaries,omitempty"`
+	Region     string                 `json:"region,omitempty"` // of the responder
+	Quota      *quota.Message         `json:"quota,omitempty"`
 
 	NextRegion uint64 `json:"next-region"`
 	NextRemote uint64 `json:"next-remote"`
@@ -99,7 +103,7 @@
 		return
 	}
 	now := time.Now()
-	response := exchangeResponse{ID: i.settings.Instance, Started: i.roster.Self.Started}
+	response := exchangeResponse{ID: i.settings.Instance, Region: i.settings.Region, Started: i.roster.Self.Started}
 	if request.Parts != nil {
 		i.parts.Merge(now, request.Parts)
 	}
@@ -109,6 +113,7 @@
 			return
 		}
 		e.hub.Report(now, request.Role, request.ID, request.Work)
+		i.quotas.Merge(now, 0, quota.Role(request.Role), request.ID, request.Quota)
 		request.Slowdowns.record(now, i.registry.All())
 		request.RateLimits.record(now, i.registry.All())
 		i.router.Prefix.MergePlacements(now, request.Placements)
@@ -122,6 +127,7 @@
 		response.Slowdowns = recentSlowdowns(now, i.registry.All())
 		response.RateLimits = currentRateLimits(now, i.registry.All())
 	}
+	response.Quota = i.quotas.Report(now, quotaRoleOfResponse(request.Role), request.ID)
 	switch {
 	case !request.Summaries:
 	case request.Role == collector.Remote:
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -74,6 +74,7 @@
 		filters.Ready{Table: i.table},
 		filters.Match{Reader: callerProtocol},
 		countRoute{i.usage},
+		filters.Quota{Limiter: i.quotas, Observer: i.quotaObserver},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
 		filters.RefuseParts{Known: i.partsKnown, Refuse: dispatcher.RefusePart},
 		drainFilter{i},
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -27,6 +27,7 @@
 	"github.com/fuchsiastack/fuchsiastack/overload"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
+	"github.com/fuchsiastack/fuchsiastack/quota"
 	"github.com/fuchsiastack/fuchsiastack/retry"
 	"github.com/fuchsiastack/fuchsiastack/roster"
 	"github.com/fuchsiastack/fuchsiastack/routing"
@@ -85,23 +86,25 @@
 	table    *catalog.Table
 	registry *backend.Registry
 
-	queue        *admission.Queue
-	guard        *overload.Guard
-	admission    *telemetry.AdmissionObserver
-	traffic      *telemetry.Traffic
-	directory    *telemetry.Directory
-	usage        *routeUsage
-	router       *routing.Router
-	ejector      *routing.Ejector
-	summaries    *routing.SummaryTable
-	reportBudget *byteBudget // placements and evidence against parts
-	relayBudget  *byteBudget // changes of the store
-	exchanger    *exchanger
-	retry        *retry.Policy
-	serverLeases *serverLeases
-	parts        *quarantine.Parts
-	peers        *http.Client
-	transport    *http.Transport
+	queue         *admission.Queue
+	guard         *overload.Guard
+	admission     *telemetry.AdmissionObserver
+	traffic       *telemetry.Traffic
+	directory     *telemetry.Directory
+	usage         *routeUsage
+	router        *routing.Router
+	ejector       *routing.Ejector
+	summaries     *routing.SummaryTable
+	reportBudget  *byteBudget // placements and evidence against parts
+	relayBudget   *byteBudget // changes of the store
+	exchanger     *exchanger
+	retry         *retry.Policy
+	serverLeases  *serverLeases
+	quotas        *quota.Limiter
+	quotaObserver *telemetry.Quotas
+	parts         *quarantine.Parts
+	peers         *http.Client
+	transport     *http.Transport
 
 	gate            drain.Gate
 	draining        atomic.Bool
@@ -136,6 +139,12 @@
 	if err != nil {
 		return nil, err
 	}
+	bounds := &settings.Bounds
+	quotas := quota.New(time.Now(), quota.Bounds{Window: bounds.QuotaWindow, Excess: bounds.QuotaExcess, Margin: bounds.QuotaMargin})
+	quotaObserver, err := telemetry.NewQuotas(admissionObserver, quotas)
+	if err != nil {
+		return nil, err
+	}
 	directory, err := telemetry.NewDirectory(logger, metrics)
 	if err != nil {
 		return nil, err
@@ -146,10 +155,11 @@
 		admission: admissionObserver,
 		traffic:   traffic,
 		directory: directory,
-		usage:     &routeUsage{},
-		store:     platform.NewStore(settings.StoreAddr),
-		table:     &catalog.Table{},
-		registry:  backend.NewRegistry(),
+		quotas:    quotas, quotaObserver: quotaObserver,
+		usage:    &routeUsage{},
+		store:    platform.NewStore(settings.StoreAddr),
+		table:    &catalog.Table{},
+		registry: backend.NewRegistry(),
 		queue: admission.NewQueue(admission.Bounds{
 			// The platform does not identify callers, so the limits per caller equal
 			// those of the whole queue.
--- a/hosted/state.go
+++ b/hosted/state.go
@@ -80,6 +80,10 @@
 			service.Ranks[rank].MinShare = minShare
 		}
 	}
+	if current := i.table.Current(); current == nil || snapshot.Revision > current.Revision {
+		// The buckets exist before the first request that they are charged for.
+		i.quotas.Configure(time.Now(), snapshot.Organizations)
+	}
 	if i.table.Advance(snapshot) {
 		i.usage.setRoutes(snapshot)
 		i.log.Info().Str("event", "config_in_force").Uint64("revision", snapshot.Revision).
