--- a/telemetry/quota.go
+++ b/telemetry/quota.go
@@ -43,7 +43,10 @@
 	if err == nil {
 		_, err = admission.meter.RegisterCallback(q.observe, q.rate, q.level, q.spending, q.spent, q.refused)
 	}
-	return q, errors.Wrap(err, "create quota instruments")
+	if err != nil {
+		return nil, errors.Wrap(err, "create quota instruments")
+	}
+	return q, nil
 }
 
 func (q *Quotas) observe(_ context.Context, o metric.Observer) error {
