quota: restarts, cuts and suspension stay within the bound

Now the spending of an ended process still counts, the level is divided among the sides of a cut, and a bucket that has just started counts other regions by their entitlement until an instance that runs for longer reports.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -92,14 +92,16 @@
 
 	accounts atomic.Pointer[accountSet]
 
-	mu      sync.Mutex // before that of an account
-	started time.Time
-	ticked  time.Time
-	listed  bool // the list of instances was not empty
-	members Members
-	sources map[sourceKey]*source
-	counts  map[string]memberCount // by region; "" is the own one
-	rotated int                    // position of the next partial message
+	mu        sync.Mutex // before that of an account
+	started   time.Time
+	unsettled time.Time // when too little was last known of others
+	process   uint64    // identifies this Limiter in its reports
+	ticked    time.Time
+	listed    bool // the list of instances was not empty
+	members   Members
+	sources   map[sourceKey]*source
+	counts    map[string]memberCount // by region; "" is the own one
+	rotated   int                    // position of the next partial message
 }
 
 // accountSet is replaced as a whole.
@@ -113,12 +115,13 @@
 	name string
 	key  uint64
 
-	mu      sync.Mutex
-	quota   catalog.Quota
-	slack   float64 // what may be admitted beyond rate times window plus burst
-	at      time.Time
-	settled time.Time // end of settleTime
-	filling bool      // false until the list of instances is known
+	mu       sync.Mutex
+	quota    catalog.Quota
+	slack    float64 // what may be admitted beyond rate times window plus burst
+	at       time.Time
+	settled  time.Time // end of settleTime
+	settling bool      // settled was not over at the last tick
+	filling  bool      // false until the list of instances is known
 
 	// base is the level before the recent spending of others is deducted.
 	base           float64
@@ -128,8 +131,10 @@
 	unseen        [regionTicks + 1]float64 // own charges by tick, the current one first
 	ownHistory    [regionTicks]float64     // own at the last ticks, latest first
 	regionHistory [deploymentTicks]float64 // own plus region at the last ticks, latest first
-	regionSeen    float64                  // part of own plus region that other regions may know
+	falls         [deploymentTicks]float64 // of region beyond its decay, at the last ticks
+	regionSeen    float64                  // what is left of own plus region without unseen charges
 
+	silentPart            float64 // of the quota; see view
 	regionShare, ownShare float64 // of the deployment's spending, and of the region's
 	regions, instances    int
 
@@ -141,7 +146,7 @@
 
 // New returns a Limiter without organizations.
 func New(now time.Time, bounds Bounds) *Limiter {
-	l := &Limiter{bounds: bounds, started: now, ticked: now, sources: make(map[sourceKey]*source), counts: make(map[string]memberCount), members: Members{Own: 1}}
+	l := &Limiter{bounds: bounds, started: now, unsettled: now, process: rand.Uint64(), ticked: now, sources: make(map[sourceKey]*source), counts: make(map[string]memberCount), members: Members{Own: 1}}
 	l.accounts.Store(&accountSet{})
 	return l
 }
@@ -234,8 +239,10 @@
 // level returns what is in the bucket, as far as this instance knows.
 func (a *account) level() float64 { return a.base - a.region - a.remote }
 
-// cap cuts the level at the burst.
-func (a *account) cap() { a.base = min(a.base, a.quota.Burst+a.region+a.remote) }
+// cap cuts the level at the part of the burst that silent instances may not use.
+func (a *account) cap() {
+	a.base = min(a.base, a.quota.Burst*(1-a.silentPart)+a.region+a.remote)
+}
 
 // advance fills the bucket up to now.
 func (a *account) advance(now time.Time) {
@@ -265,6 +272,9 @@
 		return LargerThanAll
 	case level <= 0 || cost > level+a.slack/4:
 		return Exhausted
+	case cost > level && a.at.Before(a.settled):
+		// Many instances may have started at once, and each one knows only of itself.
+		return Exhausted
 	}
 	left := level
 	if a.regions > 1 {
@@ -289,15 +299,7 @@
 }
 
 // unseenOfRegion returns the charges of this region that other regions may not know.
-func (a *account) unseenOfRegion() float64 {
-	// Charges have decayed for half of the time on average.
-	return max(a.own+a.region-a.regionSeen, 0) * regrowth
-}
-
-var (
-	regionDecay = math.Exp(-float64(deploymentTicks*TickInterval) / float64(decayTime))
-	regrowth    = 1 / math.Sqrt(regionDecay)
-)
+func (a *account) unseenOfRegion() float64 { return max(a.own+a.region-a.regionSeen, 0) }
 
 // regionSlack is what the region may spend unseen beyond its share of the bucket.
 func (a *account) regionSlack() float64 { return a.slack / 2 / float64(a.regions) }
@@ -310,7 +312,8 @@
 	if surgeFactor*a.quota.Rate*(regionTicks*TickInterval).Seconds() <= 0.65*a.slack {
 		return max(slack, a.slack/4)
 	}
-	return slack + 2.5*cost*min(1, 2*level/a.quota.Burst)
+	usual := a.quota.Rate * (regionTicks * TickInterval).Seconds() / float64(max(a.instances, 1)) / cost
+	return slack + cost*(2+2*math.Sqrt(usual))*min(1, 4*level/a.quota.Burst)
 }
 
 // refuse returns a refusal. It takes a place in the schedule of this instance's part of
--- a/quota/sources.go
+++ b/quota/sources.go
@@ -15,6 +15,9 @@
 	// warmupTime is how long a collector that has just started does not speak for its
 	// members, whose reports it may not have yet.
 	warmupTime = 4 * TickInterval
+	// memory is how long the last report of an instance is kept. If a new process of the
+	// instance follows within that time, what the last one has spent still counts.
+	memory = 5 * decayTime
 	// memberRetention is how long instances that are not listed any more still count, and
 	// regionRetention the same for a region without any. The list loses instances that are
 	// cut off but serve their callers.
@@ -103,19 +106,44 @@
 }
 
 type sourceKey struct {
-	role Role
-	id   string
+	role  Role
+	id    string
+	ended bool
 }
 
 // source is the last report of an instance or a region.
 type source struct {
-	at       time.Time
-	covered  int
-	spending map[uint64]Spending
-	parts    map[uint64]float64 // of quotas, for a region; kept while it is silent
+	at           time.Time
+	process      uint64
+	ended        bool // of processes that have ended; it decays
+	covered      int
+	remoteSilent float64 // part of quotas of regions that are silent for the sender
+	settled      bool
+	spending     map[uint64]Spending
+	parts        map[uint64]float64 // of quotas, for a region; kept while it is silent
 }
 
-func (s *source) silent(now time.Time, role Role) bool { return s == nil || now.Sub(s.at) > role.ttl() }
+func (s *source) silent(now time.Time, role Role) bool {
+	switch {
+	case s == nil:
+		return true
+	case s.ended:
+		return false
+	default:
+		return now.Sub(s.at) > role.ttl()
+	}
+}
+
+// expired reports whether a source need not be kept.
+func (s *source) expired(now time.Time) bool { return now.Sub(s.at) > memory }
+
+// weight is the part of the spending that counts.
+func (s *source) weight(now time.Time) float64 {
+	if !s.ended {
+		return 1
+	}
+	return math.Exp(-max(now.Sub(s.at), 0).Seconds() / decayTime.Seconds())
+}
 
 // Merge stores a report that was sent age ago. id is that of the instance, or of the region
 // with the role Remote. An organization that is missing in a partial report decays.
@@ -125,7 +153,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	key := sourceKey{role, id}
+	key := sourceKey{role: role, id: id}
 	if role == Upstream {
 		key.id = "" // a new collector replaces the last one
 	}
@@ -137,7 +165,7 @@
 	if spending == nil {
 		spending = make(map[uint64]Spending)
 	}
-	s := &source{at: now.Add(-max(age, 0)), covered: message.Covered, spending: spending}
+	s := &source{at: now.Add(-max(age, 0)), process: message.Process, covered: message.Covered, remoteSilent: message.Silent, settled: message.Settled, spending: spending}
 	if old != nil {
 		if message.Partial {
 			decay := math.Exp(-max(now.Sub(old.at), 0).Seconds() / decayTime.Seconds())
@@ -148,6 +176,9 @@
 			}
 		}
 		s.parts = old.parts
+		if old.process != s.process && (role == Member || role == Collector) {
+			l.keepEnded(now, key, old, s)
+		}
 	}
 	if role == Remote {
 		l.recordParts(s, id)
@@ -155,6 +186,26 @@
 	l.sources[key] = s
 }
 
+// keepEnded keeps the spending that a new process of a source does not report, as its
+// predecessor did.
+func (l *Limiter) keepEnded(now time.Time, key sourceKey, old, current *source) {
+	key.ended = true
+	ended := &source{at: now, ended: true, spending: make(map[uint64]Spending)}
+	decay := math.Exp(-max(now.Sub(old.at), 0).Seconds() / decayTime.Seconds())
+	for k, value := range old.spending {
+		if lost := value.Region*decay - current.spending[k].Region; lost > minReported {
+			ended.spending[k] = Spending{Region: lost}
+		}
+	}
+	if last := l.sources[key]; last != nil {
+		weight := last.weight(now)
+		for k, value := range last.spending {
+			ended.spending[k] = Spending{Region: ended.spending[k].Region + value.Region*weight}
+		}
+	}
+	l.sources[key] = ended
+}
+
 // recordParts records the part of each quota that a region uses by demand, which counts
 // as its spending when it is silent.
 func (l *Limiter) recordParts(s *source, region string) {
@@ -187,7 +238,7 @@
 		if key.role == Remote {
 			return l.members.Others[key.id] == 0
 		}
-		return s.silent(now, key.role)
+		return s.expired(now)
 	})
 	elapsed := now.Sub(l.ticked)
 	l.ticked, l.listed = now, l.listed || members.Own > 0
@@ -197,6 +248,9 @@
 // update recalculates what others spend.
 func (l *Limiter) update(now time.Time, elapsed time.Duration) {
 	view := l.view(now)
+	if view.silent || elapsed > maxPause {
+		l.unsettled = now
+	}
 	for key, a := range l.accounts.Load().byKey {
 		a.mu.Lock()
 		a.update(now, elapsed, &l.members, view, view.of(a, key))
@@ -206,11 +260,15 @@
 
 // view is what is known of others at a time.
 type view struct {
-	now                  time.Time
-	members              *Members
-	missing              int // instances of the region from which nothing is known
-	listed               bool // the list has shown instances of the region
-	silent               bool
+	now     time.Time
+	members *Members
+	missing int  // instances of the region from which nothing is known
+	listed  bool // the list has shown instances of the region
+	silent  bool
+	// silentPart is the part of the instances that are silent. What was in a bucket is
+	// divided among the sides of a cut, as none learns what the other one spends.
+	silentPart           float64
+	remoteSilent         float64 // part of the instances in other regions that are silent
 	upstream             *source
 	region               []*source // that report on instances of the region
 	remote               map[string]*source
@@ -242,17 +300,32 @@
 	}
 	v.missing = max(l.members.Own-1-covered, 0)
 	v.silent = 2*v.missing > l.members.Own
-	for region := range l.members.Others {
-		v.silent = v.silent || v.upstream == nil && v.remote[region].silent(now, Remote)
+	v.silentPart = l.members.part(v.missing)
+	if v.upstream != nil {
+		v.silentPart += v.upstream.remoteSilent
+		return v
 	}
+	v.remoteSilent = l.members.remoteSilent(now, v.remote)
+	v.silentPart += v.remoteSilent
+	v.silent = v.silent || v.remoteSilent > 0
 	return v
 }
 
+// remoteSilent returns the part of the instances that is in silent regions.
+func (m *Members) remoteSilent(now time.Time, remote map[string]*source) (sum float64) {
+	for region, instances := range m.Others {
+		if remote[region].silent(now, Remote) {
+			sum += m.part(instances)
+		}
+	}
+	return sum
+}
+
 // of returns the recent spending of others that counts for an account.
 func (v *view) of(a *account, key uint64) Spending {
 	var sum Spending
 	for _, s := range v.region {
-		sum.Region += s.spending[key].Region
+		sum.Region += s.spending[key].Region * s.weight(v.now)
 	}
 	entitlement := a.quota.Rate * decayTime.Seconds()
 	if v.missing > 0 {
@@ -287,22 +360,18 @@
 func (a *account) update(now time.Time, elapsed time.Duration, members *Members, v *view, others Spending) {
 	a.advance(now)
 	decay := math.Exp(-elapsed.Seconds() / decayTime.Seconds())
-	if now.Before(a.settled) {
-		if v.silent {
-			a.settled = now.Add(settleTime)
-		}
-		// A report that replaces an assumption does not raise the level, and an assumption
-		// does not lower it. Usual decay is balanced by deductions from base.
-		change := others.Region + others.Remote - (a.region+a.remote)*decay
-		if v.silent || change < 0 {
-			a.base += change
-		}
-		a.region, a.remote = others.Region, others.Remote
+	before := a.region
+	if settling := now.Before(a.settled); settling || a.settling {
+		a.settle(v, others, decay, settling)
+		a.settling = settling
 	} else {
 		fall := math.Exp(-elapsed.Seconds() / fallTime.Seconds())
 		a.region, a.remote = max(others.Region, a.region*fall), max(others.Remote, a.remote*fall)
 	}
-	a.cap()
+	if level := a.level(); level > 0 && v.silentPart > a.silentPart && a.silentPart < 1 {
+		a.base -= level * (v.silentPart - a.silentPart) / (1 - a.silentPart)
+	}
+	a.silentPart = v.silentPart
 	a.filling = v.listed
 	a.regions, a.instances = len(members.Others)+1, members.total()
 	a.regionAge, a.remoteAge = v.regionAge, v.remoteAge
@@ -314,11 +383,17 @@
 	a.own = (a.own-fresh)*decay + fresh*math.Sqrt(decay)
 	copy(a.unseen[1:], a.unseen[:])
 	a.unseen[0] = 0
+	copy(a.falls[1:], a.falls[:])
+	a.falls[0] = max(before*decay-a.region, 0)
 	copy(a.regionHistory[1:], a.regionHistory[:])
 	a.regionHistory[0] = a.own + a.region
 	copy(a.ownHistory[1:], a.ownHistory[:])
 	a.ownHistory[0] = a.own
-	a.regionSeen = a.regionHistory[deploymentTicks-1] * regionDecay
+	// The charges of a tick are the rise of recent spending plus its decay.
+	a.regionSeen = a.regionHistory[deploymentTicks-1]
+	for k, units := range a.regionHistory {
+		a.regionSeen -= units*(1-decay) + a.falls[k]
+	}
 	if v.silent {
 		a.regionShare += (members.regionPart() - a.regionShare) * (1 - math.Exp(-elapsed.Seconds()/driftTime.Seconds()))
 		return
@@ -329,3 +404,23 @@
 	own := a.ownHistory[regionTicks-1]
 	a.ownShare = part(own, own+a.region, 1/float64(max(members.Own, 1)))
 }
+
+// settle applies the recent spending of others to a bucket that has just begun to fill.
+// A report that replaces an assumption does not raise its level, and an assumption does
+// not lower it. Usual decay is balanced by deductions from base. Until an instance that
+// runs for longer reports, other regions count as spending their entitlement.
+func (a *account) settle(v *view, others Spending, decay float64, assume bool) {
+	switch {
+	case !assume:
+	case v.silent:
+		a.settled = v.now.Add(settleTime)
+	case v.upstream != nil && v.upstream.settled:
+		a.settled = v.now
+	default:
+		others.Remote = max(others.Remote, a.quota.Rate*decayTime.Seconds()*(1-a.regionShare))
+	}
+	if change := others.Region + others.Remote - (a.region+a.remote)*decay; v.silent || change < 0 {
+		a.base += change
+	}
+	a.region, a.remote = others.Region, others.Remote
+}
--- a/quota/wire.go
+++ b/quota/wire.go
@@ -33,15 +33,21 @@
 
 // Message reports recent spending by key of the organization.
 type Message struct {
-	Covered  int  // instances of the region whose spending it contains
-	Partial  bool // organizations are missing, as there are more than MaxOrganizations
+	Process  uint64  // of the sender
+	Covered  int     // instances of the region whose spending it contains
+	Settled  bool    // the sender has known what others spend for a while
+	Silent   float64 // part of the instances that are in regions from which it hears nothing
+	Partial  bool    // organizations are missing, as there are more than MaxOrganizations
 	Spending map[uint64]Spending
 }
 
 type messageFile struct {
-	Covered  int    `json:"covered"`
-	Partial  bool   `json:"partial,omitempty"`
-	Spending []byte `json:"spending,omitempty"`
+	Process  uint64  `json:"process"`
+	Covered  int     `json:"covered"`
+	Settled  bool    `json:"settled,omitempty"`
+	Silent   float64 `json:"silent,omitempty"`
+	Partial  bool    `json:"partial,omitempty"`
+	Spending []byte  `json:"spending,omitempty"`
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -52,7 +58,7 @@
 		data = binary.LittleEndian.AppendUint32(data, math.Float32bits(float32(s.Region)))
 		data = binary.LittleEndian.AppendUint32(data, math.Float32bits(float32(s.Remote)))
 	}
-	return json.Marshal(messageFile{m.Covered, m.Partial, data})
+	return json.Marshal(messageFile{m.Process, m.Covered, m.Settled, m.Silent, m.Partial, data})
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -67,10 +73,12 @@
 		return errors.Errorf("decode quota message: length of %d bytes is not a multiple of %d", len(data), recordBytes)
 	case len(data) > MaxOrganizations*recordBytes:
 		return errors.Errorf("decode quota message: %d organizations, limit %d", len(data)/recordBytes, MaxOrganizations)
+	case !(file.Silent >= 0 && file.Silent <= 1):
+		return errors.Errorf("decode quota message: silent part %v, want 0 to 1", file.Silent)
 	case file.Covered < 0 || file.Covered > maxCovered:
 		return errors.Errorf("decode quota message: %d instances, limit %d", file.Covered, maxCovered)
 	}
-	*m = Message{file.Covered, file.Partial, make(map[uint64]Spending, len(data)/recordBytes)}
+	*m = Message{file.Process, file.Covered, file.Settled, file.Silent, file.Partial, make(map[uint64]Spending, len(data)/recordBytes)}
 	for ; len(data) > 0; data = data[recordBytes:] {
 		s := Spending{decodeUnits(data[8:]), decodeUnits(data[12:])}
 		if !(math.Abs(s.Region) <= maxSpending && math.Abs(s.Remote) <= maxSpending) {
@@ -96,7 +104,7 @@
 	if len(set.byKey) == 0 || role != Member && now.Sub(l.started) < warmupTime {
 		return nil
 	}
-	m := &Message{Covered: 1, Spending: make(map[uint64]Spending)}
+	m := &Message{Process: l.process, Covered: 1, Spending: make(map[uint64]Spending)}
 	var sources []*source
 	for key, s := range l.sources {
 		include := role != Member && key.role == Member || (role == Upstream || role == Remote) && key.role == Collector
@@ -106,6 +114,11 @@
 		}
 	}
 	v := l.view(now)
+	m.Silent = v.remoteSilent
+	if v.upstream != nil {
+		m.Silent = v.upstream.remoteSilent
+	}
+	m.Settled = now.Sub(l.unsettled) > settleTime
 	v.region = sources
 	v.missing = 0
 	if role == Remote {
