--- a/quota/quota.go
+++ b/quota/quota.go
@@ -270,7 +270,7 @@
 	switch {
 	case cost > a.quota.Burst+a.slack/4:
 		return LargerThanAll
-	case level <= 0 || cost > level+a.slack/4:
+	case level <= 0 || cost > level+a.overdraft(cost):
 		return Exhausted
 	case cost > level && a.at.Before(a.settled):
 		// Many instances may have started at once, and each one knows only of itself.
@@ -290,6 +290,21 @@
 	return ""
 }
 
+// small reports whether the margin covers any expected demand until the instances of a
+// region know of it.
+func (a *account) small() bool {
+	return surgeFactor*a.quota.Rate*(regionTicks*TickInterval).Seconds() <= 0.65*a.slack
+}
+
+// overdraft is how much more than the level a request may cost. The level deviates from
+// the true one, for an organization with few requests by more of one request's cost.
+func (a *account) overdraft(cost float64) float64 {
+	if a.small() {
+		return a.slack / 4
+	}
+	return min(a.slack/4, cost/2)
+}
+
 // unseenHere returns the charges that the other instances of the region may not know.
 func (a *account) unseenHere() (sum float64) {
 	for _, units := range a.unseen {
@@ -302,18 +317,18 @@
 func (a *account) unseenOfRegion() float64 { return max(a.own+a.region-a.regionSeen, 0) }
 
 // regionSlack is what the region may spend unseen beyond its share of the bucket.
-func (a *account) regionSlack() float64 { return a.slack / 2 / float64(a.regions) }
+func (a *account) regionSlack() float64 { return 0.65 * a.slack / float64(a.regions) }
 
 // ownSlack is what this instance may spend unseen beyond its share of the bucket. With a
 // full bucket, it is more than one request: callers choose instances at random, so that
 // some get several requests at a time. All instances together cannot get as many.
 func (a *account) ownSlack(level, cost float64) float64 {
 	slack := a.slack / 10 / float64(max(a.instances, 1))
-	if surgeFactor*a.quota.Rate*(regionTicks*TickInterval).Seconds() <= 0.65*a.slack {
+	if a.small() {
 		return max(slack, a.slack/4)
 	}
 	usual := a.quota.Rate * (regionTicks * TickInterval).Seconds() / float64(max(a.instances, 1)) / cost
-	return slack + cost*(2+2*math.Sqrt(usual))*min(1, 4*level/a.quota.Burst)
+	return slack + cost*(3+3*math.Sqrt(usual))*min(1, 2*level/a.quota.Burst)
 }
 
 // refuse returns a refusal. It takes a place in the schedule of this instance's part of
--- a/quota/sources.go
+++ b/quota/sources.go
@@ -14,7 +14,7 @@
 	remoteTTL = 1800 * time.Millisecond
 	// warmupTime is how long a collector that has just started does not speak for its
 	// members, whose reports it may not have yet.
-	warmupTime = 4 * TickInterval
+	warmupTime = 2 * TickInterval
 	// memory is how long the last report of an instance is kept. If a new process of the
 	// instance follows within that time, what the last one has spent still counts.
 	memory = 5 * decayTime
