--- a/quota/quota.go
+++ b/quota/quota.go
@@ -299,12 +299,19 @@
 // overdraft is how much more than the level a request may cost. The level deviates from
 // the true one, for an organization with few requests by more of one request's cost.
 func (a *account) overdraft(cost float64) float64 {
-	if a.small() {
+	if a.small() && !a.stale() {
 		return a.slack / 4
 	}
+	if a.stale() {
+		return 0
+	}
 	return min(a.slack/4, cost/2)
 }
 
+// stale reports whether the last report of this region is older than the rules on unseen
+// spending assume.
+func (a *account) stale() bool { return a.regionAge > regionTicks*TickInterval }
+
 // unseenHere returns the charges that the other instances of the region may not know.
 func (a *account) unseenHere() (sum float64) {
 	for _, units := range a.unseen {
@@ -324,6 +331,9 @@
 // some get several requests at a time. All instances together cannot get as many.
 func (a *account) ownSlack(level, cost float64) float64 {
 	slack := a.slack / 10 / float64(max(a.instances, 1))
+	if a.stale() {
+		return slack
+	}
 	if a.small() {
 		return max(slack, a.slack/4)
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -45,6 +45,37 @@
 	})
 }
 
+// TestBoundInFlood guards against a flood that begins at all instances at once, also while
+// a region is cut off, and against restarts that forget what was spent.
+func TestBoundInFlood(t *testing.T) {
+	t.Parallel()
+	for _, event := range []string{"nothing", "cut", "cut at once", "restart all", "restart", "suspend"} {
+		for _, rate := range []float64{18000, 60000, 200000, 2e6} {
+			f := newFleet(1, rate, rate, 27, 20, 14)
+			f.run(8 * time.Second)
+			f.ask(1/1.8, evenParts()...)
+			f.run(6 * time.Second)
+			if event == "cut" {
+				f.fail(event)
+				f.run(5 * time.Second)
+			}
+			if event == "cut at once" {
+				f.fail("cut")
+			}
+			f.ask(flood, evenParts()...)
+			for range 6 {
+				f.run(2 * time.Second)
+				f.fail(event)
+				f.run(500 * time.Millisecond)
+				f.fail("resume")
+			}
+			bound := limit(&f.organization.Quota)
+			t.Logf("%s, %.0f tokens/s: at most %.3f of the bound", event, rate, f.most(start)/bound)
+			qt.Check(t, f.most(start) <= bound, qt.IsTrue, qt.Commentf("%s, rate %v: %.0f units, bound %.0f", event, rate, f.most(start), bound))
+		}
+	}
+}
+
 // fail makes an event happen.
 func (f *fleet) fail(event string) {
 	switch event {
@@ -116,8 +147,8 @@
 func TestLowerQuotaBinds(t *testing.T) {
 	t.Parallel()
 	f := newFleet(1, 2e6, 2e6, 27, 20, 14)
-	f.ask(0.9, evenParts()...)
-	f.run(12 * time.Second)
+	f.run(8 * time.Second) // until the buckets are full
+	f.ask(flood, evenParts()...)
 	f.organization = organization(2e5, 2e5)
 	for _, n := range f.nodes {
 		f.configure(n)
@@ -208,10 +239,9 @@
 	c.Check(reported, qt.HasLen, 2000)
 }
 
-func BenchmarkCharge(b *testing.B) {
-	l := New(start, bounds)
-	organizations := catalog.NewOrganizations()
-	var keys []string
+// manyOrganizations returns a limiter with 2,000 organizations and their keys.
+func manyOrganizations() (l *Limiter, organizations *catalog.Organizations, keys []string) {
+	l, organizations = New(start, bounds), catalog.NewOrganizations()
 	for k := range 2000 {
 		var own []string
 		for j := range 20 {
@@ -221,6 +251,11 @@
 		keys = append(keys, own...)
 	}
 	l.Configure(start, organizations)
+	return l, organizations, keys
+}
+
+func BenchmarkCharge(b *testing.B) {
+	l, organizations, keys := manyOrganizations()
 	b.ReportAllocs()
 	now := start
 	for i := 0; b.Loop(); i++ {
@@ -232,3 +267,16 @@
 		reservation.Cancel()
 	}
 }
+
+func BenchmarkTickAndReport(b *testing.B) {
+	l, organizations, _ := manyOrganizations()
+	now := start
+	for b.Loop() {
+		now = now.Add(TickInterval)
+		l.Tick(now, Members{Own: 1})
+		for o := range organizations.All {
+			l.Charge(now, o, 100)
+		}
+		l.Report(now, Member, "")
+	}
+}
