--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -76,6 +76,7 @@
 		filters.Match{Reader: callerProtocol},
 		i.organizationFilter(),
 		countRoute{i.usage},
+		filters.Quota{Limiter: i.quotas, Observer: i.quotaObserver},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
 		filters.RefuseParts{Known: i.partsKnown, Refuse: dispatcher.RefusePart},
 		drainFilter{i},
