--- a/quota/quota.go
+++ b/quota/quota.go
@@ -279,7 +279,7 @@
 	left := level
 	if a.regions > 1 {
 		unseen := a.unseenOfRegion()
-		left = min(left, a.regionShare*(level+unseen)+a.regionSlack()-unseen)
+		left = min(left, a.regionShare*(level+unseen)+a.regionSlack(level)-unseen)
 		if unseen > 0 && left <= 0 {
 			return UnseenRegion
 		}
@@ -323,8 +323,12 @@
 // unseenOfRegion returns the charges of this region that other regions may not know.
 func (a *account) unseenOfRegion() float64 { return max(a.own+a.region-a.regionSeen, 0) }
 
-// regionSlack is what the region may spend unseen beyond its share of the bucket.
-func (a *account) regionSlack() float64 { return 0.65 * a.slack / float64(a.regions) }
+// regionSlack is what the region may spend unseen beyond its share of the bucket. It is
+// lower when the bucket is nearly empty, as the instances of the region then exceed it by
+// what they do not know of each other.
+func (a *account) regionSlack(level float64) float64 {
+	return (0.35 + 0.3*min(1, 2*level/a.quota.Burst)) * a.slack / float64(a.regions)
+}
 
 // ownSlack is what this instance may spend unseen beyond its share of the bucket. With a
 // full bucket, it is more than one request: callers choose instances at random, so that
