--- a/quota/quota.go
+++ b/quota/quota.go
@@ -270,16 +270,16 @@
 	switch {
 	case cost > a.quota.Burst+a.slack/4:
 		return LargerThanAll
-	case level <= 0 || cost > level+a.overdraft(cost):
+	case level <= -a.reserve() || cost > level+a.overdraft(cost):
 		return Exhausted
 	case cost > level && a.at.Before(a.settled):
 		// Many instances may have started at once, and each one knows only of itself.
 		return Exhausted
 	}
-	left := level
+	left := level + a.reserve()
 	if a.regions > 1 {
 		unseen := a.unseenOfRegion()
-		left = min(left, a.regionShare*(level+unseen)+a.regionSlack(level)-unseen)
+		left = min(left, a.regionShare*(left+unseen)+a.regionSlack(level)-unseen)
 		if unseen > 0 && left <= 0 {
 			return UnseenRegion
 		}
@@ -299,8 +299,8 @@
 // overdraft is how much more than the level a request may cost. The level deviates from
 // the true one, for an organization with few requests by more of one request's cost.
 func (a *account) overdraft(cost float64) float64 {
-	if a.small() && !a.stale() {
-		return a.slack / 4
+	if a.small() {
+		return a.reserve() + a.slack/4
 	}
 	if a.stale() {
 		return 0
@@ -308,6 +308,16 @@
 	return min(a.slack/4, cost/2)
 }
 
+// reserve is how much the level of a small organization may be below 0. Each of its
+// requests is a large part of the bucket, so that two that all instances do not know at
+// the same time make the level negative at some.
+func (a *account) reserve() float64 {
+	if !a.small() || a.at.Before(a.settled) {
+		return 0
+	}
+	return a.slack / 5
+}
+
 // stale reports whether the last report of this region is older than the rules on unseen
 // spending assume.
 func (a *account) stale() bool { return a.regionAge > regionTicks*TickInterval }
@@ -327,6 +337,9 @@
 // lower when the bucket is nearly empty, as the instances of the region then exceed it by
 // what they do not know of each other.
 func (a *account) regionSlack(level float64) float64 {
+	if a.small() {
+		return 0.65 * a.slack / float64(a.regions)
+	}
 	return (0.35 + 0.3*min(1, 2*level/a.quota.Burst)) * a.slack / float64(a.regions)
 }
 
@@ -335,11 +348,11 @@
 // some get several requests at a time. All instances together cannot get as many.
 func (a *account) ownSlack(level, cost float64) float64 {
 	slack := a.slack / 10 / float64(max(a.instances, 1))
-	if a.stale() {
-		return slack
-	}
-	if a.small() {
+	switch {
+	case a.small():
 		return max(slack, a.slack/4)
+	case a.stale():
+		return slack
 	}
 	usual := a.quota.Rate * (regionTicks * TickInterval).Seconds() / float64(max(a.instances, 1)) / cost
 	return slack + cost*(4+4*math.Sqrt(usual))*min(1, level/a.quota.Burst)
