--- a/quota/sources.go
+++ b/quota/sources.go
@@ -380,6 +380,7 @@
 	}
 	// New charges have decayed for half of the time on average.
 	fresh := a.unseen[0]
+	a.largest *= decay
 	a.own = (a.own-fresh)*decay + fresh*math.Sqrt(decay)
 	copy(a.unseen[1:], a.unseen[:])
 	a.unseen[0] = 0
