hosted: instances of a region pass on load reports of servers

Cause: on the hosting platform a server reports its load in its responses only. Where many instances share many servers, an instance knows most of them from its own last response of ten seconds ago, takes free ones for full and full ones for free, refuses prompts and sends others to servers that do not have their shared part.

An instance uses one if the report that it has is at least 500 ms older, which leaves deployments alone in which each instance uses each server often.

--- a/backend/server.go
+++ b/backend/server.go
@@ -158,6 +158,22 @@
 	s.report.Store(next)
 }
 
+// minRelayedAge is the age of a load report above which a later one that another
+// instance has received replaces it. An instance that receives reports itself often
+// enough goes by them, because its own requests in flight are known for the same time.
+const minRelayedAge = 500 * time.Millisecond
+
+// RecordRelayedLoad records a load report that another instance has received, if the last
+// one is much older. The slowdown of the report is not used.
+func (s *Server) RecordRelayedLoad(l Load) {
+	last := s.Load()
+	if !last.ReceivedAt.IsZero() && l.ReceivedAt.Sub(last.ReceivedAt) < minRelayedAge {
+		return
+	}
+	l.Slowdown = 0
+	s.SetLoad(l)
+}
+
 // Occupied estimates the number of requests on the server: those of the last
 // report and those that this instance has added since. As a report describes the
 // load some time before it was received, requests that this instance started
--- a/hosted/exchange.go
+++ b/hosted/exchange.go
@@ -225,6 +225,7 @@
 		own := e.hub.Placements(collector.Collector, state.sentPlacements, 0)
 		request.Placements, sentPlacements = own.Region, own.NextRegion
 		request.Work = e.hub.CellWork(now, i.ownWork()).Heaviest(maxReportedServers)
+		request.Loads = recentLoads(now, i.registry.All())
 		request.Slowdowns = recentSlowdowns(now, i.registry.All())
 		request.RateLimits = currentRateLimits(now, i.registry.All())
 		request.Summaries = role == collector.Member && e.summariesDue(now)
@@ -302,6 +303,7 @@
 	} else {
 		e.hub.Receive(now, response.Work)
 	}
+	recordLoads(sent, response.Loads, i.registry.All())
 	response.Slowdowns.record(now, i.registry.All())
 	response.RateLimits.record(sent, i.registry.All())
 	i.router.Prefix.MergePlacements(now, response.Placements)
--- a/hosted/exchangeserve.go
+++ b/hosted/exchangeserve.go
@@ -27,6 +27,7 @@
 	// Role is what the sender is to the receiver.
 	Role       collector.Source       `json:"role"`
 	Work       collector.Work         `json:"work,omitempty"`
+	Loads      collector.Loads        `json:"loads,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
 	RateLimits rateLimits             `json:"rate-limits,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"`
@@ -46,6 +47,7 @@
 	ID         string                 `json:"id"`
 	Started    int64                  `json:"started"`
 	Work       collector.Work         `json:"work,omitempty"`
+	Loads      collector.Loads        `json:"loads,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
 	RateLimits rateLimits             `json:"rate-limits,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"` // of the region
@@ -109,6 +111,7 @@
 			return
 		}
 		e.hub.Report(now, request.Role, request.ID, request.Work)
+		recordLoads(now, request.Loads, i.registry.All())
 		request.Slowdowns.record(now, i.registry.All())
 		request.RateLimits.record(now, i.registry.All())
 		i.router.Prefix.MergePlacements(now, request.Placements)
@@ -119,6 +122,7 @@
 		} else {
 			response.Work = e.hub.OthersWork(now, own, request.ID).Heaviest(maxReportedServers)
 		}
+		response.Loads = recentLoads(now, i.registry.All())
 		response.Slowdowns = recentSlowdowns(now, i.registry.All())
 		response.RateLimits = currentRateLimits(now, i.registry.All())
 	}
