hosted: budget of a collector counts placements only

Cause: a collector limits placements to a twentieth of its link, but charged whole responses to that budget, also pending work and load reports, which are always sent. With 16 members at 8 exchanges a second, pending work of 20 servers is about 75 kB/s, more than the 62.5 kB/s of a link of 10 Mbit/s, so members of such a collector received no placements and computed shared parts again that others had placed.

Change: only placements and parts are charged. A load report is passed on for two exchanges after it was recorded rather than for 400 ms, which halves its bytes.

--- a/backend/server.go
+++ b/backend/server.go
@@ -81,8 +81,9 @@
 // the report may include.
 type report struct {
 	Load
-	inFlight int64 // this instance's requests in flight when the report was received
-	baseline int64 // the lesser of this and the previous report's inFlight
+	recordedAt time.Time // at this instance
+	inFlight   int64     // this instance's requests in flight when the report was received
+	baseline   int64     // the lesser of this and the previous report's inFlight
 
 	// Moving averages over the reports.
 	smoothedTotal float64 // Running + Waiting
@@ -144,11 +145,13 @@
 }
 
 // SetLoad records a load report and updates the moving averages.
-func (s *Server) SetLoad(l Load) {
+func (s *Server) SetLoad(l Load) { s.setLoad(l.ReceivedAt, l) }
+
+func (s *Server) setLoad(now time.Time, l Load) {
 	s.RecordSlowdown(SlowdownReport{l.Slowdown, l.ReceivedAt})
 	local := s.inFlight.Load()
 	total := float64(l.Running + l.Waiting)
-	next := &report{Load: l, inFlight: local, baseline: local, smoothedTotal: total, smoothedLocal: float64(local)}
+	next := &report{Load: l, recordedAt: now, inFlight: local, baseline: local, smoothedTotal: total, smoothedLocal: float64(local)}
 	if last := s.report.Load(); last != nil {
 		next.baseline = min(local, last.inFlight)
 		weight := smoothingWeight(l.ReceivedAt.Sub(last.ReceivedAt))
@@ -165,13 +168,22 @@
 
 // RecordRelayedLoad records a load report that another instance has received, if the last
 // one is much older. The slowdown of the report is not used.
-func (s *Server) RecordRelayedLoad(l Load) {
+func (s *Server) RecordRelayedLoad(now time.Time, l Load) {
 	last := s.Load()
 	if !last.ReceivedAt.IsZero() && l.ReceivedAt.Sub(last.ReceivedAt) < minRelayedAge {
 		return
 	}
 	l.Slowdown = 0
-	s.SetLoad(l)
+	s.setLoad(now, l)
+}
+
+// LoadRecordedAt returns when this instance recorded the last load report, or the zero
+// time before the first one.
+func (s *Server) LoadRecordedAt() time.Time {
+	if r := s.report.Load(); r != nil {
+		return r.recordedAt
+	}
+	return time.Time{}
 }
 
 // Occupied estimates the number of requests on the server: those of the last
--- a/collector/wire.go
+++ b/collector/wire.go
@@ -1,6 +1,7 @@
 package collector
 
 import (
+	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
 
@@ -90,6 +91,9 @@
 	return json.Marshal(data)
 }
 
+// EncodedLen returns the length of the encoded records.
+func (p Placements) EncodedLen() int { return base64.StdEncoding.EncodedLen(len(p) * placementBytes) }
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (p *Placements) UnmarshalJSON(text []byte) error {
 	data, err := decodeRecords(text, "placements", placementBytes, MaxPlacements)
--- a/hosted/exchangeserve.go
+++ b/hosted/exchangeserve.go
@@ -140,7 +140,20 @@
 		response.Remote, response.NextRemote = known.Remote, known.NextRemote
 		response.Parts = i.parts.Report(now, request.Since)
 	}
-	i.reportBudget.spend(i.writeJSON(w, response))
+	i.writeJSON(w, response)
+	i.reportBudget.spend(response.limitedBytes())
+}
+
+// limitedBytes returns the encoded size of the placements and parts. The rest of a response
+// is not limited and does not count: on a thin link, what is always sent would use up the
+// budget, and members of the collector would never learn of placements.
+func (r *exchangeResponse) limitedBytes() int {
+	size := r.Placements.EncodedLen() + r.Remote.EncodedLen()
+	if r.Parts == nil {
+		return size
+	}
+	parts, _ := json.Marshal(r.Parts) // has been encoded as a part of the response already
+	return size + len(parts)
 }
 
 // ownSummaries returns the summaries of this region.
--- a/hosted/loads.go
+++ b/hosted/loads.go
@@ -13,6 +13,10 @@
 // a report to all instances of the region.
 const maxLoadAge = 400 * time.Millisecond
 
+// loadNewsTime is how long an instance passes on a load report after it has recorded it:
+// two exchanges, of which one may be late.
+const loadNewsTime = 2 * exchangeInterval
+
 // recentLoads returns the load reports that were received recently, the newest ones of at
 // most maxReportedServers servers. A backend server reports its load in its responses, so
 // that an instance that sends it a request every many seconds does not learn of its load
@@ -21,7 +25,7 @@
 	var loads collector.Loads
 	for _, server := range servers {
 		load := server.Load()
-		if age := now.Sub(load.ReceivedAt); !load.ReceivedAt.IsZero() && age <= maxLoadAge {
+		if age := now.Sub(load.ReceivedAt); !load.ReceivedAt.IsZero() && age <= maxLoadAge && now.Sub(server.LoadRecordedAt()) <= loadNewsTime {
 			loads = append(loads, collector.ServerLoad{
 				Server: server.Key, Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Age: max(age, 0),
 			})
@@ -43,7 +47,7 @@
 	}
 	for _, server := range servers {
 		if load, reported := byKey[server.Key]; reported {
-			server.RecordRelayedLoad(backend.Load{
+			server.RecordRelayedLoad(time.Now(), backend.Load{
 				Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, ReceivedAt: sent.Add(-load.Age),
 			})
 		}
--- a/hosted/loads_test.go
+++ b/hosted/loads_test.go
@@ -44,3 +44,16 @@
 	c.Check(receiver[2].Load().Slots, qt.Equals, 0)
 	c.Check(json.Unmarshal([]byte(`"AAAA"`), &loads), qt.IsNotNil)
 }
+
+// TestReportBudgetIsForPlacements guards against a collector on a thin link whose budget is
+// used up by what it sends anyway, so that its members never learn of placements.
+func TestReportBudgetIsForPlacements(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	response := exchangeResponse{Work: collector.Work{1: {1, 2}}, Loads: collector.Loads{{Server: 1}}}
+	c.Check(response.limitedBytes(), qt.Equals, 0)
+	response.Placements = make(collector.Placements, 30)
+	text, err := json.Marshal(response.Placements)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.limitedBytes(), qt.Equals, len(text)-len(`""`))
+}
