routing: no refusal because of one full server beside others with room

Cause: servers are compared by averages over 10 s, and by the bonus for cached tokens, but a request is refused by the last report of the one that was chosen. A prompt was refused because the server with its shared part was full for a moment, beside others that were not.

Change: if the wait at the chosen server exceeds the limit, the best of the candidates with a quarter of their slots free is taken; the request is refused only if there is none.

Tests of routing pass unchanged; the new one fails without the mechanism.

--- a/routing/regionload_test.go
+++ b/routing/regionload_test.go
@@ -415,3 +415,24 @@
 	c.Check(all.again < third.again, qt.IsTrue)
 	c.Check(all.again <= none.again/2, qt.IsTrue)
 }
+
+// TestPromptIsNotRefusedBesideRoom guards against a refusal because the server that has the
+// prompt cached is full now, which its average load hides, while others have room.
+func TestPromptIsNotRefusedBesideRoom(t *testing.T) {
+	c := qt.New(t)
+	router := newRouter(newRegistry(4, 16), 1)
+	router.MaxWaitFraction = 0.7
+	servers := router.Registry.Servers(testService.Name)
+	for _, server := range servers {
+		a := server.StartAttempt(start.Add(-time.Second), backend.Job{UncachedTokens: 9000, UncachedExact: true})
+		a.FirstToken(start.Add(-800 * time.Millisecond))
+		a.End(start, true)
+	}
+	req := &Request{Service: testService, Work: testWork, Deadline: start.Add(time.Minute), PromptTokens: 9000, Prefix: prefixOf(1, 32)}
+	router.RecordDispatch(req, servers[0])
+	c.Assert(router.Decide(req).Server, qt.Equals, servers[0])
+	servers[0].SetLoad(backend.Load{Running: 16, Waiting: 160, Slots: 16, ReceivedAt: start.Add(time.Millisecond)})
+	d := router.Decide(req)
+	c.Assert(d.Server, qt.Not(qt.IsNil), qt.Commentf("%s", d.Reason))
+	c.Assert(d.Server, qt.Not(qt.Equals), servers[0])
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -257,20 +257,6 @@
 	return decision
 }
 
-// waitTooLong reports whether the expected wait of a request at its chosen server
-// exceeds the limit. A request that has been tried on a server, and may have run
-// there, is never refused. Nor is any while no prefill rate of the service is known.
-func (r *Router) waitTooLong(req *Request, d Decision) bool {
-	target := req.Service.PolicyOf(req.Work).Target
-	if r.MaxWaitFraction == 0 || target <= 0 || d.Server == nil || len(req.Tried) > 0 {
-		return false
-	}
-	if req.PrefillRate(d.Server) == 0 {
-		return false
-	}
-	return d.Wait > time.Duration(r.MaxWaitFraction*float64(target))
-}
-
 // Healthy returns the servers of a service that pass Filters and Health. If there
 // are none, it returns those that pass Filters alone, as Decide does. Limits is not
 // applied.
@@ -401,6 +387,13 @@
 	events := max(0, best.Server.ExpectedEvents(req.OutputHint)-float64(req.EventsSent))
 	s.sharers = 0
 	best.Cost = r.Scorer.Score(req, best.Server, best.CachedTokens) + best.fetchTime
+	if r.exceedsWait(req, best.Server, best.wait(req)) {
+		// Candidates are compared by averages, which may hide that the best one is full now.
+		if others := r.withRoom(req, candidates); len(others) > 0 {
+			best = others[picker.Pick(req, others, random)]
+			best.Cost = r.Scorer.Score(req, best.Server, best.CachedTokens) + best.fetchTime
+		}
+	}
 	if best.CachedTokens > 0 && reason == ReasonLeastCost {
 		reason = ReasonPrefix
 	}
@@ -408,7 +401,7 @@
 	return Decision{
 		Server: best.Server, Reason: reason, Candidates: len(candidates),
 		Cost: best.Cost, CachedTokens: best.CachedTokens, FetchFrom: best.FetchFrom,
-		Wait:     best.Cost - req.BaseLatency(best.Server) - best.ownPrefillTime(req),
+		Wait:     best.wait(req),
 		Slowdown: slowdown.Slowdown, SlowdownAge: slowdown.Age(s.now), SlowCandidates: slow,
 		TokensAhead: best.Server.PendingPrefill(catalog.Batch), Occupied: best.Server.Occupied(),
 		StreamTime: time.Duration(events * float64(best.Server.ExpectedInterval(s.now))), Events: events,
