backend: one request of an instance does not stand for those of all

Cause: the expected requests on a server add the deviation of the instance's own requests from their average, times the number of instances, up to 32. With 0.3 own requests on average, a single one counted as 32: an instance never sent two prompts of a subject to the same server at once, and computed the shared part on another.

Change: with less than one own request on average, the deviation counts in proportion to the average. With one or more nothing changes.

Tests of backend and routing pass unchanged; the new one fails without the change.

--- a/backend/attempt_test.go
+++ b/backend/attempt_test.go
@@ -65,3 +65,21 @@
 	}
 	c.Assert(server.PrefillRate() > 0.9*rate && server.PrefillRate() < 1.1*rate, qt.IsTrue, qt.Commentf("%.0f tokens/s", server.PrefillRate()))
 }
+
+// TestSingleRequestDoesNotStandForAllInstances guards against a server that seems full
+// because one of many instances has a single request on it.
+func TestSingleRequestDoesNotStandForAllInstances(t *testing.T) {
+	c := qt.New(t)
+	server := NewServer(Info{ID: "a"})
+	now := time.Now()
+	server.SetLoad(Load{Running: 4, Slots: 16, ReceivedAt: now})
+	attempt := server.StartAttempt(now, Job{})
+	c.Check(server.ExpectedRequests(32), qt.Equals, 5.0)
+	attempt.End(now, true)
+	for range 2 {
+		server.StartAttempt(now, Job{})
+	}
+	server.SetLoad(Load{Running: 4, Slots: 16, ReceivedAt: now.Add(time.Hour)})
+	server.StartAttempt(now, Job{})
+	c.Check(server.ExpectedRequests(32) > 35, qt.IsTrue)
+}
--- a/backend/server.go
+++ b/backend/server.go
@@ -228,13 +228,19 @@
 // sharers is the number of instances with requests on the server. As each of
 // them balances its own requests, the deviation of one is taken for that of all
 // and multiplied by sharers. If every instance used the last report instead,
-// all would send to the server that the report shows as idle.
+// all would send to the server that the report shows as idle. With less than one own
+// request on average, the deviation is mostly chance and counts in proportion to the
+// average: a single request would otherwise stand for one of each sharer, and keep the
+// next prompt with the same prefix away.
 func (s *Server) ExpectedRequests(sharers float64) float64 {
 	local := float64(s.inFlight.Load())
 	r := s.report.Load()
 	if r == nil {
 		return local
 	}
+	if r.smoothedLocal < 1 {
+		sharers = 1 + (sharers-1)*r.smoothedLocal
+	}
 	return max(local, r.smoothedTotal+sharers*(local-r.smoothedLocal))
 }
 
