routing: full regions do not send each other work

Cause: a full region frees slots all the time. Summaries offer them to other regions, although requests of the region wait for them, so two full regions sent each other the work that they refuse.

Change: a region sends nothing to one from which it has received a request within 700 ms that the other region may run itself. For work that may not run here, or that has no local server left, such a region is the last choice. Request.From holds the region that has forwarded a request.

Tests of routing and dispatch pass unchanged.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -184,6 +184,10 @@
 
 // RoutingRequest returns the properties of a request that routing uses.
 func RoutingRequest(x *filters.Exchange) *routing.Request {
+	from := ""
+	if x.Hop != nil {
+		from = x.Hop.Region
+	}
 	return &routing.Request{
 		ID:           x.ID,
 		Service:      x.Service,
@@ -198,6 +202,7 @@
 		PrefixTokens: x.PrefixTokens,
 		SharedBlocks: x.SharedBlocks,
 		Forwarded:    x.Hop != nil,
+		From:         from,
 		NoLocalSlot:  x.NoLocalSlot,
 		Tried:        make(map[string]bool),
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -49,6 +49,7 @@
 	PrefixTokens []int           // tokens covered by each of Prefix; nil stands for BlockTokens per block
 	SharedBlocks int             // leading blocks that are shared with other prompts; 0: unknown
 	Forwarded    bool            // arrived from another region; is not forwarded again
+	From         string          // region that has forwarded the request; "" if unknown
 	StayLocal    bool            // another region was tried already; no second one is tried
 	Alone        bool            // a suspect that must not share a server with other requests
 	NoLocalSlot  bool            // no slot of this region becomes free in time; the request spills or is refused
@@ -241,6 +242,9 @@
 // Decide chooses a server or another region for the next attempt of a request.
 func (r *Router) Decide(req *Request) Decision {
 	now := r.now()
+	if req.From != "" && r.Spill != nil && req.Service.Permits(req.Work, req.From) {
+		r.Spill.Received(now, req.From)
+	}
 	if !req.Service.Permits(req.Work, r.Region) {
 		return r.considerSpill(now, req, Decision{Reason: ReasonRegionNotPermitted})
 	}
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -27,14 +27,17 @@
 
 // Defaults of a Spiller.
 const (
-	defaultLinkLatency   = 80 * time.Millisecond // one way, between regions
-	defaultLinkRate      = 250e6                 // bytes per second: 2,000 Mbit/s
-	defaultEnterAfter    = 500 * time.Millisecond
-	defaultExitAfter     = 5 * time.Second
-	defaultMaxAge        = 10 * time.Second
-	defaultRampStart     = 2.0   // requests per second
-	defaultRampMax       = 512.0 // requests per second
-	rampDoublingTime     = 2 * time.Second
+	defaultLinkLatency = 80 * time.Millisecond // one way, between regions
+	defaultLinkRate    = 250e6                 // bytes per second: 2,000 Mbit/s
+	defaultEnterAfter  = 500 * time.Millisecond
+	defaultExitAfter   = 5 * time.Second
+	defaultMaxAge      = 10 * time.Second
+	defaultRampStart   = 2.0   // requests per second
+	defaultRampMax     = 512.0 // requests per second
+	rampDoublingTime   = 2 * time.Second
+	// receivedTime is how long no requests are sent to a region that has sent one here: about
+	// two summaries.
+	receivedTime         = 700 * time.Millisecond
 	remoteTargetFraction = 0.8 // fraction of the remaining target that the remote cost may use
 	// soonerFraction is the fraction of the local time until the end of a stream within which it
 	// must end in another region to be sent there. The rest is for the error of intervals
@@ -104,6 +107,7 @@
 	failedAt  time.Time // last time that the region was unreachable
 	summaryAt time.Time // time of the summary since which sent counts
 	sent      int       // requests sent since that summary
+	received  time.Time // last time that the region sent a request that it may run itself
 }
 
 // decide returns a decision for another region if the request should spill, and
@@ -210,6 +214,15 @@
 	cost       time.Duration // expected time to first token
 	streamTime time.Duration // expected time from the first to the last event; 0: unknown
 	rank       time.Duration // the region with the least is chosen
+	sends      bool          // the region sends requests here, and is chosen last
+}
+
+// better reports whether a region is preferred to another one.
+func (o *offer) better(than *offer) bool {
+	if o.sends != than.sends {
+		return than.sends
+	}
+	return o.rank < than.rank
 }
 
 // chooseRegion returns the region with the least expected time to first token among
@@ -220,11 +233,17 @@
 // summary.
 func (s *Spiller) chooseRegion(now time.Time, req *Request, local Decision, remaining time.Duration, r *Router, ignoreSlots bool) choice {
 	best := choice{reason: SpillNoRegion}
+	noLocalServer := local.Server == nil && !req.NoLocalSlot
 	unknownRegion := ""
 	for _, region := range r.Regions.Reachable() {
 		if region == r.Region || !req.Service.Permits(req.Work, region) {
 			continue
 		}
+		sends := s.receivesFrom(now, region)
+		if sends && !noLocalServer {
+			best.reason = SpillNotBetter
+			continue
+		}
 		summary, fresh := s.freshSummary(now, region, req.Service.Name)
 		if !fresh {
 			unknownRegion = region
@@ -233,11 +252,13 @@
 		offered, eligible := s.evaluateRegion(now, req, local, summary, remaining, ignoreSlots)
 		if !eligible {
 			best.reason = SpillNotBetter
-		} else if best.summary.Region == "" || offered.rank < best.rank {
+			continue
+		}
+		offered.sends = sends
+		if best.summary.Region == "" || offered.better(&best.offer) {
 			best.summary, best.offer = summary, offered
 		}
 	}
-	noLocalServer := local.Server == nil && !req.NoLocalSlot
 	if best.summary.Region == "" && noLocalServer && unknownRegion != "" {
 		best.summary.Region, best.loadUnknown = unknownRegion, true
 	}
@@ -375,6 +396,22 @@
 	s.limiter(region).failedAt = now
 }
 
+// Received records that a region has sent a request here that it may run itself.
+func (s *Spiller) Received(now time.Time, region string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter(region).received = now
+}
+
+// receivesFrom reports whether a region has sent requests here lately: it has less room
+// than this one, or had until its requests arrived.
+func (s *Spiller) receivesFrom(now time.Time, region string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	received := s.limiter(region).received
+	return !received.IsZero() && now.Sub(received) < receivedTime
+}
+
 // updateRamp restarts the ramp if the region has been unreachable since the ramp
 // began: a request to it failed, or its current series of summaries began later. A
 // region that was reachable but received no requests keeps its ramp. since is the
--- a/routing/wait.go
+++ b/routing/wait.go
@@ -46,4 +46,3 @@
 func (c *Candidate) wait(req *Request) time.Duration {
 	return c.Cost - req.BaseLatency(c.Server) - c.ownPrefillTime(req)
 }
-
