routing: requests spread over other regions by their room

Cause: each instance sent to the region with the least expected cost as long as its share of the free slots lasted, at least one request. All instances chose the same region by a little, and one with 30 free slots got a request of each of 80 instances.

Change: of the regions that meet the target, one is drawn in proportion to the free slots that the instance has not used yet. Streams that would end late still go to the region in which they end first. With one other region nothing changes.

--- a/routing/spill.go
+++ b/routing/spill.go
@@ -201,30 +201,6 @@
 	return choice.summary.Region != "" && !choice.loadUnknown
 }
 
-// choice is the best other region for a request.
-type choice struct {
-	offer
-	summary     RegionSummary // of the chosen region; its Region is empty if there is none
-	loadUnknown bool          // the load of the region is unknown
-	reason      SpillReason   // why there is no region
-}
-
-// offer is what another region is expected to do for a request.
-type offer struct {
-	cost       time.Duration // expected time to first token
-	streamTime time.Duration // expected time from the first to the last event; 0: unknown
-	rank       time.Duration // the region with the least is chosen
-	sends      bool          // the region sends requests here, and is chosen last
-}
-
-// better reports whether a region is preferred to another one.
-func (o *offer) better(than *offer) bool {
-	if o.sends != than.sends {
-		return than.sends
-	}
-	return o.rank < than.rank
-}
-
 // chooseRegion returns the region with the least expected time to first token among
 // those that meet the remaining target, or, for a stream that would end late here, the
 // region in which it ends first. If there is none and no local server is
@@ -255,9 +231,7 @@
 			continue
 		}
 		offered.sends = sends
-		if best.summary.Region == "" || offered.better(&best.offer) {
-			best.summary, best.offer = summary, offered
-		}
+		best.consider(summary, offered, r.random())
 	}
 	if best.summary.Region == "" && noLocalServer && unknownRegion != "" {
 		best.summary.Region, best.loadUnknown = unknownRegion, true
@@ -309,15 +283,17 @@
 	if !met || summary.Servers == 0 {
 		return o, false
 	}
-	if !ignoreSlots && s.sentSince(summary) >= s.freeSlots(summary, now.Sub(summary.At)) {
+	left := s.freeSlots(summary, now.Sub(summary.At)) - s.sentSince(summary)
+	if !ignoreSlots && left <= 0 {
 		return o, false
 	}
+	o.room = float64(max(left, 0))
 	localEnd, end := local.Cost+local.StreamTime, cost+o.streamTime
 	switch {
 	case local.Server == nil:
 		return o, true
 	case local.StreamTime > 0 && s.endsLate(now, req, localEnd):
-		o.rank = end
+		o.rank, o.late = end, true
 		return o, float64(end) < soonerFraction*float64(localEnd)
 	case o.streamTime > 0 && s.endsLate(now, req, end):
 		return o, false
--- a/routing/threeregions_test.go
+++ b/routing/threeregions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -204,3 +205,28 @@
 		c.Check(float64(on.swapped) <= 0.05*float64(on.total), qt.IsTrue)
 	}
 }
+
+// TestInstancesSpreadByRoom guards against all instances of a region sending to the same
+// other region because it is better by a little, although it has room for few of them.
+func TestInstancesSpreadByRoom(t *testing.T) {
+	c := qt.New(t)
+	const instances, free = 80, 30
+	toSmall := 0
+	for k := range uint64(instances) {
+		table := &SummaryTable{}
+		router, now := overloaded(&Spiller{
+			Summaries: table, EnterAfter: time.Nanosecond, Share: func() float64 { return 1.0 / instances }, RampStart: 1e6, RampMax: 1e6,
+		})
+		router.Regions, router.Random = reachable{"alex", "giza"}, rand.New(rand.NewPCG(k, 1))
+		small, large := idle(start, free), idle(start, 10*free)
+		large.Region, large.PrefillRate = "giza", small.PrefillRate*0.9
+		table.Put(small)
+		table.Put(large)
+		router.Decide(urgent(*now, 0)) // the first miss
+		*now = now.Add(time.Millisecond)
+		if router.Decide(urgent(*now, 0)).Region == "alex" {
+			toSmall++
+		}
+	}
+	c.Assert(toSmall <= free, qt.IsTrue, qt.Commentf("%d requests for %d slots", toSmall, free))
+}
