routing: test that a region is used again after it stops sending

Cause: the rule against exchanged work had a test of its effect in a simulation only, not of its end and its exceptions.

Measured (go test ./routing -run UsedAgain): passes; fails with the rule off.

--- a/routing/threeregions_test.go
+++ b/routing/threeregions_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 )
 
 // spillSim simulates three regions that peak in turn. Each has instances that see the same
@@ -230,3 +231,37 @@
 	}
 	c.Assert(toSmall <= free, qt.IsTrue, qt.Commentf("%d requests for %d slots", toSmall, free))
 }
+
+// TestRegionIsUsedAgainAfterItStopsSending guards against a region that stays unused after
+// demand has shifted, against work that may not run here and is refused because the only other
+// region sends requests, and against such requests that count although that region may not
+// run them.
+func TestRegionIsUsedAgainAfterItStopsSending(t *testing.T) {
+	c := qt.New(t)
+	table := &SummaryTable{}
+	router, now := overloaded(&Spiller{Summaries: table, EnterAfter: time.Nanosecond, RampStart: 1e6, RampMax: 1e6})
+	elsewhere := testWork
+	elsewhere.Homes = []string{"alex"}
+	region := func(work catalog.Work, after time.Duration) string {
+		*now = now.Add(after)
+		table.Put(idle(*now, 100))
+		req := urgent(*now, 0)
+		req.Work = work
+		return router.Decide(req).Region
+	}
+	receive := func(work catalog.Work) {
+		req := urgent(*now, 0)
+		req.Work, req.Forwarded, req.From = work, true, "alex"
+		router.Decide(req)
+	}
+	region(testWork, 0) // the first miss
+	c.Assert(region(testWork, time.Millisecond), qt.Equals, "alex")
+	receive(testWork)
+	c.Check(region(testWork, time.Millisecond), qt.Equals, "")
+	c.Check(region(elsewhere, time.Millisecond), qt.Equals, "alex")
+	c.Check(region(testWork, receivedTime), qt.Equals, "alex")
+	here := testWork
+	here.Homes = []string{"cairo"}
+	receive(here)
+	c.Check(region(testWork, time.Millisecond), qt.Equals, "alex")
+}
