--- a/hosted/exchangeserve.go
+++ b/hosted/exchangeserve.go
@@ -28,6 +28,7 @@
 	// Role is what the sender is to the receiver.
 	Role       collector.Source       `json:"role"`
 	Work       collector.Work         `json:"work,omitempty"`
+	Loads      collector.Loads        `json:"loads,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
 	RateLimits rateLimits             `json:"rate-limits,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"`
@@ -48,6 +49,7 @@
 	ID         string                 `json:"id"`
 	Started    int64                  `json:"started"`
 	Work       collector.Work         `json:"work,omitempty"`
+	Loads      collector.Loads        `json:"loads,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
 	RateLimits rateLimits             `json:"rate-limits,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"` // of the region
@@ -114,6 +116,7 @@
 		}
 		e.hub.Report(now, request.Role, request.ID, request.Work)
 		i.quotas.Merge(now, 0, quota.Role(request.Role), request.ID, request.Quota)
+		recordLoads(now, request.Loads, i.registry.All())
 		request.Slowdowns.record(now, i.registry.All())
 		request.RateLimits.record(now, i.registry.All())
 		i.router.Prefix.MergePlacements(now, request.Placements)
@@ -124,6 +127,7 @@
 		} else {
 			response.Work = e.hub.OthersWork(now, own, request.ID).Heaviest(maxReportedServers)
 		}
+		response.Loads = recentLoads(now, i.registry.All())
 		response.Slowdowns = recentSlowdowns(now, i.registry.All())
 		response.RateLimits = currentRateLimits(now, i.registry.All())
 	}
@@ -142,7 +146,20 @@
 		response.Remote, response.NextRemote = known.Remote, known.NextRemote
 		response.Parts = i.parts.Report(now, request.Since)
 	}
-	i.reportBudget.spend(i.writeJSON(w, response))
+	i.writeJSON(w, response)
+	i.reportBudget.spend(response.limitedBytes())
+}
+
+// limitedBytes returns the encoded size of the placements and parts. The rest of a response
+// is not limited and does not count: on a thin link, what is always sent would use up the
+// budget, and members of the collector would never learn of placements.
+func (r *exchangeResponse) limitedBytes() int {
+	size := r.Placements.EncodedLen() + r.Remote.EncodedLen()
+	if r.Parts == nil {
+		return size
+	}
+	parts, _ := json.Marshal(r.Parts) // has been encoded as a part of the response already
+	return size + len(parts)
 }
 
 // ownSummaries returns the summaries of this region.
