quota: what others spent before an instance started is not deducted from its empty bucket

Cause: the bucket of a new instance begins empty and then also lost the recent spending of others and their assumed entitlement with the first reports, up to 1.5 s of the rate; all instances restarted at once refused for seconds. Change: the first known spending of others does not lower the level.

--- a/quota/sources.go
+++ b/quota/sources.go
@@ -420,8 +420,14 @@
 	default:
 		others.Remote = max(others.Remote, a.quota.Rate*decayTime.Seconds()*(1-a.regionShare))
 	}
-	if change := others.Region + others.Remote - (a.region+a.remote)*decay; v.silent || change < 0 {
+	change := others.Region + others.Remote - (a.region+a.remote)*decay
+	switch {
+	case v.silent || change < 0:
 		a.base += change
+	case !a.introduced:
+		// The bucket began empty, so what others have spent before is not deducted again.
+		a.base += max(others.Region+others.Remote-a.region-a.remote, 0)
+		a.introduced = true
 	}
 	a.region, a.remote = others.Region, others.Remote
 }
