quota: the assumed spending of other regions hardly lowers a bucket that begins empty

Cause: an instance that has just started assumes that other regions spend their entitlement; that assumption was deducted at once from an empty bucket, so that after a restart of all instances organizations below their quota were refused for seconds.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -122,8 +122,6 @@
 	settled  time.Time // end of settleTime
 	settling bool      // settled was not over at the last tick
 	filling  bool      // false until the list of instances is known
-	// introduced is set once others have reported what they spend.
-	introduced bool
 
 	// base is the level before the recent spending of others is deducted.
 	base           float64
--- a/quota/sources.go
+++ b/quota/sources.go
@@ -27,6 +27,10 @@
 	// that by demand to that by the number of its instances, on both sides. The demand may
 	// have moved, as when the region is lost at its peak.
 	driftTime = 5 * time.Second
+	// startCredit is the part of the assumed spending of other regions that does not lower
+	// the level of a bucket that has just begun to fill. With all of it, a flood after the
+	// restart of all instances exceeds the bound by 0.7%.
+	startCredit = 0.75
 	// maxSources bounds the instances and regions whose reports are kept.
 	maxSources = 1 << 10
 )
@@ -424,10 +428,10 @@
 	switch {
 	case v.silent || change < 0:
 		a.base += change
-	case !a.introduced:
-		// The bucket began empty, so what others have spent before is not deducted again.
-		a.base += max(others.Region+others.Remote-a.region-a.remote, 0)
-		a.introduced = true
+	case assume:
+		// The bucket began empty: most of the assumption that other regions spend their
+		// entitlement does not lower its level.
+		a.base += startCredit * max(others.Remote-a.remote, 0)
 	}
 	a.region, a.remote = others.Region, others.Remote
 }
