capacity: learn the concurrency that each backend server answers well

Servers of one service differ in speed, and some slow down long before all slots are used. Admission and routing counted nominal slots.

Each attempt now gives samples of the time to the first byte, against the target, and of the longest wait for more of a stream, against the permitted gap, with the requests of the load report as the concurrency. While answers are late and fewer requests are answered better, the limit of the server is reduced; it returns to the nominal slots along a cubic curve. Instances exchange reductions, and evidence with their collectors. Admission, the expected wait for a slot, the penalty for occupied slots, and summaries use the learned number. No server is excluded, and a request is never refused because of the reduced number in routing.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -32,6 +32,9 @@
 	// UncachedExact is true if UncachedTokens is exact: the server's cache cannot hold
 	// any of these tokens.
 	UncachedExact bool
+	// Target is the time in which the response, or its first token, is due, and MaxGap the
+	// longest permitted interval between events; 0: none.
+	Target, MaxGap time.Duration
 }
 
 // Attempt is one request in flight on a server. It is not safe for concurrent
@@ -45,6 +48,9 @@
 	firstTokenSeen bool     // the first token has been received
 	ended          bool
 	lastEvent      time.Time // of a stream; zero before the first one
+
+	// The longest wait for more of the response, of the sample that began at waitsSince.
+	waitsSince, longestBegan, longestEnd time.Time
 }
 
 // StartAttempt records a new request in flight on the server. The caller must
@@ -73,6 +79,7 @@
 	}
 	a.firstTokenSeen = true
 	a.server.localPrefill[a.Rank].Add(-int64(a.UncachedTokens))
+	a.server.observe(now, a.startedAt, a.Target)
 	slowdown, steady := steadySlowdown(a.slowdown, a.server.LastSlowdown().Slowdown)
 	if !steady {
 		return
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -17,6 +17,9 @@
 type Registry struct {
 	shards   [shardCount]shard
 	departed departedServers
+	// LearnConcurrency selects that the concurrency which servers handle well is learned.
+	// It must be set before the first Replace.
+	LearnConcurrency bool
 
 	mu        sync.Mutex
 	estimates map[string]*serviceEstimates // by service
@@ -167,7 +170,7 @@
 		if old == nil {
 			old = r.departed.take(info.ID)
 		}
-		server := updatedServer(old, info, r.estimatesOf(info.Service))
+		server := r.updatedServer(old, info)
 		prepare(server)
 		next[info.Service] = append(next[info.Service], server)
 	}
@@ -184,7 +187,8 @@
 // updatedServer returns the server for info. If the description has changed, it
 // returns a new value, which shares the state of old unless the address or start
 // time shows that it is another process.
-func updatedServer(old *Server, info Info, estimates *serviceEstimates) *Server {
+func (r *Registry) updatedServer(old *Server, info Info) *Server {
+	estimates := r.estimatesOf(info.Service)
 	if old != nil && old.Info == info && old.service == estimates {
 		return old
 	}
@@ -192,6 +196,8 @@
 	s.service = estimates
 	if old != nil && old.Addr == info.Addr && old.Started == info.Started {
 		s.state = old.state
+	} else if r.LearnConcurrency {
+		s.concurrency = &concurrency{}
 	}
 	return s
 }
--- a/backend/server.go
+++ b/backend/server.go
@@ -75,6 +75,7 @@
 	health             Health
 	coldUntil          monotonic.Atomic // when the caches count as warm
 	shared             requestLimiter   // of the limit that holds for all instances together
+	concurrency        *concurrency     // nil if it is not learned
 }
 
 // report is a load report together with this instance's requests in flight, which
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -439,7 +439,11 @@
 	if w.bodyBytes > w.loop.maxResponseBytes() {
 		return 0, errors.Wrapf(errTooLarge, "read response of %s: limit %d bytes", w.server.ID, w.loop.maxResponseBytes())
 	}
+	began := time.Now()
 	n, err := b.ReadCloser.Read(p)
+	if n > 0 && w.bodyBytes > 0 {
+		w.attempt.Waited(began, time.Now())
+	}
 	if n > 0 && w.bodyBytes == 0 && w.loop.firstByteMeasuresTTFT() {
 		w.attempt.FirstToken(time.Now())
 	}
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// updateSlots sets the queue's capacity for each service: the slots of its
-// backend servers and this instance's fraction of them. It also measures how late
+// updateSlots sets the queue's capacity for each service: the requests that its
+// backend servers handle well, and this instance's fraction of them. It also measures how late
 // its timer runs, and updates the heap size of the overload guard.
 func (i *Instance) updateSlots(context.Context) {
 	i.traffic.RecordTick(time.Now(), slotsInterval)
@@ -95,11 +95,16 @@
 	if snapshot == nil {
 		return
 	}
+	now := time.Now()
+	i.registry.EvaluateConcurrency(now, i.observer.ServerConcurrencyChanged)
 	members := max(len(i.roster.InRegion(i.settings.Region)), 1)
 	for _, service := range snapshot.Services {
 		total, free := 0, 0
 		for server := range i.router.Healthy(service.Name) {
-			slots := server.SlotCount()
+			slots := server.GoodSlots(now)
+			if i.options.Concurrency == ConcurrencyRouting {
+				slots = server.SlotCount()
+			}
 			if slots == 0 {
 				slots = defaultServerSlots
 			}
--- a/hosted/exchange.go
+++ b/hosted/exchange.go
@@ -227,6 +227,7 @@
 		request.Work = e.hub.CellWork(now, i.ownWork()).Heaviest(maxReportedServers)
 		request.Slowdowns = recentSlowdowns(now, i.registry.All())
 		request.RateLimits = currentRateLimits(now, i.registry.All())
+		request.Capacities = capacityReports(now, i.registry.All(), true)
 		request.Summaries = role == collector.Member && e.summariesDue(now)
 		stall = exchangeStallTimeout
 	}
@@ -304,6 +305,7 @@
 	}
 	response.Slowdowns.record(now, i.registry.All())
 	response.RateLimits.record(sent, i.registry.All())
+	response.Capacities.record(sent, response.ID, role, i.registry.All())
 	i.router.Prefix.MergePlacements(now, response.Placements)
 	i.router.Remote.MergePlacements(now, response.Remote)
 	e.hub.AddPlacements(now, collector.Collector, response.Placements)
--- a/hosted/exchangeserve.go
+++ b/hosted/exchangeserve.go
@@ -29,6 +29,7 @@
 	Work       collector.Work         `json:"work,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
 	RateLimits rateLimits             `json:"rate-limits,omitempty"`
+	Capacities learnedCapacities      `json:"capacities,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"`
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
 
@@ -48,6 +49,7 @@
 	Work       collector.Work         `json:"work,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
 	RateLimits rateLimits             `json:"rate-limits,omitempty"`
+	Capacities learnedCapacities      `json:"capacities,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"` // of the region
 	Remote     collector.Placements   `json:"remote,omitempty"`     // of other regions
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
@@ -79,6 +81,9 @@
 	if len(r.RateLimits) > collector.MaxServers {
 		return check.Field("rate-limits", strconv.Itoa(len(r.RateLimits)), check.ErrOutOfRange)
 	}
+	if len(r.Capacities) > collector.MaxServers {
+		return check.Field("capacities", strconv.Itoa(len(r.Capacities)), check.ErrOutOfRange)
+	}
 	return nil
 }
 
@@ -111,6 +116,7 @@
 		e.hub.Report(now, request.Role, request.ID, request.Work)
 		request.Slowdowns.record(now, i.registry.All())
 		request.RateLimits.record(now, i.registry.All())
+		request.Capacities.record(now, request.ID, request.Role, i.registry.All())
 		i.router.Prefix.MergePlacements(now, request.Placements)
 		e.hub.AddPlacements(now, request.Role, request.Placements)
 		own := i.ownWork()
@@ -121,6 +127,7 @@
 		}
 		response.Slowdowns = recentSlowdowns(now, i.registry.All())
 		response.RateLimits = currentRateLimits(now, i.registry.All())
+		response.Capacities = capacityReports(now, i.registry.All(), request.Role == collector.Collector)
 	}
 	switch {
 	case !request.Summaries:
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -67,6 +67,8 @@
 	// Heap returns the size of the heap, in bytes, by which requests are shed. Nil means
 	// that of the process, of which the instance must then be the only one.
 	Heap func() int64
+	// Concurrency selects where the concurrency that servers handle well is used.
+	Concurrency ConcurrencyUse
 }
 
 // Instance is an entry instance.
@@ -166,6 +168,7 @@
 		relayBudget:  newByteBudget(settings.LinkRate, relayLinkFraction),
 		retry:        &retry.Policy{Budgets: retry.NewBudgets(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst, settings.Bounds.RetryWindow)},
 	}
+	i.registry.LearnConcurrency = options.Concurrency != ConcurrencyOff
 	i.requests, i.cancelRequests = context.WithCancelCause(context.Background())
 	i.parts = &quarantine.Parts{Observer: i.observer, RetryDelay: rand.N(quarantine.MaxRetryDelay)}
 	i.partsKnown = make(chan struct{})
--- a/routing/plugins.go
+++ b/routing/plugins.go
@@ -80,7 +80,7 @@
 // Score implements Scorer.
 func (s FirstTokenScorer) Score(req *Request, server *backend.Server, cached int) time.Duration {
 	tokens := s.tokensAhead(req.Work.Rank, server) + max(0, req.PromptTokens-cached)
-	cost := slotWait(server, req.Occupied(server)) + req.BaseLatency(server) + prefillTime(tokens, req.PrefillRate(server))
+	cost := slotWait(server, server.GoodSlots(req.scratch.now), req.Occupied(server)) + req.BaseLatency(server) + prefillTime(tokens, req.PrefillRate(server))
 	cost += server.Delay(req.scratch.now, cost)
 	if server.Zone != s.Zone {
 		cost += 2 * s.zoneLatency()
@@ -142,10 +142,10 @@
 	return best
 }
 
-// slotWait returns the expected wait for a slot of the server's batch. With all
-// slots occupied, one is freed every hold/slots on average.
-func slotWait(server *backend.Server, occupied float64) time.Duration {
-	slots := float64(max(server.SlotCount(), 1))
+// slotWait returns the expected wait for one of the slots that are used of the server's
+// batch. With all of them occupied, one is freed every hold/slots on average.
+func slotWait(server *backend.Server, used int, occupied float64) time.Duration {
+	slots := float64(max(used, 1))
 	ahead := occupied - slots + 1
 	if ahead <= 0 {
 		return 0
@@ -157,6 +157,15 @@
 	return time.Duration(float64(hold) * ahead / slots)
 }
 
+// reducedSlotsWait returns how much of the expected wait for a slot of a server is due to
+// the learned concurrency. It makes other servers and regions the better choice, but is no
+// reason to refuse a request: the server has slots left, and a late answer is better than
+// none.
+func reducedSlotsWait(req *Request, server *backend.Server) time.Duration {
+	occupied := req.Occupied(server)
+	return slotWait(server, server.GoodSlots(req.scratch.now), occupied) - slotWait(server, server.SlotCount(), occupied)
+}
+
 // fullPenalty is added to the cost of a server with all slots occupied when
 // candidates are compared.
 const fullPenalty = 200 * time.Millisecond
@@ -170,12 +179,13 @@
 }
 
 // Pick implements Picker.
-func (p LeastCost) Pick(_ *Request, candidates []Candidate, random Random) int {
+func (p LeastCost) Pick(req *Request, candidates []Candidate, random Random) int {
 	penalty := orDefault(p.FullPenalty, fullPenalty)
 	best, same := 0, 1
-	least := candidates[0].penalized(penalty)
+	now := req.scratch.now
+	least := candidates[0].penalized(now, penalty)
 	for i := 1; i < len(candidates); i++ {
-		switch cost := candidates[i].penalized(penalty); {
+		switch cost := candidates[i].penalized(now, penalty); {
 		case cost < least:
 			best, same, least = i, 1, cost
 		case cost == least:
@@ -190,8 +200,8 @@
 
 // penalized returns the cost, less the bonus, plus the penalty for occupied slots.
 // full is the penalty for a server with all slots occupied.
-func (c *Candidate) penalized(full time.Duration) time.Duration {
-	slots := c.Server.SlotCount()
+func (c *Candidate) penalized(now time.Time, full time.Duration) time.Duration {
+	slots := c.Server.GoodSlots(now)
 	if slots == 0 {
 		return c.Cost - c.Bonus
 	}
@@ -213,8 +223,8 @@
 // exceedsAffinityBound reports whether a server is so loaded that its cache must not
 // attract further requests. This never holds for a server with at least half of
 // its slots free.
-func exceedsAffinityBound(c *Candidate, mean float64) bool {
-	return 2*c.Occupied > float64(c.Server.SlotCount()) && c.Occupied > affinityBound*mean+1
+func exceedsAffinityBound(now time.Time, c *Candidate, mean float64) bool {
+	return 2*c.Occupied > float64(c.Server.GoodSlots(now)) && c.Occupied > affinityBound*mean+1
 }
 
 // maxSharers is the upper limit of the estimate of sharers.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -117,6 +117,7 @@
 	// the requests per second that this instance may send it; 0 if it has no limit.
 	ColdFor   time.Duration
 	LimitRate float64
+	GoodSlots int         // requests that Server is known to answer well at once
 	Spill     SpillReason // why the request was or was not forwarded, if another region was considered
 }
 
@@ -127,7 +128,10 @@
 
 // Job returns the work that the request is expected to cause on Server.
 func (d *Decision) Job(req *Request) backend.Job {
-	return backend.Job{Rank: req.Work.Rank, UncachedTokens: d.UncachedTokens(req), UncachedExact: d.uncachedExact(req)}
+	return backend.Job{
+		Rank: req.Work.Rank, UncachedTokens: d.UncachedTokens(req), UncachedExact: d.uncachedExact(req),
+		Target: req.Service.PolicyOf(req.Work).Target, MaxGap: req.Work.MaxGap,
+	}
 }
 
 // uncachedExact reports whether UncachedTokens may be taken as exact: the server
@@ -380,7 +384,7 @@
 	source, mostTokens := r.fetchSource(req, candidates)
 	for i := range candidates {
 		c := &candidates[i]
-		if exceedsAffinityBound(c, mean) {
+		if exceedsAffinityBound(s.now, c, mean) {
 			c.CachedTokens, c.ReuseTokens = 0, 0
 		}
 		c.planFetch(req, source, mostTokens)
@@ -408,11 +412,12 @@
 	return Decision{
 		Server: best.Server, Reason: reason, Candidates: len(candidates),
 		Cost: best.Cost, CachedTokens: best.CachedTokens, FetchFrom: best.FetchFrom,
-		Wait:     best.Cost - req.BaseLatency(best.Server) - best.ownPrefillTime(req),
+		Wait:     best.Cost - req.BaseLatency(best.Server) - best.ownPrefillTime(req) - reducedSlotsWait(req, best.Server),
 		Slowdown: slowdown.Slowdown, SlowdownAge: slowdown.Age(s.now), SlowCandidates: slow,
 		TokensAhead: best.Server.PendingPrefill(catalog.Batch), Occupied: best.Server.Occupied(),
 		StreamTime: time.Duration(events * float64(best.Server.ExpectedInterval(s.now))), Events: events,
 		ColdFor: best.Server.ColdFor(s.now), LimitRate: limit.Rate,
+		GoodSlots: best.Server.GoodSlots(s.now),
 	}
 }
 
--- a/routing/summary.go
+++ b/routing/summary.go
@@ -100,7 +100,7 @@
 		if !r.usable(now, req, server) {
 			continue
 		}
-		slots := server.UsableSlots(max(server.SlotCount(), 1))
+		slots := server.UsableSlots(max(server.GoodSlots(now), 1))
 		summary.Servers++
 		summary.Slots += slots
 		summary.FreeSlots += max(0, slots-server.Occupied())
@@ -140,6 +140,6 @@
 }
 
 func serverWait(now time.Time, server *backend.Server) time.Duration {
-	wait := slotWait(server, float64(server.Occupied())) + prefillTime(server.PendingPrefill(catalog.Batch), expectedRate(now, server))
+	wait := slotWait(server, server.GoodSlots(now), float64(server.Occupied())) + prefillTime(server.PendingPrefill(catalog.Batch), expectedRate(now, server))
 	return wait + server.Delay(now, wait)
 }
