--- a/backend/concurrency.go
+++ b/backend/concurrency.go
@@ -33,6 +33,17 @@
 	return s.concurrency.Slots(now, slots)
 }
 
+// AdmissionSlots returns the number of requests for the server that should be admitted at
+// once. It is GoodSlots if the server serves fewer requests per second when it has more at
+// once, and otherwise SlotCount.
+func (s *Server) AdmissionSlots(now time.Time) int {
+	slots := s.SlotCount()
+	if s.concurrency == nil || slots <= 1 {
+		return slots
+	}
+	return s.concurrency.AdmissionSlots(now, slots)
+}
+
 // Concurrency returns the estimator of the concurrency that the server handles well, or
 // nil if it is not learned.
 func (s *Server) Concurrency() *capacity.Estimator {
--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -45,6 +45,14 @@
 	// as known.
 	minSpread          = 0.1
 	minGradientSamples = 8
+	// overloadElasticity is the elasticity from which on a server that is limited already is
+	// limited further without late answers. Above 1 the times rise faster than the number of
+	// requests, so that fewer requests at once are more requests per second.
+	overloadElasticity = 1.3
+	overloadFactor     = 0.75
+	// retrialTime is the time after a reduction from which on it is tried again whether
+	// fewer requests at once are more requests per second.
+	retrialTime = 30 * time.Second
 	// releaseTime is how long the limit stays at the nominal slots after a reduction that
 	// made answers no better. It doubles with each such reduction in a row, maxReleases
 	// times at most.
@@ -134,6 +142,21 @@
 	return (e.Product/e.Count - requests*ratio) / variance * requests / ratio, true
 }
 
+// Use is what a Limit applies to.
+type Use uint8
+
+// The values of Use.
+const (
+	// Preference makes a limited server cost more than others. Requests that have no
+	// other use the rest of its slots: late answers are better than refusals.
+	Preference Use = iota
+	// Trial also admits fewer requests, to learn whether fewer at once are more per second.
+	Trial
+	// Admission also admits fewer requests: fewer at once are more per second.
+	Admission
+	useCount
+)
+
 // Limit is a reduction of the concurrency, or its end. The one with the highest Version
 // counts, and of two with the same Version the lower one.
 type Limit struct {
@@ -142,6 +165,7 @@
 	Floor    float64   // limit at the time At
 	Releases int       // reductions in a row that made answers no better
 	At       time.Time // of the reduction
+	Use      Use
 }
 
 // newer reports whether l replaces o.
@@ -151,7 +175,7 @@
 
 // valid reports whether a limit received from another instance can be used.
 func (l Limit) valid() bool {
-	return l.Version > 0 && l.Releases >= 0 && (l.Ceiling == 0 || l.Floor >= 1 && l.Floor <= l.Ceiling && l.Ceiling <= math.MaxInt32)
+	return l.Version > 0 && l.Releases >= 0 && l.Use < useCount && (l.Ceiling == 0 || l.Floor >= 1 && l.Floor <= l.Ceiling && l.Ceiling <= math.MaxInt32)
 }
 
 // value returns the concurrency in force: from Floor at first, over Ceiling after
@@ -197,6 +221,17 @@
 	return max(1, int(e.limit.value(now, float64(nominal))+1e-6))
 }
 
+// AdmissionSlots returns the number of requests for the server that should be admitted, from
+// Slots to nominal.
+func (e *Estimator) AdmissionSlots(now time.Time, nominal int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limit.Use == Preference {
+		return nominal
+	}
+	return e.slots(now, nominal)
+}
+
 // Observe adds a sample of a server with the given nominal slots.
 func (e *Estimator) Observe(now time.Time, nominal int, s Sample) {
 	if nominal <= 0 || s.Requests <= 0 || !(s.Ratio >= 0) {
@@ -257,9 +292,6 @@
 		return Change{}, false
 	}
 	all := e.evidence(now, true)
-	if all.Misses < minMisses || all.Misses < minMissFraction*all.Samples {
-		return Change{}, false
-	}
 	next, changed := e.next(now, &all, float64(nominal))
 	if !changed {
 		return Change{}, false
@@ -268,11 +300,15 @@
 	return Change{next, all}, true
 }
 
-// next returns the limit that follows from evidence of misses.
+// next returns the limit that follows from evidence.
 func (e *Estimator) next(now time.Time, all *Evidence, nominal float64) (Limit, bool) {
 	next := Limit{Version: e.limit.Version + 1, At: now}
 	current := e.limit.value(now, nominal)
 	elasticity, known := all.elasticity()
+	overload := known && elasticity >= overloadElasticity
+	if all.Misses < minMisses || all.Misses < minMissFraction*all.Samples {
+		return e.nextWithoutMisses(next, current, all, overload, known && elasticity < 1)
+	}
 	requests := all.MissRequests / all.Misses
 	switch {
 	case known && elasticity < minElasticity && e.limit.Ceiling > 0:
@@ -284,12 +320,47 @@
 	next.Ceiling = min(current, requests)
 	next.Floor = max(1, next.Ceiling*min(maxFactor, max(minFactor, all.Misses/all.MissRatio)))
 	next.Releases = e.limit.Releases
+	next.Use = e.use(now, known, overload)
 	if e.limit.Ceiling > 0 && known {
 		next.Releases = 0
 	}
 	return next, next.Floor < next.Ceiling
 }
 
+// use returns what a new reduction applies to. A server that has shown that fewer requests
+// at once are more per second is not tried again soon: when it is limited, it does not show
+// it.
+func (e *Estimator) use(now time.Time, known, overload bool) Use {
+	recent := e.limit.Ceiling > 0 && now.Sub(e.limit.At) <= retrialTime
+	switch {
+	case overload:
+		return Admission
+	case recent && (e.limit.Use != Trial || !known):
+		return e.limit.Use
+	case known:
+		return Preference
+	}
+	return Trial
+}
+
+// nextWithoutMisses returns the limit that follows from evidence without misses. Only the
+// limit of a server that is limited already changes.
+func (e *Estimator) nextWithoutMisses(next Limit, current float64, all *Evidence, overload, efficient bool) (Limit, bool) {
+	switch {
+	case e.limit.Ceiling == 0 || all.Samples < minMisses:
+		return next, false
+	case overload:
+		next.Ceiling = min(current, all.Requests/all.Count)
+		next.Floor = max(1, next.Ceiling*overloadFactor)
+		next.Use = Admission
+		return next, next.Floor < next.Ceiling
+	case efficient && e.limit.Use == Trial:
+		next.Ceiling, next.Floor, next.At, next.Releases = e.limit.Ceiling, e.limit.Floor, e.limit.At, e.limit.Releases
+		return next, true
+	}
+	return next, false
+}
+
 func (e *Estimator) setLimit(next Limit) {
 	e.limit = next
 	e.own.Samples, e.own.Misses, e.own.MissRequests, e.own.MissRatio = 0, 0, 0, 0
--- a/hosted/concurrency.go
+++ b/hosted/concurrency.go
@@ -37,12 +37,13 @@
 
 // learnedCapacity is a capacity.Report of a backend server.
 type learnedCapacity struct {
-	Started  int64   `json:"started,omitempty"` // of the server's process
-	Version  uint32  `json:"version,omitempty"`
-	Ceiling  float64 `json:"ceiling,omitempty"`
-	Floor    float64 `json:"floor,omitempty"`
-	Releases int     `json:"releases,omitempty"`
-	AgeMS    int64   `json:"age-ms,omitempty"`
+	Started  int64        `json:"started,omitempty"` // of the server's process
+	Version  uint32       `json:"version,omitempty"`
+	Ceiling  float64      `json:"ceiling,omitempty"`
+	Floor    float64      `json:"floor,omitempty"`
+	Releases int          `json:"releases,omitempty"`
+	Use      capacity.Use `json:"use,omitempty"`
+	AgeMS    int64        `json:"age-ms,omitempty"`
 	// Evidence holds the fields of capacity.Evidence in multiples of evidenceUnit.
 	Evidence []int64 `json:"evidence,omitempty"`
 }
@@ -77,7 +78,7 @@
 
 func encodeCapacity(now time.Time, started int64, r *capacity.Report, withEvidence bool) learnedCapacity {
 	l := learnedCapacity{
-		Started: started, Version: r.Version, Ceiling: round(r.Ceiling), Floor: round(r.Floor), Releases: r.Releases,
+		Started: started, Version: r.Version, Ceiling: round(r.Ceiling), Floor: round(r.Floor), Releases: r.Releases, Use: r.Use,
 	}
 	if r.Version > 0 {
 		l.AgeMS = max(now.Sub(r.At).Milliseconds(), 0)
@@ -107,7 +108,7 @@
 			continue
 		}
 		report := capacity.Report{Limit: capacity.Limit{
-			Version: told.Version, Ceiling: told.Ceiling, Floor: told.Floor, Releases: told.Releases,
+			Version: told.Version, Ceiling: told.Ceiling, Floor: told.Floor, Releases: told.Releases, Use: told.Use,
 			At: sent.Add(-time.Duration(min(told.AgeMS, math.MaxInt32)) * time.Millisecond),
 		}}
 		values := report.Evidence.Pointers()
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -101,9 +101,9 @@
 	for _, service := range snapshot.Services {
 		total, free := 0, 0
 		for server := range i.router.Healthy(service.Name) {
-			slots := server.GoodSlots(now)
-			if i.options.Concurrency == ConcurrencyRouting {
-				slots = server.SlotCount()
+			slots := server.SlotCount()
+			if i.options.Concurrency != ConcurrencyRouting {
+				slots = server.AdmissionSlots(now)
 			}
 			if slots == 0 {
 				slots = defaultServerSlots
