--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -1,6 +1,9 @@
 package capacity
 
 import (
+	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -71,8 +74,9 @@
 	return s
 }
 
-// TestAlternatives prints the table of docs/design/server-capacity.md.
-func TestAlternatives(t *testing.T) {
+// BenchmarkAlternatives measures the credit of answers with each learner, for the table of
+// docs/design/server-capacity.md.
+func BenchmarkAlternatives(b *testing.B) {
 	for _, c := range scenarios {
 		for _, l := range []struct {
 			name  string
@@ -88,17 +92,128 @@
 			{"estimator", estimator, true},
 		} {
 			for _, n := range []int{1, 7, 80} {
-				if n > 1 && l.name == "nominal" {
-					continue
-				}
-				credit := 0.0
-				for seed := range uint64(3) {
-					credit += c.play(seed, n, l.share, l.make).credit() / 3
-				}
-				t.Logf("%s; %s; %d: %.3f", c.name, l.name, n, credit)
+				b.Run(fmt.Sprintf("%s/%s/%d", c.name, l.name, n), func(b *testing.B) {
+					credit := 0.0
+					for seed := range b.N {
+						credit += c.play(uint64(seed), n, l.share, l.make).credit()
+					}
+					b.ReportMetric(credit/float64(b.N), "credit")
+				})
 			}
 		}
 	}
 }
 
-var _ = qt.New
+// TestSlowingServers guards against servers that slow down before they are full and are
+// filled all the same, and against instances that each see too little to learn it.
+func TestSlowingServers(t *testing.T) {
+	t.Parallel()
+	for _, instances := range []int{1, 7, 80} {
+		s := scenarios[5].play(1, instances, true, estimator)
+		full := scenarios[5].play(1, instances, true, nominal)
+		t.Logf("%d instances: %s; with all slots: %s", instances, s, full)
+		qt.Check(t, float64(s.inTime) >= 0.9*float64(s.inTime+s.late+s.refused), qt.IsTrue, qt.Commentf("%d instances: %s", instances, s))
+	}
+}
+
+// TestQuarterOfSlowEngines guards against fewer answers because slow engines are limited:
+// their slots are still needed.
+func TestQuarterOfSlowEngines(t *testing.T) {
+	t.Parallel()
+	for _, instances := range []int{1, 80} {
+		var learned, all float64
+		for seed := range uint64(3) {
+			learned += scenarios[1].play(seed, instances, true, estimator).credit() / 3
+			all += scenarios[1].play(seed, instances, true, nominal).credit() / 3
+		}
+		t.Logf("%d instances: credit %.3f, with all slots %.3f", instances, learned, all)
+		qt.Check(t, learned >= all-0.01, qt.IsTrue, qt.Commentf("%d instances: credit %.3f, with all slots %.3f", instances, learned, all))
+	}
+}
+
+// TestSteadyServersKeepAllSlots guards against a limit on servers of equal speed that
+// answer well, also when all their slots are in use.
+func TestSteadyServersKeepAllSlots(t *testing.T) {
+	t.Parallel()
+	for _, instances := range []int{1, 7, 80} {
+		s := newSim(1, instances, true, estimator, engine(1), engine(1), engine(1))
+		s.eachSecond = func(second int) {
+			for _, x := range s.servers {
+				qt.Check(t, s.limit(x), qt.Equals, 16, qt.Commentf("%d instances, second %d", instances, second))
+			}
+		}
+		s.run(20*time.Second, 30, func() *request {
+			return &request{prefill: 10, events: 30, perEvent: 4, target: 800 * time.Millisecond, maxGap: 400 * time.Millisecond}
+		})
+		qt.Check(t, s.late, qt.Equals, 0)
+		qt.Check(t, s.refused > 0, qt.IsTrue, qt.Commentf("the slots were not all in use: %s", s))
+	}
+}
+
+// TestEngineThatSlowsDownAndRecovers guards against a server that stays limited, or is not
+// limited, when it becomes four times slower for ten seconds.
+func TestEngineThatSlowsDownAndRecovers(t *testing.T) {
+	t.Parallel()
+	for _, instances := range []int{1, 7, 80} {
+		s := newSim(1, instances, true, estimator, same(8, func() *server { return engine(1) })()...)
+		least, last := 16, 0
+		s.eachSecond = func(second int) {
+			switch second {
+			case 10:
+				s.servers[0].speed = 0.25
+			case 20:
+				s.servers[0].speed = 1
+			}
+			last = s.limit(s.servers[0])
+			if second > 10 && second <= 16 {
+				least = min(least, last)
+			}
+		}
+		s.run(36*time.Second, 32, s.engineRequest)
+		qt.Check(t, least <= 12, qt.IsTrue, qt.Commentf("%d instances: %d slots after 6 s", instances, least))
+		qt.Check(t, last, qt.Equals, 16, qt.Commentf("%d instances: 15 s after the recovery", instances))
+	}
+}
+
+// TestLimitDoesNotFollowUnrelatedMisses guards against a limit that stays low although
+// answers are late at any concurrency.
+func TestLimitDoesNotFollowUnrelatedMisses(t *testing.T) {
+	t.Parallel()
+	random := rand.New(rand.NewPCG(1, 1))
+	e, now, total := &Estimator{}, time.Unix(1e9, 0), 0
+	const steps = 6000
+	for range steps {
+		now = now.Add(10 * time.Millisecond)
+		requests := 1 + random.IntN(e.Slots(now, 16))
+		e.Observe(now, 16, Sample{Requests: requests, Ratio: 0.6 + random.Float64(), Began: now.Add(-time.Millisecond)})
+		e.Evaluate(now, 16)
+		total += e.Slots(now, 16)
+	}
+	qt.Check(t, float64(total)/steps >= 0.9*16, qt.IsTrue, qt.Commentf("mean slots %.1f", float64(total)/steps))
+}
+
+// TestLimitIsAtLeastOne guards against a server that is excluded, and against values from
+// other instances that cannot be right.
+func TestLimitIsAtLeastOne(t *testing.T) {
+	t.Parallel()
+	e, now := &Estimator{}, time.Unix(1e9, 0)
+	for k := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		requests := 1 + k%max(1, e.Slots(now, 6))
+		e.Observe(now, 6, Sample{Requests: requests, Ratio: float64(requests), Began: now.Add(-time.Millisecond)})
+		e.Evaluate(now, 6)
+		qt.Assert(t, e.Slots(now, 6) >= 1, qt.IsTrue)
+	}
+	version := e.limit.Version
+	for _, l := range []Limit{
+		{Version: version + 1, Ceiling: 4, Floor: 0.5, At: now},
+		{Version: version + 1, Ceiling: math.NaN(), Floor: 1, At: now},
+		{Version: version + 1, Ceiling: 2, Floor: 3, At: now},
+		{Version: version + 1, Ceiling: 2, Floor: 1, Releases: -1, At: now},
+		{Version: version + 1, Ceiling: 2, Floor: 1, Use: useCount, At: now},
+	} {
+		e.Merge(now, "other", false, Report{Limit: l, Evidence: Evidence{Samples: math.Inf(1), Count: 1}})
+		qt.Check(t, e.limit.Version, qt.Equals, version, qt.Commentf("%+v", l))
+		qt.Check(t, e.others, qt.HasLen, 0)
+	}
+}
--- a/capacity/sim_test.go
+++ b/capacity/sim_test.go
@@ -269,6 +269,11 @@
 	return &request{prefill: prefill, events: 10, perEvent: 4, target: time.Second, maxGap: 400 * time.Millisecond}
 }
 
+// prompt returns a long prompt of which nothing is cached.
+func (s *sim) prompt() *request {
+	return &request{prefill: 215, events: 10, perEvent: 4, target: time.Second, maxGap: 400 * time.Millisecond}
+}
+
 // call returns a request for a plain server.
 func (s *sim) call() *request {
 	return &request{events: 1, perEvent: 30 + 30*s.random.Float64(), target: 400 * time.Millisecond, maxGap: time.Second}
