--- a/backend/concurrency_test.go
+++ b/backend/concurrency_test.go
@@ -73,6 +73,7 @@
 		now := time.Now()
 		server.SetLoad(Load{Running: 16, Slots: 16, ReceivedAt: now})
 		attempt := server.StartAttempt(now, Job{MaxGap: 400 * time.Millisecond})
+		attempt.Waited(now.Add(-time.Millisecond), now)
 		now = now.Add(600 * time.Millisecond)
 		attempt.Waited(now.Add(-test.waited), now)
 		attempt.EventReceived(now)
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -143,7 +143,7 @@
 			}
 		}
 		s.run(20*time.Second, 30, func() *request {
-			return &request{prefill: 10, events: 30, perEvent: 4, target: 800 * time.Millisecond, maxGap: 400 * time.Millisecond}
+			return &request{prefill: 10, events: 8, perEvent: 16, target: 800 * time.Millisecond, maxGap: 400 * time.Millisecond}
 		})
 		qt.Check(t, s.late, qt.Equals, 0)
 		qt.Check(t, s.refused > 0, qt.IsTrue, qt.Commentf("the slots were not all in use: %s", s))
@@ -212,8 +212,13 @@
 		{Version: version + 1, Ceiling: 2, Floor: 1, Releases: -1, At: now},
 		{Version: version + 1, Ceiling: 2, Floor: 1, Use: useCount, At: now},
 	} {
-		e.Merge(now, "other", false, Report{Limit: l, Evidence: Evidence{Samples: math.Inf(1), Count: 1}})
+		e.Merge(now, "other", false, Report{Limit: l})
 		qt.Check(t, e.limit.Version, qt.Equals, version, qt.Commentf("%+v", l))
-		qt.Check(t, e.others, qt.HasLen, 0)
+	}
+	for _, evidence := range []Evidence{
+		{Samples: math.Inf(1), Count: 1}, {Samples: 1, Misses: 2, Count: 1}, {Samples: -1, Count: 1}, {Ratio: math.NaN(), Count: 1},
+	} {
+		e.Merge(now, "other", false, Report{Limit: e.limit, Evidence: evidence})
+		qt.Check(t, e.others, qt.HasLen, 0, qt.Commentf("%+v", evidence))
 	}
 }
