backend: samples of first bytes are of successful responses only

A server that refuses quickly when it is full would have looked good at that concurrency. The load report of a sample may be as old as the observed time, since some servers send their header long before the first event.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -79,7 +79,6 @@
 	}
 	a.firstTokenSeen = true
 	a.server.localPrefill[a.Rank].Add(-int64(a.UncachedTokens))
-	a.server.observe(now, a.startedAt, a.Target)
 	slowdown, steady := steadySlowdown(a.slowdown, a.server.LastSlowdown().Slowdown)
 	if !steady {
 		return
--- a/backend/concurrency.go
+++ b/backend/concurrency.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxConcurrencyAge is the age of a load report above which it does not tell the
-	// number of requests on a server.
+	// maxConcurrencyAge is how long before the observed time a load report may have been
+	// received to tell the number of requests on the server.
 	maxConcurrencyAge = time.Second
 	// waitSampleTime is the time for which the longest wait for more of a response makes
 	// one sample, so that a few long streams do not outweigh all others.
@@ -59,7 +59,7 @@
 		return
 	}
 	load := s.Load()
-	if load.ReceivedAt.IsZero() || s.ReportAge(now) > maxConcurrencyAge {
+	if load.ReceivedAt.IsZero() || s.ReportAge(began) > maxConcurrencyAge {
 		return
 	}
 	s.concurrency.Observe(now, s.SlotCount(), capacity.Sample{
@@ -67,6 +67,9 @@
 	})
 }
 
+// Began records that the first byte of a successful response was received.
+func (a *Attempt) Began(now time.Time) { a.server.observe(now, a.startedAt, a.Target) }
+
 // Waited records that the instance waited from began until now for more of a response
 // that has begun. Unlike the time between two events, it does not include the time in
 // which the caller read too slowly.
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -449,6 +449,9 @@
 	}
 	if n > 0 && w.bodyBytes == 0 {
 		w.firstByteAt = time.Now()
+		if w.success && w.loop.firstByteMeasuresTTFT() {
+			w.attempt.Began(w.firstByteAt)
+		}
 	}
 	w.bodyBytes += int64(n)
 	if n > 0 && !w.underWay && time.Since(w.firstByteAt) >= startedAfter {
