capacity: trials without evidence that fewer requests are better are limited to an eighth of the servers

The first reduction of a saturated server has no samples at a lower concurrency to compare with. Admitting fewer is now tried on an eighth of the servers of a service at a time, so that old deployments in overload keep their slots.

--- a/backend/concurrency.go
+++ b/backend/concurrency.go
@@ -106,12 +106,23 @@
 // server whose concurrency has changed by a quarter of its slots since the last report,
 // or has reached all of them again.
 func (r *Registry) EvaluateConcurrency(now time.Time, report func(ConcurrencyChange)) {
-	for _, server := range r.All() {
+	servers := r.All()
+	trying := make(map[string]int) // servers by service
+	for _, server := range servers {
+		if server.concurrency != nil && server.concurrency.Trying(now) {
+			trying[server.Service]++
+		}
+	}
+	for _, server := range servers {
 		nominal := server.SlotCount()
 		if server.concurrency == nil || nominal <= 0 {
 			continue
 		}
-		change, _ := server.concurrency.Evaluate(now, nominal)
+		mayTry := trying[server.Service] < capacity.MaxTrials(len(r.Servers(server.Service)))
+		change, changed := server.concurrency.Evaluate(now, nominal, mayTry)
+		if changed && change.Use == capacity.Trial {
+			trying[server.Service]++
+		}
 		slots, from := server.GoodSlots(now), int(server.concurrency.logged.Load())
 		if from == 0 || from > nominal {
 			from = nominal
--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -50,6 +50,10 @@
 	// requests, so that fewer requests at once are more requests per second.
 	overloadElasticity = 1.3
 	overloadFactor     = 0.75
+	// trialTime is the time in which a trial shows a result, and trialFraction the divisor of
+	// the servers of a service that gives those that are tried at the same time.
+	trialTime     = 2 * time.Second
+	trialFraction = 8
 	// retrialTime is the time after a reduction from which on it is tried again whether
 	// fewer requests at once are more requests per second.
 	retrialTime = 30 * time.Second
@@ -280,9 +284,21 @@
 	Evidence
 }
 
+// Trying reports whether it is being tried whether fewer requests at once are better.
+func (e *Estimator) Trying(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limit.Ceiling > 0 && e.limit.Use == Trial && now.Sub(e.limit.At) < trialTime
+}
+
+// MaxTrials returns how many of the given number of servers of a service should be tried at
+// the same time. It bounds the slots that are unused if fewer requests are no better.
+func MaxTrials(servers int) int { return (servers + trialFraction - 1) / trialFraction }
+
 // Evaluate changes the limit if the evidence of this instance and of those that report to
-// it calls for it. It must be called several times a second.
-func (e *Estimator) Evaluate(now time.Time, nominal int) (Change, bool) {
+// it calls for it. mayTry permits to admit fewer requests in order to learn whether that is
+// better. Evaluate must be called several times a second.
+func (e *Estimator) Evaluate(now time.Time, nominal int, mayTry bool) (Change, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if nominal <= 1 || now.Before(e.settledAt()) {
@@ -293,7 +309,7 @@
 	}
 	all := e.evidence(now, true)
 	next, changed := e.next(now, &all, float64(nominal))
-	if !changed {
+	if !changed || next.Use == Trial && !mayTry {
 		return Change{}, false
 	}
 	e.setLimit(next)
--- a/capacity/share.go
+++ b/capacity/share.go
@@ -53,7 +53,7 @@
 	if r.Limit.valid() && r.newer(e.limit) {
 		e.setLimit(r.Limit)
 	}
-	if !r.Evidence.valid() || r.Count == 0 || r.Limit.Version != e.limit.Version {
+	if !r.Evidence.valid() || r.Count == 0 || r.Version != e.limit.Version {
 		return // evidence about another limit
 	}
 	if e.others == nil {
--- a/hosted/concurrency.go
+++ b/hosted/concurrency.go
@@ -84,7 +84,7 @@
 		l.AgeMS = max(now.Sub(r.At).Milliseconds(), 0)
 	}
 	if withEvidence {
-		for _, v := range r.Evidence.Values() {
+		for _, v := range r.Values() {
 			l.Evidence = append(l.Evidence, int64(math.Round(v/evidenceUnit)))
 		}
 	}
@@ -111,7 +111,7 @@
 			Version: told.Version, Ceiling: told.Ceiling, Floor: told.Floor, Releases: told.Releases, Use: told.Use,
 			At: sent.Add(-time.Duration(min(told.AgeMS, math.MaxInt32)) * time.Millisecond),
 		}}
-		values := report.Evidence.Pointers()
+		values := report.Pointers()
 		for k := 0; len(told.Evidence) == len(values) && k < len(values); k++ {
 			*values[k] = float64(told.Evidence[k]) * evidenceUnit
 		}
