--- a/capacity/sim_test.go
+++ b/capacity/sim_test.go
@@ -65,7 +65,8 @@
 // sim simulates servers behind a common queue of several instances.
 type sim struct {
 	now       time.Time
-	random    *rand.Rand
+	random    *rand.Rand // of arrivals, which are the same for all learners
+	ties      *rand.Rand // of routing
 	servers   []*server
 	queue     []*request
 	instances int
@@ -77,7 +78,7 @@
 }
 
 func newSim(seed uint64, instances int, share bool, makeLearner func() learner, servers ...*server) *sim {
-	s := &sim{now: time.Unix(1e9, 0), random: rand.New(rand.NewPCG(seed, 7)), servers: servers, instances: instances, share: share}
+	s := &sim{now: time.Unix(1e9, 0), random: rand.New(rand.NewPCG(seed, 7)), ties: rand.New(rand.NewPCG(seed, 8)), servers: servers, instances: instances, share: share}
 	for _, server := range servers {
 		for range instances {
 			server.learners = append(server.learners, makeLearner())
@@ -135,7 +136,7 @@
 	for len(s.queue) > 0 {
 		r := s.queue[0]
 		best, least := -1, math.Inf(1)
-		for _, i := range s.random.Perm(len(s.servers)) {
+		for _, i := range s.ties.Perm(len(s.servers)) {
 			if used := float64(len(s.servers[i].running)) / float64(limits[i]); used < least && len(s.servers[i].running) < admitted[i] {
 				best, least = i, used
 			}
--- a/hosted/concurrency_test.go
+++ b/hosted/concurrency_test.go
@@ -61,12 +61,39 @@
 			server.Concurrency().Observe(now, 16, capacity.Sample{Requests: 16, Ratio: 3.3333, Began: now})
 		}
 		server.Concurrency().Evaluate(now, 16, true)
+		server.Concurrency().Observe(now.Add(time.Second), 16, capacity.Sample{Requests: 9, Ratio: 3.3333, Began: now.Add(900 * time.Millisecond)})
 	}
+	now = now.Add(time.Second)
 	text, err := json.Marshal(capacityReports(now, many, true))
 	c.Assert(err, qt.IsNil)
+	t.Logf("%d bytes", len(text))
 	c.Check(len(text) < 4<<10, qt.IsTrue, qt.Commentf("%d bytes", len(text)))
 }
 
+// TestAdmissionSlots guards against a queue that fills servers which serve fewer requests
+// per second the more they have, against one that refuses requests for which others have
+// slots, and against the option for measurements having no effect.
+func TestAdmissionSlots(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	for _, test := range []struct {
+		concurrency ConcurrencyUse
+		use         capacity.Use
+		want        int
+	}{
+		{ConcurrencyFull, capacity.Admission, 3},
+		{ConcurrencyFull, capacity.Trial, 3},
+		{ConcurrencyFull, capacity.Preference, 16},
+		{ConcurrencyRouting, capacity.Admission, 16},
+	} {
+		server := learningServers(1, 7)[0]
+		server.Concurrency().Merge(now, "other", false, capacity.Report{Limit: capacity.Limit{Version: 1, Ceiling: 4, Floor: 3, Use: test.use, At: now}})
+		i := &Instance{options: Options{Concurrency: test.concurrency}}
+		qt.Check(t, i.admissionSlots(now, server), qt.Equals, test.want, qt.Commentf("%+v", test))
+		qt.Check(t, server.GoodSlots(now), qt.Equals, 3)
+	}
+}
+
 func transmit(c *qt.C, reports learnedCapacities) learnedCapacities {
 	text, err := json.Marshal(reports)
 	c.Assert(err, qt.IsNil)
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiastack/fuchsiastack/admission"
+	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 )
 
@@ -101,14 +102,7 @@
 	for _, service := range snapshot.Services {
 		total, free := 0, 0
 		for server := range i.router.Healthy(service.Name) {
-			slots := server.SlotCount()
-			if i.options.Concurrency != ConcurrencyRouting {
-				slots = server.AdmissionSlots(now)
-			}
-			if slots == 0 {
-				slots = defaultServerSlots
-			}
-			slots = server.UsableSlots(slots)
+			slots := i.admissionSlots(now, server)
 			total += slots
 			free += max(slots-max(server.Load().Running+server.Load().Waiting, server.InFlight()), 0)
 		}
@@ -121,6 +115,18 @@
 	}
 }
 
+// admissionSlots returns the number of requests that the queue admits for a server.
+func (i *Instance) admissionSlots(now time.Time, server *backend.Server) int {
+	slots := server.SlotCount()
+	if i.options.Concurrency != ConcurrencyRouting {
+		slots = server.AdmissionSlots(now)
+	}
+	if slots == 0 {
+		slots = defaultServerSlots
+	}
+	return server.UsableSlots(slots)
+}
+
 // waitingRequests estimates the requests that wait for a slot of a service at all
 // instances of the region, from those that wait at this one.
 func (i *Instance) waitingRequests(service string) int {
