capacity: a server that has just recovered is not limited further

A limit without late answers was reduced while times rose with the number of requests. After a slow spell that was the effect of time: slow answers with many requests before, fast ones with few since. Recent answers must now take a quarter of the permitted time.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -50,6 +50,10 @@
 	// requests, so that fewer requests at once are more requests per second.
 	overloadElasticity = 1.3
 	overloadFactor     = 0.75
+	// minOverloadRatio is the least mean ratio of recent samples for that. A server that has
+	// just recovered had slow answers with many requests and has fast ones with few.
+	minOverloadRatio = 0.25
+	recentWindow     = 500 * time.Millisecond
 	// trialTime is the time in which a trial shows a result, and trialFraction the divisor of
 	// the servers of a service that gives those that are tried at the same time.
 	trialTime     = 2 * time.Second
@@ -90,18 +94,22 @@
 	Squares  float64
 	Ratio    float64
 	Product  float64
+	// Recent and RecentRatio are the number of samples within recentWindow and their ratios.
+	Recent      float64
+	RecentRatio float64
 }
 
 // Pointers returns pointers to all fields, in an order that does not change.
-func (e *Evidence) Pointers() [9]*float64 {
-	return [9]*float64{
+func (e *Evidence) Pointers() [11]*float64 {
+	return [11]*float64{
 		&e.Samples, &e.Misses, &e.MissRequests, &e.MissRatio, &e.Count, &e.Requests, &e.Squares, &e.Ratio, &e.Product,
+		&e.Recent, &e.RecentRatio,
 	}
 }
 
 // Values returns the values of all fields, in the order of Pointers.
-func (e Evidence) Values() [9]float64 {
-	var values [9]float64
+func (e Evidence) Values() [11]float64 {
+	var values [11]float64
 	for k, p := range e.Pointers() {
 		values[k] = *p
 	}
@@ -251,6 +259,8 @@
 	e.own.Squares += requests * requests
 	e.own.Ratio += ratio
 	e.own.Product += requests * ratio
+	e.own.Recent++
+	e.own.RecentRatio += ratio
 	current := float64(e.slots(now, nominal))
 	if requests > current/nearLimit+1 || !s.Began.After(e.settledAt()) {
 		return // a consequence of more requests than the limit
@@ -273,7 +283,10 @@
 
 func (e *Estimator) decay(now time.Time) {
 	if elapsed := now.Sub(e.at); elapsed > 0 {
+		recent := math.Exp(-elapsed.Seconds() / recentWindow.Seconds())
+		recentCount, recentRatio := e.own.Recent*recent, e.own.RecentRatio*recent
 		e.own.scale(math.Exp(-elapsed.Seconds() / window.Seconds()))
+		e.own.Recent, e.own.RecentRatio = recentCount, recentRatio
 		e.at = now
 	}
 }
@@ -365,7 +378,7 @@
 	switch {
 	case e.limit.Ceiling == 0 || all.Samples < minMisses:
 		return next, false
-	case overload:
+	case overload && all.RecentRatio >= minOverloadRatio*all.Recent && all.Recent > 0:
 		next.Ceiling = min(current, all.Requests/all.Count)
 		next.Floor = max(1, next.Ceiling*overloadFactor)
 		next.Use = Admission
--- a/hosted/concurrency.go
+++ b/hosted/concurrency.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/capacity"
 	"github.com/fuchsiastack/fuchsiastack/collector"
+	"github.com/fuchsiastack/fuchsiastack/internal/check"
 )
 
 // ConcurrencyUse selects where the concurrency that servers handle well is used.
@@ -20,6 +21,15 @@
 	ConcurrencyOff     ConcurrencyUse = "off"     // it is not learned
 )
 
+// Validate returns a *check.FieldError if the value is unknown.
+func (u ConcurrencyUse) Validate() error {
+	switch u {
+	case ConcurrencyFull, ConcurrencyRouting, ConcurrencyOff:
+		return nil
+	}
+	return check.Field("concurrency", string(u), check.ErrUnknown)
+}
+
 const (
 	// maxLearnedServers limits the backend servers that are told of in one exchange. Of
 	// more servers, each exchange tells others.
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -120,6 +120,9 @@
 // New assembles an instance and sets the memory limit of the Go runtime. Log
 // lines are written to out.
 func New(settings *platform.Settings, options Options, out io.Writer) (*Instance, error) {
+	if err := options.Concurrency.Validate(); err != nil {
+		return nil, err
+	}
 	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitFraction))
 	logWriter := telemetry.NewAsyncWriter(out)
 	logger := &log.Logger{Level: log.ParseLevel(options.LogLevel), Writer: &log.IOWriter{Writer: logWriter}}
