--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -225,3 +225,29 @@
 		qt.Check(t, e.others, qt.HasLen, 0, qt.Commentf("%+v", evidence))
 	}
 }
+
+// TestAdmissionFollowsThroughput guards against requests that are refused although the
+// server would serve more per second, and against a server that is filled although it
+// serves fewer per second then.
+func TestAdmissionFollowsThroughput(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name  string
+		ratio func(n float64) float64
+		admit bool // all slots
+	}{
+		{"times rise less than the requests", func(n float64) float64 { return 0.6 + 0.04*n }, true},
+		{"times rise more than the requests", func(n float64) float64 { return n * n / 100 }, false},
+	} {
+		random := rand.New(rand.NewPCG(1, 1))
+		e, now := &Estimator{}, time.Unix(1e9, 0)
+		for range 300 {
+			now = now.Add(10 * time.Millisecond)
+			n := 1 + random.IntN(e.Slots(now, 16))
+			e.Observe(now, 16, Sample{Requests: n, Ratio: test.ratio(float64(n)), Began: now.Add(-time.Millisecond)})
+			e.Evaluate(now, 16, true)
+		}
+		qt.Check(t, e.Slots(now, 16) < 16, qt.IsTrue, qt.Commentf("%s: %d slots", test.name, e.Slots(now, 16)))
+		qt.Check(t, e.AdmissionSlots(now, 16) == 16, qt.Equals, test.admit, qt.Commentf("%s: %d admitted", test.name, e.AdmissionSlots(now, 16)))
+	}
+}
