--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -70,6 +70,8 @@
 	maxRatio = 4
 	// maxEvidence bounds what is accepted from other instances.
 	maxEvidence = 1e6
+	// maxVersion bounds the versions that are accepted, so that the next ones do not overflow.
+	maxVersion = 1 << 30
 )
 
 // Sample is one observation of an answer.
@@ -187,7 +189,13 @@
 
 // valid reports whether a limit received from another instance can be used.
 func (l Limit) valid() bool {
-	return l.Version > 0 && l.Releases >= 0 && l.Use < useCount && (l.Ceiling == 0 || l.Floor >= 1 && l.Floor <= l.Ceiling && l.Ceiling <= math.MaxInt32)
+	if l.Version == 0 || l.Version > maxVersion || l.Releases < 0 || l.Use >= useCount {
+		return false
+	}
+	if l.Ceiling == 0 {
+		return l.Releases > 0
+	}
+	return l.Floor >= 1 && l.Floor <= l.Ceiling && l.Ceiling <= maxEvidence
 }
 
 // value returns the concurrency in force: from Floor at first, over Ceiling after
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -214,6 +214,8 @@
 		{Version: version + 1, Ceiling: 2, Floor: 3, At: now},
 		{Version: version + 1, Ceiling: 2, Floor: 1, Releases: -1, At: now},
 		{Version: version + 1, Ceiling: 2, Floor: 1, Use: useCount, At: now},
+		{Version: version + 1, At: now},
+		{Version: math.MaxUint32, Ceiling: 2, Floor: 1, At: now},
 	} {
 		e.Merge(now, "other", false, Report{Limit: l})
 		qt.Check(t, e.limit.Version, qt.Equals, version, qt.Commentf("%+v", l))
