--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fuchsiastack/fuchsiastack/admission"
+	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/internal/loop"
 )
 
@@ -85,8 +86,8 @@
 	}
 }
 
-// updateSlots sets the queue's capacity for each service: the slots of its
-// backend servers and this instance's fraction of them. It also measures how late
+// updateSlots sets the queue's capacity for each service: the requests that its
+// backend servers handle well, and this instance's fraction of them. It also measures how late
 // its timer runs, and updates the heap size of the overload guard.
 func (i *Instance) updateSlots(context.Context) {
 	i.traffic.RecordTick(time.Now(), slotsInterval)
@@ -95,15 +96,13 @@
 	if snapshot == nil {
 		return
 	}
+	now := time.Now()
+	i.registry.EvaluateConcurrency(now, i.observer.ServerConcurrencyChanged)
 	members := max(len(i.roster.InRegion(i.settings.Region)), 1)
 	for _, service := range snapshot.Services {
 		total, free := 0, 0
 		for server := range i.router.Healthy(service.Name) {
-			slots := server.SlotCount()
-			if slots == 0 {
-				slots = defaultServerSlots
-			}
-			slots = server.UsableSlots(slots)
+			slots := i.admissionSlots(now, server)
 			total += slots
 			free += max(slots-max(server.Load().Running+server.Load().Waiting, server.InFlight()), 0)
 		}
@@ -116,6 +115,18 @@
 	}
 }
 
+// admissionSlots returns the number of requests that the queue admits for a server.
+func (i *Instance) admissionSlots(now time.Time, server *backend.Server) int {
+	slots := server.SlotCount()
+	if i.options.Concurrency != ConcurrencyRouting {
+		slots = server.AdmissionSlots(now)
+	}
+	if slots == 0 {
+		slots = defaultServerSlots
+	}
+	return server.UsableSlots(slots)
+}
+
 // waitingRequests estimates the requests that wait for a slot of a service at all
 // instances of the region, from those that wait at this one.
 func (i *Instance) waitingRequests(service string) int {
--- a/hosted/exchangeserve.go
+++ b/hosted/exchangeserve.go
@@ -31,6 +31,7 @@
 	Loads      collector.Loads        `json:"loads,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
 	RateLimits rateLimits             `json:"rate-limits,omitempty"`
+	Capacities learnedCapacities      `json:"capacities,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"`
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
 	Quota      *quota.Message         `json:"quota,omitempty"`
@@ -52,6 +53,7 @@
 	Loads      collector.Loads        `json:"loads,omitempty"`
 	Slowdowns  slowdowns              `json:"slowdowns,omitempty"`
 	RateLimits rateLimits             `json:"rate-limits,omitempty"`
+	Capacities learnedCapacities      `json:"capacities,omitempty"`
 	Placements collector.Placements   `json:"placements,omitempty"` // of the region
 	Remote     collector.Placements   `json:"remote,omitempty"`     // of other regions
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
@@ -85,6 +87,9 @@
 	if len(r.RateLimits) > collector.MaxServers {
 		return check.Field("rate-limits", strconv.Itoa(len(r.RateLimits)), check.ErrOutOfRange)
 	}
+	if len(r.Capacities) > collector.MaxServers {
+		return check.Field("capacities", strconv.Itoa(len(r.Capacities)), check.ErrOutOfRange)
+	}
 	return nil
 }
 
@@ -119,6 +124,7 @@
 		recordLoads(now, request.Loads, i.registry.All())
 		request.Slowdowns.record(now, i.registry.All())
 		request.RateLimits.record(now, i.registry.All())
+		request.Capacities.record(now, request.ID, request.Role, i.registry.All())
 		i.router.Prefix.MergePlacements(now, request.Placements)
 		e.hub.AddPlacements(now, request.Role, request.Placements)
 		own := i.ownWork()
@@ -130,6 +136,7 @@
 		response.Loads = recentLoads(now, i.registry.All())
 		response.Slowdowns = recentSlowdowns(now, i.registry.All())
 		response.RateLimits = currentRateLimits(now, i.registry.All())
+		response.Capacities = capacityReports(now, i.registry.All(), request.Role == collector.Collector)
 	}
 	response.Quota = i.quotas.Report(now, quotaRoleOfResponse(request.Role), request.ID)
 	switch {
--- a/routing/wait.go
+++ b/routing/wait.go
@@ -44,5 +44,5 @@
 // wait returns the part of the cost that is neither the base latency nor the request's own
 // prefill.
 func (c *Candidate) wait(req *Request) time.Duration {
-	return c.Cost - req.BaseLatency(c.Server) - c.ownPrefillTime(req)
+	return c.Cost - req.BaseLatency(c.Server) - c.ownPrefillTime(req) - reducedSlotsWait(req, c.Server)
 }
