standin/hosting: servers that answer with an invalid status

SendStatus sends any status of three digits. TestBadStatusDoesNotContinueStream uses it for a server that is to continue a stream; it passes.

--- a/hosted/badstatus_test.go
+++ b/hosted/badstatus_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/fuchsiastack/fuchsiastack/standin/hosting"
 )
 
 // statusServer answers all requests with one text and keeps the connections open.
@@ -93,3 +95,27 @@
 	}
 	f.Check(server.conns.Load(), qt.Equals, int64(1))
 }
+
+// TestBadStatusDoesNotContinueStream guards against a stream that ends as complete because
+// the server that is to continue it answers with an invalid status.
+func TestBadStatusDoesNotContinueStream(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	route := newRoute("drafts", "stream", "drafts")
+	route.Resumable = true
+	f.configure(1, route)
+	for range 2 {
+		server := f.startServer("drafts", "cairo-a", 5)
+		server.SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+			if r.Header.Get("Last-Event-Id") != "" {
+				return hosting.SendStatus("999")(w, r)
+			}
+			return hosting.TruncateAfter(2)(w, r)
+		})
+	}
+	n := f.startFor("cairo-a", 2)[0]
+	got := n.send(n.request("POST", "/drafts/", "id-1", "x"))
+	f.Check(got.err, qt.IsNotNil)
+	f.Check(got.status, qt.Equals, http.StatusOK)
+	f.Check(got.body, qt.Equals, "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n")
+}
--- a/standin/hosting/server.go
+++ b/standin/hosting/server.go
@@ -195,3 +195,17 @@
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// SendStatus returns an Override that responds with a status line of any three digits,
+// which net/http does not send by itself, and an empty body.
+func SendStatus(status string) Override {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 %s Status\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", status, r.Header.Get("Request-Id"))
+		return true
+	}
+}
