--- a/cmd/fuchsiad/hosted.go
+++ b/cmd/fuchsiad/hosted.go
@@ -19,7 +19,7 @@
 		Flags: []cli.Flag{
 			stringFlag("log", "lowest log level: debug, info, warn or error", &options.LogLevel),
 			intFlag("metrics-port", "port that serves metrics; 0 disables them", &options.MetricsPort),
-			stringFlag("concurrency", "where the learned concurrency of backend servers is used: everywhere (empty), routing or off", (*string)(&options.Concurrency)),
+			stringFlag("concurrency", "where the learned concurrency of backend servers is used: full (everywhere), routing, or empty (it is not learned)", (*string)(&options.Concurrency)),
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
--- a/hosted/concurrency.go
+++ b/hosted/concurrency.go
@@ -16,9 +16,9 @@
 
 // The values of ConcurrencyUse.
 const (
-	ConcurrencyFull    ConcurrencyUse = ""        // in admission, routing and summaries
+	ConcurrencyOff     ConcurrencyUse = ""        // it is not learned
 	ConcurrencyRouting ConcurrencyUse = "routing" // in routing and summaries; admission counts all slots
-	ConcurrencyOff     ConcurrencyUse = "off"     // it is not learned
+	ConcurrencyFull    ConcurrencyUse = "full"    // in admission, routing and summaries
 )
 
 // Validate returns a *check.FieldError if the value is unknown.
