--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,7 +116,7 @@
 		if cause == nil {
 			return
 		}
-		if cause == http.ErrAbortHandler {
+		if abort, ok := cause.(error); ok && errors.Is(abort, http.ErrAbortHandler) {
 			panic(cause)
 		}
 		h.Observer.Panicked(x, cause, debug.Stack(), writer.started)
