--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -32,6 +32,7 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	sequence int
+	down     bool
 	leaving  atomic.Bool
 }
 
@@ -89,22 +90,31 @@
 	})
 }
 
-// Crash resets all connections and refuses new ones.
-func (p *Replica) Crash() {
+// Crash resets all connections and refuses new ones. It returns false if the replica is
+// down already.
+func (p *Replica) Crash() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.down {
+		return false
+	}
+	p.down = true
 	_ = p.listener.Close()
 	for conn := range p.conns {
 		reset(conn)
 	}
 	clear(p.conns)
 	p.record.Add("replica %s is down", p.ID)
+	return true
 }
 
 // Restart serves again, as a new process under the same id.
 func (p *Replica) Restart() {
 	p.Born = time.Now().UnixMilli()
 	p.listen(p.Addr)
+	p.mu.Lock()
+	p.down = false
+	p.mu.Unlock()
 	p.record.Add("replica %s is back", p.ID)
 	p.Register("ready")
 }
