--- a/review/rig-2/empty.go
+++ b/review/rig-2/empty.go
@@ -21,7 +21,7 @@
 	var replicas []*Replica
 	for k := range 4 {
 		p := NewReplica(w.Store, w.Record, w.NewHost(), fmt.Sprintf("i-%d", k), service, "cairo-a")
-		p.Work = 60 * time.Millisecond
+		p.Work = 100 * time.Millisecond
 		p.Answer = func(x *Call) {
 			time.Sleep(p.Work)
 			if strings.HasPrefix(x.RequestURI, "/touch/") {
@@ -51,7 +51,7 @@
 	for k := range 24 {
 		group.Go(func() {
 			c := &Client{World: w, To: w.Daemons[k%2].Front, Host: host}
-			path := []string{"/lookup/2f", "/touch/2f"}[k/2%2]
+			path := []string{"/lookup/2f", "/touch/2f", "/touch/2f"}[k/2%3]
 			for time.Now().Before(stop) {
 				s := c.Do(Request{Method: "GET", Path: path, ID: fmt.Sprintf("%016x", number.Add(1)), Safe: true})
 				mu.Lock()
