--- a/review/rig-2/long.go
+++ b/review/rig-2/long.go
@@ -64,7 +64,7 @@
 	w.StartAll()
 	cut := map[string]int{}
 	var group sync.WaitGroup
-	for k := range 60 {
+	for k := range 84 {
 		group.Go(func() {
 			d := w.Daemons[k%2]
 			c := &Client{World: w, To: d.Front, Host: host}
