--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, with 0 if it held and with 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rig-2 ] && [ -x target/fuchsiad ] || exit 2
-exec target/rig-2 ids "$PWD" review/6/record.txt
+exec target/rig-2 ids "$PWD" review/6/record.txt "${TROUBLE:-1}"
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -1,5 +1,6 @@
-// Command rig-2 plays one case of the review: rig-2 CASE ROOT RECORD. It exits with 1 if the
-// rule of the case was broken, with 0 if it held and with 2 if the case could not run.
+// Command rig-2 plays one case of the review: rig-2 CASE ROOT RECORD TROUBLE. A TROUBLE of 0
+// leaves the disruption out. It exits with 1 if the rule of the case was broken, with 0 if it
+// held and with 2 if the case could not run.
 package main
 
 import (
@@ -13,8 +14,8 @@
 var cases = map[string]func(w func(zones map[string]string) *World, trouble bool) []string{}
 
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		cannotRun("usage: rig-2 CASE ROOT RECORD")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		cannotRun("usage: rig-2 CASE ROOT RECORD TROUBLE")
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
@@ -27,7 +28,7 @@
 	broken := cases[os.Args[1]](func(zones map[string]string) *World {
 		world = NewWorld(os.Args[2], os.Args[3], zones)
 		return world
-	}, os.Getenv("TROUBLE") != "0")
+	}, os.Args[4] != "0")
 	stopAll()
 	for _, line := range broken[:min(len(broken), 20)] {
 		fmt.Println(line)
