review: case 12, an unframed answer cut by a crash looks complete

A replica that is killed within an answer without a length ends it like a complete one. The instance buffers the answer, and passes it on without a check that the replica still runs.

The case brings stand-ins of the store, of replicas and of clients, in a module of its own that only review/build-3.sh builds.

--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Builds the stand-ins that the scripts of review/11 to review/15 start.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review-3
+(cd review/kit-3 && go build -o ../../target/review-3/cases .)
