--- a/review/12/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review-3/cases ] && [ -x target/fuchsiad ] || { echo "run the build of the deploy file and review/build-3.sh first"; exit 2; }
-exec timeout -k 5 110 target/review-3/cases unframed "$here/record.txt"
+exec timeout -k 5 110 target/review-3/cases deadly "$here/record.txt"
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -1,4 +1,4 @@
-// Command review3 runs the scripts of the review. Its exit status is 1 if the rule of a case
+// Command cases runs the scripts of the review. Its exit status is 1 if the rule of a case
 // was broken, 0 if it held and 2 if the case could not run.
 package main
 
@@ -12,16 +12,9 @@
 // cases are the cases by number. Each returns whether its rule was broken.
 var cases = map[string]func(w *world, trouble bool) bool{}
 
-// roles are the stand-ins that run as processes of their own.
-var roles = map[string]func(args []string){}
-
 func main() {
-	if len(os.Args) > 3 && os.Args[1] == "role" {
-		roles[os.Args[2]](os.Args[3:])
-		return
-	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review3 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: cases CASE RECORD")
 		os.Exit(2)
 	}
 	os.Exit(run(cases[os.Args[1]], os.Args[2]))
--- a/review/kit-3/replica.go
+++ b/review/kit-3/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -33,7 +32,6 @@
 	born                    int64
 	slots                   int
 	state                   string
-	busy                    bool // a test changes it
 	seq                     uint64
 	warmupLeft              float64
 	store                   *store
@@ -42,13 +40,14 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
+	dark     chan struct{} // closed when a dark replica restarts; nil if it is not dark
 	running  int
 	arrivals []arrival
-	// handle answers a request; nil or false for the usual answer.
+	// handle answers a request and reports whether the connection may be used again. Nil for
+	// the usual answer.
 	handle func(a *arrival) bool
 	// work is how long a plain request takes.
 	work   time.Duration
-	stop   chan struct{}
 	header map[string]string // additional headers of all answers
 }
 
@@ -72,7 +71,7 @@
 	listener, err := net.Listen("tcp", r.addr)
 	check(err)
 	r.mu.Lock()
-	r.listener, r.conns, r.born = listener, map[net.Conn]bool{}, time.Now().UnixMilli()
+	r.listener, r.conns, r.born, r.seq = listener, map[net.Conn]bool{}, time.Now().UnixMilli(), 0
 	r.mu.Unlock()
 	go r.accept(listener)
 }
@@ -95,6 +94,7 @@
 		if err != nil {
 			return
 		}
+		r.awaitRestart()
 		r.mu.Lock()
 		r.conns[conn] = true
 		r.mu.Unlock()
@@ -102,21 +102,76 @@
 	}
 }
 
-// crash closes the listener and all connections. reset selects a reset of the connections in
-// place of a regular end.
-func (r *replica) crash(reset bool) {
+// crash closes the listener and resets all connections, as the end of a process with unread
+// requests does. It reports false if the replica is down already.
+func (r *replica) crash() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.listener == nil {
+		return false
+	}
 	r.listener.Close()
+	r.listener = nil
 	for conn := range r.conns {
-		if reset {
-			conn.(*net.TCPConn).SetLinger(0)
-		}
+		_ = conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
 	}
 	r.conns = map[net.Conn]bool{}
+	return true
+}
+
+// goDark lets the replica fall silent as a machine does that has crashed: nothing more is sent,
+// read or accepted on its channels until restart. It reports false if the replica is down already.
+func (r *replica) goDark() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener == nil || r.dark != nil {
+		return false
+	}
+	r.dark = make(chan struct{})
+	return true
+}
+
+// restart starts a replica that has crashed. What was sent to the machine before is reset.
+func (r *replica) restart() {
+	r.mu.Lock()
+	dark := r.dark
+	r.mu.Unlock()
+	if dark != nil {
+		r.crash()
+		r.mu.Lock()
+		r.dark = nil
+		r.mu.Unlock()
+		close(dark)
+	}
+	r.start()
+}
+
+// awaitRestart waits while the replica is dark.
+func (r *replica) awaitRestart() {
+	r.mu.Lock()
+	dark := r.dark
+	r.mu.Unlock()
+	if dark != nil {
+		<-dark
+	}
 }
 
+// beat writes the entry of the replica regularly while it is up.
+func (r *replica) beat() {
+	for range time.Tick(heartbeat) {
+		r.mu.Lock()
+		up := r.listener != nil && r.dark == nil
+		r.mu.Unlock()
+		if up {
+			r.write()
+		}
+	}
+}
+
+// heartbeat is the time between two writes of an entry.
+const heartbeat = 1200 * time.Millisecond
+
 func (r *replica) serve(conn *replicaConn) {
 	defer func() {
 		conn.Close()
@@ -134,6 +189,7 @@
 		if err != nil {
 			return
 		}
+		r.awaitRestart()
 		a := arrival{
 			at: time.Now(), replica: r.id, id: request.Header.Get("Request-Id"), method: request.Method, target: request.RequestURI,
 			header: request.Header, body: body, conn: conn,
@@ -144,8 +200,6 @@
 	}
 }
 
-var errFull = errors.New("full")
-
 // answer answers a request and reports whether the connection may be used again.
 func (r *replica) answer(a *arrival) bool {
 	expected := a.header.Get("Expect-Instance")
@@ -162,16 +216,10 @@
 		a.ran = false
 		r.note(a, "421")
 		return a.reply(421, map[string]string{"Instance": r.id}, "") == nil
-	case handle != nil:
-		r.note(a, "")
-		if handle(a) {
-			return true
-		}
-		if a.conn == nil {
-			return false
-		}
-	default:
-		r.note(a, "")
+	}
+	r.note(a, "")
+	if handle != nil {
+		return handle(a)
 	}
 	if full {
 		return a.reply(503, map[string]string{"Not-Executed": "1"}, "") == nil
@@ -205,18 +253,28 @@
 	return append([]arrival(nil), r.arrivals...)
 }
 
-func (r *replica) setHandle(handle func(a *arrival) bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.handle = handle
-}
-
 // reply sends a complete answer with a length.
 func (a *arrival) reply(status int, header map[string]string, body string) error {
 	_, err := io.WriteString(a.conn, a.head(status, header, "Content-Length: "+strconv.Itoa(len(body)))+body)
 	return err
 }
 
+// stream sends an answer of a number of events, with a pause before each, and reports whether the
+// connection may be used again.
+func (a *arrival) stream(events int, pause time.Duration) bool {
+	_, err := io.WriteString(a.conn, a.head(200, map[string]string{"Signature": "sig-" + a.id, "Content-Type": "text/event-stream"}, "Transfer-Encoding: chunked"))
+	for n := 1; n <= events && err == nil; n++ {
+		time.Sleep(pause)
+		a.conn.r.awaitRestart()
+		event := fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", n, n, a.id)
+		_, err = fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(event), event)
+	}
+	if err == nil {
+		_, err = io.WriteString(a.conn, "0\r\n\r\n")
+	}
+	return err == nil
+}
+
 // head returns the head of an answer. framing is a header line that tells the length of the
 // body, or "" for none.
 func (a *arrival) head(status int, header map[string]string, framing string) string {
--- a/review/kit-3/world.go
+++ b/review/kit-3/world.go
@@ -61,10 +61,8 @@
 	next     int
 	store    *store
 	machines []*machine
-	// processes are the stand-ins that run as processes of their own.
-	processes []*exec.Cmd
-	zones     map[string]string
-	bounds    map[string]any
+	zones    map[string]string
+	bounds   map[string]any
 }
 
 // newWorld returns a deployment with a store.
@@ -191,10 +189,6 @@
 			<-m.done
 		}
 	}
-	for _, cmd := range w.processes {
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
-	}
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(w.dir)
 	} else {
