review: case 14, one replica is dark at a time

Cause: the limit of srv_crash was not quoted, and two of four replicas were dark together for some 50 ms in each of the four times.

--- a/review/kit-3/deadly.go
+++ b/review/kit-3/deadly.go
@@ -7,16 +7,16 @@
 )
 
 func init() {
-	cases["deadly"] = func(w *world, trouble bool) bool { return deadly(w, trouble, (*replica).crash) }
-	cases["dark"] = func(w *world, trouble bool) bool { return deadly(w, trouble, (*replica).goDark) }
+	cases["deadly"] = func(w *world, trouble bool) bool { return deadly(w, trouble, (*replica).crash, 3*time.Second) }
+	cases["dark"] = func(w *world, trouble bool) bool { return deadly(w, trouble, (*replica).goDark, darkTime) }
 }
 
 const (
 	deadlyReplicas = 4 // of the service in a region, as on the sheet
 	deadlyRounds   = 4 // how often the request comes
 	deadlyPause    = 8 * time.Second
-	deadlyTries    = 2               // of a client: the first one and one repeat, as on the sheet
-	deadlyDowntime = 3 * time.Second // of a replica that has crashed
+	deadlyTries    = 2                       // of a client: the first one and one repeat, as on the sheet
+	darkTime       = 2500 * time.Millisecond // one replica at a time: back before an attempt is given up
 	deadlyDelay    = 50 * time.Millisecond
 	contactTime    = 6 * time.Second // contact-ms
 	deadlyAllowed  = 3               // retries that may reach replicas after that
@@ -29,8 +29,9 @@
 )
 
 // deadly checks how often a request that crashes replicas reaches replicas later than contact-ms
-// after the third crash. crash makes a replica crash, and reports false if it is down already.
-func deadly(w *world, trouble bool, crash func(*replica) bool) bool {
+// after the third crash. crash makes a replica crash for downtime, and reports false if it is down
+// already.
+func deadly(w *world, trouble bool, crash func(*replica) bool, downtime time.Duration) bool {
 	w.putConfig(1, []route{
 		{name: "r-draft", prefix: "/draft/", kind: "stream", service: "engines", timeout: 5000, target: 800, attempts: 1},
 		{name: "r-query", prefix: "/query/", kind: "stream", service: "engines", timeout: 12000, target: 1500, attempts: 2, resumable: true},
@@ -56,7 +57,7 @@
 				mu.Lock()
 				crashes = append(crashes, time.Now())
 				mu.Unlock()
-				time.AfterFunc(deadlyDowntime, r.restart)
+				time.AfterFunc(downtime, r.restart)
 			}
 			r.awaitRestart()
 			return false
