routing: log the age of the list of servers with each decision

Cause: no log line told whether a decision for a cold server was made with a list that is out of date, or by a sender that knew the server to be cold. Change: a copy of the store knows up to when it is complete; a relay passes the age on with its changes. Route lines have it as list_age.

--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -186,7 +186,7 @@
 		Region: i.settings.Region, Registry: i.registry, Regions: regionPeers{i},
 		Filters:         []routing.Filter{routing.AcceptingFilter{}, routing.WeightsFilter{}, routing.PauseFilter{}},
 		Health:          []routing.Filter{routing.HealthyFilter{}, routing.UntriedFilter{}},
-		Limits:          &routing.SharedLimits{Share: i.serverLeases.share, Shares: serverShares},
+		Limits:          &routing.SharedLimits{Share: i.serverLeases.share, Shares: serverShares, ListAge: i.mirror.Age},
 		Scorer:          routing.FirstTokenScorer{Zone: i.settings.Zone, ByRank: true},
 		Prefix:          routing.NewPrefixIndex(0),
 		Remote:          routing.NewRemoteCaches(),
--- a/hosted/relay.go
+++ b/hosted/relay.go
@@ -37,14 +37,24 @@
 	Era      uint64             `json:"era,omitempty"` // of Revision
 	Full     bool               `json:"full,omitempty"`
 	Status   mirror.RelayStatus `json:"status,omitempty"` // set if the query waits for a change
+	AgeMS    int64              `json:"age-ms,omitempty"` // of the changes; set if the query waits
 }
 
 func newChangesResponse(update mirror.Update, status mirror.RelayStatus) changesResponse {
-	return changesResponse{update.Changes, update.Revision.Number, update.Revision.Era, update.Full, status}
+	response := changesResponse{
+		Changes: update.Changes, Revision: update.Revision.Number, Era: update.Revision.Era, Full: update.Full, Status: status,
+	}
+	if status == mirror.RelayCurrent {
+		response.AgeMS = update.Age.Milliseconds()
+	}
+	return response
 }
 
 func (r changesResponse) update() mirror.Update {
-	return mirror.Update{Changes: r.Changes, Revision: store.Revision{Era: r.Era, Number: r.Revision}, Full: r.Full}
+	return mirror.Update{
+		Changes: r.Changes, Revision: store.Revision{Era: r.Era, Number: r.Revision}, Full: r.Full,
+		Age: time.Duration(max(r.AgeMS, 0)) * time.Millisecond,
+	}
 }
 
 // serveChanges responds with the changes of the store after the revision "since". With
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -49,6 +49,9 @@
 	// Full means that Changes are all entries of the copy, because it does not know
 	// all removals after the requested revision. A key that is missing was removed.
 	Full bool
+	// Age is the time since the service confirmed that Changes are complete. Only Await
+	// sets it.
+	Age time.Duration
 }
 
 // Observer is notified when the service becomes unavailable and when it is
@@ -93,6 +96,7 @@
 	completeSince store.Revision
 	outageStart   time.Time     // when the service became unavailable; zero: it is available
 	confirmedAt   time.Time     // when the service itself confirmed the copy; zero: it is not followed
+	currentAt     time.Time     // up to when the copy is known to be complete; zero: it never was
 	advanced      chan struct{} // closed when revision or confirmedAt changes; nil if nobody waits
 }
 
--- a/mirror/relay.go
+++ b/mirror/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/internal/loop"
@@ -61,6 +62,7 @@
 		return status
 	}
 	m.Merge(update)
+	m.recordCurrent(time.Now().Add(-update.Age))
 	m.sourceAvailable()
 	if update.Revision.After(before) {
 		loop.Sleep(ctx, batchDelay)
@@ -94,6 +96,7 @@
 		if status == RelayCurrent && m.revision.After(since) {
 			update = m.since(since)
 		}
+		update.Age = ageOf(m.confirmedAt, time.Now())
 		m.mu.Unlock()
 		if status != RelayCurrent || update.Revision.After(since) {
 			return update, status
@@ -104,6 +107,7 @@
 			m.mu.Lock()
 			status, _ = m.relayStatus(since)
 			update.Revision = m.withKnownEra(since)
+			update.Age = ageOf(m.confirmedAt, time.Now())
 			m.mu.Unlock()
 			return update, status
 		case <-ctx.Done():
@@ -142,15 +146,34 @@
 	return m.confirmed(time.Now())
 }
 
-// confirmed reports whether the service itself has confirmed the copy recently. The age by
-// the wall clock counts too: the monotonic clock stands still while the machine is
-// suspended. m.mu is held.
+// confirmed reports whether the service itself has confirmed the copy recently. m.mu is
+// held.
 func (m *Mirror) confirmed(now time.Time) bool {
-	if m.confirmedAt.IsZero() {
-		return false
+	return !m.confirmedAt.IsZero() && ageOf(m.confirmedAt, now) <= m.wait()+maxConfirmationAge
+}
+
+// Age returns the time since the copy was last known to be complete. It is the longest
+// duration if it never was.
+func (m *Mirror) Age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return ageOf(m.currentAt, time.Now())
+}
+
+// ageOf returns the time since at, the longest duration if that is zero. The age by the wall
+// clock counts too: the monotonic clock stands still while the machine is suspended.
+func ageOf(at, now time.Time) time.Duration {
+	if at.IsZero() {
+		return math.MaxInt64
 	}
-	age := max(now.Sub(m.confirmedAt), now.Round(0).Sub(m.confirmedAt.Round(0)))
-	return age <= m.wait()+maxConfirmationAge
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
+}
+
+// recordCurrent records that the copy was complete at the given time.
+func (m *Mirror) recordCurrent(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.currentAt = at
 }
 
 // confirm records that the service itself has confirmed the copy.
@@ -158,6 +181,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.confirmedAt = time.Now()
+	m.currentAt = m.confirmedAt
 }
 
 // unconfirm records that the copy does not follow the service itself, and wakes the
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -344,3 +344,21 @@
 		})
 	})
 }
+
+// TestAgeOfRelayedCopy guards against a relayed copy that looks newer than what the service
+// has last confirmed to its relay.
+func TestAgeOfRelayedCopy(t *testing.T) {
+	runZone(t, 1, 3, func(c *qt.C, z *zone) {
+		for _, m := range z.mirrors {
+			c.Check(m.Age() <= 2*defaultWait, qt.IsTrue, qt.Commentf("%v", m.Age()))
+		}
+		for n := range z.mirrors {
+			z.set(z.cutOff, n, true)
+		}
+		const outage = 10 * time.Second
+		time.Sleep(outage)
+		for n, m := range z.mirrors {
+			c.Check(m.Age() >= outage, qt.IsTrue, qt.Commentf("mirror %d: %v", n, m.Age()))
+		}
+	})
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -119,6 +119,8 @@
 	// the requests per second that this instance may send it; 0 if it has no limit.
 	ColdFor   time.Duration
 	LimitRate float64
+	// ListAge is the age of the list of servers; 0 if it is unknown.
+	ListAge   time.Duration
 	GoodSlots int         // requests that Server is known to answer well at once
 	Spill     SpillReason // why the request was or was not forwarded, if another region was considered
 }
@@ -414,7 +416,7 @@
 		Slowdown: slowdown.Slowdown, SlowdownAge: slowdown.Age(s.now), SlowCandidates: slow,
 		TokensAhead: best.Server.PendingPrefill(catalog.Batch), Occupied: best.Server.Occupied(),
 		StreamTime: time.Duration(events * float64(best.Server.ExpectedInterval(s.now))), Events: events,
-		ColdFor: best.Server.ColdFor(s.now), LimitRate: limit.Rate,
+		ColdFor: best.Server.ColdFor(s.now), LimitRate: limit.Rate, ListAge: r.Limits.listAge(),
 		GoodSlots: best.Server.GoodSlots(s.now),
 	}
 }
--- a/routing/sharedlimits.go
+++ b/routing/sharedlimits.go
@@ -17,6 +17,9 @@
 	Share func(server *backend.Server) LimitShare
 	// Shares is the number of shares into which the limit of a server is divided.
 	Shares int
+	// ListAge returns the age of the list of servers, which tells which of them are cold. Nil
+	// if it is unknown.
+	ListAge func() time.Duration
 }
 
 // LimitShare is an instance's share of a limit that holds for all instances together.
@@ -54,6 +57,14 @@
 	return !limited || limit.Burst >= 1 && server.ReserveLimit(now, limit)
 }
 
+// listAge returns the age of the list of servers, 0 if it is unknown.
+func (l *SharedLimits) listAge() time.Duration {
+	if l == nil || l.ListAge == nil {
+		return 0
+	}
+	return l.ListAge()
+}
+
 // localLimit returns this instance's share of a server's limit, the lowest one if several
 // apply. limited is false if none does. Requests without a service only ask which servers
 // are in use; no limit applies to them.
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -104,7 +104,7 @@
 		Int("prompt_tokens", x.PromptTokens).Int("tokens_ahead", d.TokensAhead).Int("running", d.Occupied).
 		Int("output_tokens", x.MaxOutputTokens).Int("output_hint", x.OutputTokensHint).Int("events", x.EventsSent).
 		Float64("expected_events", d.Events).Dur("stream_time", d.StreamTime).
-		Dur("cold", d.ColdFor).Float64("limit_rate", d.LimitRate).Int("good_slots", d.GoodSlots).
+		Dur("cold", d.ColdFor).Float64("limit_rate", d.LimitRate).Dur("list_age", d.ListAge).Int("good_slots", d.GoodSlots).
 		Int64("remaining", remainingMS(x)).Msg("")
 }
 
--- a/telemetry/routing_test.go
+++ b/telemetry/routing_test.go
@@ -39,12 +39,12 @@
 		ID: "request-1", Service: &catalog.Service{Name: "drafting-desk"}, Snapshot: &catalog.Snapshot{}, Stream: true,
 		Received: time.Now(), Deadline: time.Now().Add(time.Minute), MaxOutputTokens: 954, OutputTokensHint: 280,
 	}
-	o.RouteDecided(x, 1, routing.Decision{ColdFor: 2 * time.Second, LimitRate: 1.5})
+	o.RouteDecided(x, 1, routing.Decision{ColdFor: 2 * time.Second, LimitRate: 1.5, ListAge: 3 * time.Second})
 	x.EventsSent = 38
 	o.Begin(x)(nil)
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	c.Assert(lines, qt.HasLen, 2)
-	c.Check(lines[0], qt.Contains, `"cold":2000,"limit_rate":1.5`)
+	c.Check(lines[0], qt.Contains, `"cold":2000,"limit_rate":1.5,"list_age":3000`)
 	for n, want := range []string{`"events":0`, `"events":38`} {
 		c.Check(lines[n], qt.Contains, want)
 		c.Check(lines[n], qt.Contains, `"output_tokens":954,"output_hint":280`)
