hosted: ask a server for its state while the list of servers is out of date

Cause: a server that turns cold says so in its entry only, and in its health responses, which nothing read. Without the store all instances go on with the last list, in which it is warm, and send it requests without a limit: no news about a server was read as warm. Change: while the list may be out of date, an instance asks the server itself before it sends a request of a service with a warm-up limit. A cold server is used within its limit only, one that does not answer is avoided for a moment. The list is out of date if the store, or the instance that relays its changes, has failed or been silent for too long, and until servers have renewed their entries after it.

--- a/backend/server.go
+++ b/backend/server.go
@@ -75,6 +75,7 @@
 	interval           intervalEstimate // between the events of streams
 	health             Health
 	coldUntil          monotonic.Atomic // when the caches count as warm
+	checks             stateChecks      // by this instance
 	shared             requestLimiter   // of the limit that holds for all instances together
 	concurrency        *concurrency     // nil if it is not learned
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -162,6 +162,8 @@
 	// server can fetch from the cache of another server of its region; 0: servers
 	// cannot fetch.
 	TransferRate float64 `json:"transfer_rate,omitempty"`
+	// HealthPath is the path at which a backend server reports its health; "": it does not.
+	HealthPath string `json:"health_path,omitempty"`
 	// Levels order the requests of organizations with priorities; nil if none has one.
 	Levels *Levels `json:"-"`
 }
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -104,10 +104,7 @@
 		}
 	}
 	r.req.EventsSent = r.x.EventsSent
-	decision := r.Router.Decide(r.req)
-	for decision.Server != nil && !r.Router.Reserve(r.req, decision.Server) {
-		decision = r.Router.Decide(r.req)
-	}
+	decision := r.decide()
 	r.Observer.RouteDecided(r.x, number, decision)
 	if decision.Server == nil && decision.Region == "" {
 		return decision, r.noRoute(decision)
@@ -115,6 +112,37 @@
 	return decision, nil
 }
 
+// maxFailedChecks bounds the servers of one decision that turn out not to be in the state by
+// which they were chosen.
+const maxFailedChecks = 4
+
+// decide selects a target and reserves its limits. A server that fails its check is not
+// selected again by this decision, or within its limits only. After maxFailedChecks only
+// another region is left.
+func (r *attemptLoop) decide() routing.Decision {
+	r.req.Unchecked = nil
+	if noLocalSlot := r.req.NoLocalSlot; !noLocalSlot {
+		defer func() { r.req.NoLocalSlot = noLocalSlot }()
+	}
+	for {
+		decision := r.Router.Decide(r.req)
+		if decision.Server == nil {
+			return decision
+		}
+		if r.CheckServer != nil && !r.CheckServer(r.ctx, r.x.Service, decision.Server) {
+			if r.req.Unchecked == nil {
+				r.req.Unchecked = make(map[string]bool)
+			}
+			r.req.Unchecked[decision.Server.ID] = true
+			r.req.NoLocalSlot = len(r.req.Unchecked) >= maxFailedChecks || r.ctx.Err() != nil
+			continue
+		}
+		if r.Router.Reserve(r.req, decision.Server) {
+			return decision
+		}
+	}
+}
+
 // noRoute returns the refusal of a request that no server and no region can
 // serve.
 func (r *attemptLoop) noRoute(decision routing.Decision) *outcome.Error {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/internal/boundedhttp"
 	"github.com/fuchsiastack/fuchsiastack/internal/check"
@@ -140,6 +141,9 @@
 	// server or region, or nil. It is called before each attempt. Nil means that no
 	// request is refused.
 	RefuseAttempt func(x *filters.Exchange) *outcome.Error
+	// CheckServer reports whether a chosen server is in the state by which it was chosen. It
+	// may ask the server. If it reports false, another one is chosen. Nil means that all are.
+	CheckServer func(ctx context.Context, service *catalog.Service, server *backend.Server) bool
 	// MaxResponseBytes limits the response body. A larger body is treated as
 	// endless and is cut off. 0 means the default limit.
 	MaxResponseBytes int64
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -140,6 +140,10 @@
 
 func (i *Instance) expire(context.Context) {
 	i.servers.expire()
+	i.serverChecker.listCurrent() // an outage counts also if no request comes during it
+	if i.store.AnswerAge() > maxAnswerAge {
+		i.mirror.Detach()
+	}
 	i.updateRetryBurst()
 	i.registry.EndPauses(time.Now(), i.observer.ServerResumed)
 	i.registry.RateLimitChanges(i.observer.ServerLimitChanged)
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -54,6 +54,7 @@
 		Instance: i.settings.Instance, Region: i.settings.Region, Router: i.router, Peers: regionPeers{i},
 		Transport: i.transport, PeerScheme: "http", Observer: i.observer, Protocol: platform.ServerProtocol{}, Passthrough: true, PromisesNotRun: callerProtocol.PromisesNotRun,
 		Retry: i.retry, Ejector: i.ejector, Memory: i.guard, Parts: i.parts, RefuseAttempt: i.refuseWhileDraining,
+		CheckServer: i.serverChecker.check,
 	}
 	callers := &gateway.Handler{Chain: i.callerChain(callerProtocol, dispatcher), Observer: i.observer, Codec: callerProtocol, AbortOnError: true}
 	forwarded := &gateway.Handler{Chain: i.peerChain(callerProtocol, dispatcher), Observer: i.observer, Codec: gateway.ForwardedCodec{}, Acknowledge: true, AbortOnError: true}
@@ -186,7 +187,7 @@
 		Region: i.settings.Region, Registry: i.registry, Regions: regionPeers{i},
 		Filters:         []routing.Filter{routing.AcceptingFilter{}, routing.WeightsFilter{}, routing.PauseFilter{}},
 		Health:          []routing.Filter{routing.HealthyFilter{}, routing.UntriedFilter{}},
-		Limits:          &routing.SharedLimits{Share: i.serverLeases.share, Shares: serverShares, ListAge: i.mirror.Age},
+		Limits:          &routing.SharedLimits{Share: i.serverLeases.share, Shares: serverShares, ListAge: i.mirror.Age, ListCurrent: i.serverChecker.listCurrent},
 		Scorer:          routing.FirstTokenScorer{Zone: i.settings.Zone, ByRank: true},
 		Prefix:          routing.NewPrefixIndex(0),
 		Remote:          routing.NewRemoteCaches(),
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -102,6 +102,7 @@
 	exchanger     *exchanger
 	retry         *retry.Policy
 	serverLeases  *serverLeases
+	serverChecker *serverChecker
 	quotas        *quota.Limiter
 	quotaObserver *telemetry.Quotas
 	parts         *quarantine.Parts
@@ -203,6 +204,7 @@
 	}
 	i.roster.StoreOutage = i.mirror.Outage
 	i.serverLeases = newServerLeases(i)
+	i.serverChecker = newServerChecker(i)
 	i.store.NewEra = i.applyEra
 	i.router = i.newRouter()
 	i.exchanger = newExchanger(i)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -97,6 +97,7 @@
 	outageStart   time.Time     // when the service became unavailable; zero: it is available
 	confirmedAt   time.Time     // when the service itself confirmed the copy; zero: it is not followed
 	currentAt     time.Time     // up to when the copy is known to be complete; zero: it never was
+	detached      bool          // the relay has stopped to follow the service
 	advanced      chan struct{} // closed when revision or confirmedAt changes; nil if nobody waits
 }
 
--- a/mirror/relay.go
+++ b/mirror/relay.go
@@ -59,6 +59,7 @@
 		return RelayDetached
 	}
 	if status != RelayCurrent {
+		m.recordDetached(status)
 		return status
 	}
 	m.Merge(update)
@@ -173,15 +174,35 @@
 func (m *Mirror) recordCurrent(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.currentAt = at
+	m.currentAt, m.detached = at, false
 }
 
+// recordDetached records the status of a relay that has no update.
+func (m *Mirror) recordDetached(status RelayStatus) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.detached = status != RelayBehind
+}
+
+// Current reports whether the copy is complete but for the changes of the last watch: it
+// follows the service, itself or through a relay, and neither is known to have failed.
+func (m *Mirror) Current() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maxAge := m.wait() + m.relayWait() + maxConfirmationAge
+	return m.outageStart.IsZero() && !m.detached && m.revision.Era == m.knownEra && ageOf(m.currentAt, time.Now()) <= maxAge
+}
+
+// Detach lets the instances that follow this copy return to the service, as this one may not
+// reach it. It holds until the next response of the service.
+func (m *Mirror) Detach() { m.unconfirm() }
+
 // confirm records that the service itself has confirmed the copy.
 func (m *Mirror) confirm() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.confirmedAt = time.Now()
-	m.currentAt = m.confirmedAt
+	m.currentAt, m.detached = m.confirmedAt, false
 }
 
 // unconfirm records that the copy does not follow the service itself, and wakes the
--- a/mirror/relay_test.go
+++ b/mirror/relay_test.go
@@ -362,3 +362,39 @@
 		}
 	})
 }
+
+// TestRelayedCopyIsNotCurrentDuringOutage guards against a copy that counts as current
+// although the relay, or the service behind it, has failed.
+func TestRelayedCopyIsNotCurrentDuringOutage(t *testing.T) {
+	runZone(t, 1, 3, func(c *qt.C, z *zone) {
+		for _, m := range z.mirrors {
+			c.Check(m.Current(), qt.IsTrue)
+		}
+		for n := range z.mirrors {
+			z.set(z.cutOff, n, true)
+		}
+		time.Sleep(2*defaultWait + maxConfirmationAge)
+		for n, m := range z.mirrors {
+			c.Check(m.Current(), qt.IsFalse, qt.Commentf("mirror %d", n))
+		}
+		for n := range z.mirrors {
+			z.set(z.cutOff, n, false)
+		}
+		time.Sleep(3 * directTime)
+		for n, m := range z.mirrors {
+			c.Check(m.Current(), qt.IsTrue, qt.Commentf("mirror %d", n))
+		}
+	})
+}
+
+// TestDetachedRelayIsNotCurrent guards against a copy that counts as current although its
+// relay has said that it may not reach the service.
+func TestDetachedRelayIsNotCurrent(t *testing.T) {
+	runZone(t, 1, 2, func(c *qt.C, z *zone) {
+		c.Check(z.mirrors[1].Current(), qt.IsTrue)
+		z.set(z.cutOff, 1, true)
+		z.mirrors[0].Detach()
+		time.Sleep(10 * time.Millisecond)
+		c.Check(z.mirrors[1].Current(), qt.IsFalse)
+	})
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -55,6 +55,7 @@
 	Alone        bool            // a suspect that must not share a server with other requests
 	NoLocalSlot  bool            // no slot of this region becomes free in time; the request spills or is refused
 	Tried        map[string]bool // IDs of backend servers that attempts have used
+	Unchecked    map[string]bool // IDs of backend servers that did not tell their state; see SharedLimits
 
 	scratch scratch
 }
--- a/routing/sharedlimits.go
+++ b/routing/sharedlimits.go
@@ -20,6 +20,9 @@
 	// ListAge returns the age of the list of servers, which tells which of them are cold. Nil
 	// if it is unknown.
 	ListAge func() time.Duration
+	// ListCurrent reports whether a server that has become cold is in the list of servers as
+	// such. Nil means always.
+	ListCurrent func() bool
 }
 
 // LimitShare is an instance's share of a limit that holds for all instances together.
@@ -44,8 +47,21 @@
 	return service != nil && service.Warmup.Rate > 0 && server.Cold(now)
 }
 
+// MayBeCold reports whether a server of a service with a warm-up limit may have become cold
+// unnoticed, because the list of servers is out of date. A service whose servers cannot be
+// asked counts as warm.
+func (l *SharedLimits) MayBeCold(now time.Time, service *catalog.Service, server *backend.Server) bool {
+	if l == nil || l.ListCurrent == nil || service == nil {
+		return false
+	}
+	return service.Warmup.Rate > 0 && service.HealthPath != "" && !server.Cold(now) && !l.ListCurrent()
+}
+
 // Keep implements Filter.
 func (l *SharedLimits) Keep(now time.Time, req *Request, server *backend.Server) bool {
+	if l != nil && (req.Unchecked[server.ID] || server.Unchecked(now)) && l.MayBeCold(now, req.Service, server) {
+		return false
+	}
 	limit, limited := l.localLimit(now, req, server)
 	return !limited || limit.Burst >= 1 && server.LimitAllows(now, limit)
 }
--- a/standin/hosting/era.go
+++ b/standin/hosting/era.go
@@ -91,6 +91,7 @@
 // serve passes a request to next, so that its response is of the era that its header names.
 // A watch sets its header itself, as it may wait for the next era.
 func (s *Store) serve(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	s.awaitVoice(r.Context())
 	if !strings.HasPrefix(r.URL.Path, "/v1/kv-watch") {
 		s.rolling.RLock()
 		defer s.rolling.RUnlock()
--- a/standin/hosting/server.go
+++ b/standin/hosting/server.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// HealthPath is the path of the health check of a Server.
+const HealthPath = "/healthz"
+
 // Arrival is a request received by a backend server.
 type Arrival struct {
 	ID, Method, Target, Host, Body string
@@ -34,6 +37,9 @@
 	override  Override
 	rateLimit string
 	arrivals  []Arrival
+	coldUntil time.Time // shown in health responses only
+	health    HealthMode
+	checks    int // health checks received
 }
 
 // NewServer starts a backend server that responds with a stream of
@@ -90,6 +96,67 @@
 	s.rateLimit = limit
 }
 
+// SetCold lets health responses show that the server is cold for a time.
+func (s *Server) SetCold(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = time.Now().Add(d)
+}
+
+// HealthMode is how a Server treats health checks.
+type HealthMode int
+
+// The ways to treat health checks.
+const (
+	HealthAnswers HealthMode = iota
+	HealthHangs              // no response
+	HealthRejects            // as any request that gets no slot
+	HealthLeaves             // as a server that announces that it leaves
+)
+
+// SetHealth sets how health checks are treated.
+func (s *Server) SetHealth(mode HealthMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health = mode
+}
+
+// HealthChecks returns the number of health checks received.
+func (s *Server) HealthChecks() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checks
+}
+
+// serveHealth responds to a health check, which is not among the arrivals.
+func (s *Server) serveHealth(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.checks++
+	cold, mode := time.Until(s.coldUntil), s.health
+	s.mu.Unlock()
+	switch mode {
+	case HealthHangs:
+		<-r.Context().Done()
+		return
+	case HealthRejects:
+		_ = Reject(w, r)
+		return
+	case HealthLeaves:
+		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set("Instance", s.ID)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Instance", s.ID)
+	if r.Header.Get("Expect-Instance") != s.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if cold > 0 {
+		w.Header().Set("Warmup-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
+	}
+}
+
 // Arrivals returns the requests received so far, including those meant for
 // another server.
 func (s *Server) Arrivals() []Arrival {
@@ -99,6 +166,10 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == HealthPath {
+		s.serveHealth(w, r)
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("Request-Id")
 	s.mu.Lock()
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -29,6 +29,7 @@
 	revision        uint64
 	leases          map[uint64]*lease // nil for an ended lease, so that its id is not reused
 	down            bool
+	silent          chan struct{} // closed at the end of a silent outage; nil for none
 	changed         chan struct{} // closed and replaced at each change
 	watchCalls      int
 	era             uint64  // sent with each response unless it is 0
@@ -80,6 +81,36 @@
 	s.notifyWatchers()
 }
 
+// SetSilent starts or ends an outage in which calls, also a waiting watch, get no response.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if silent == (s.silent != nil) {
+		return
+	}
+	if silent {
+		s.silent = make(chan struct{})
+	} else {
+		close(s.silent)
+		s.silent = nil
+	}
+}
+
+// awaitVoice waits for the end of a silent outage. It aborts a call that was made during it.
+func (s *Store) awaitVoice(ctx context.Context) {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent == nil {
+		return
+	}
+	select {
+	case <-silent:
+	case <-ctx.Done():
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // HoldListing lets listings of the keys with a prefix wait until the returned function
 // is called.
 func (s *Store) HoldListing(prefix string) (release func()) {
@@ -209,6 +240,7 @@
 	s.watchCalls++
 	s.mu.Unlock()
 	for {
+		s.awaitVoice(r.Context())
 		s.mu.Lock()
 		if s.down {
 			s.mu.Unlock()
@@ -239,6 +271,7 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout:
+			s.awaitVoice(r.Context())
 			writeJSON(w, map[string]any{"events": []item{}, "current-rev": revision})
 			return
 		}
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -23,6 +23,7 @@
 	Metrics *Metrics
 
 	ignoredHeaders lineLimiter
+	failedChecks   lineLimiter
 }
 
 // Begin implements gateway.Observer.
--- a/telemetry/routing.go
+++ b/telemetry/routing.go
@@ -33,11 +33,12 @@
 	ignoredHeaders metric.Int64Counter
 	rateLimits     metric.Int64Counter
 	concurrency    metric.Int64Counter
+	serverChecks   metric.Int64Counter
 }
 
 func newRoutingMetrics(meter metric.Meter) (routingMetrics, error) {
 	var m routingMetrics
-	var errs [13]error
+	var errs [14]error
 	m.decisions, errs[0] = meter.Int64Counter("fuchsia.routing.decisions", metric.WithDescription("Routing decisions by service, reason and spill."))
 	m.cost, errs[1] = meter.Float64Histogram("fuchsia.routing.cost", metric.WithUnit("s"),
 		metric.WithDescription("Expected time to first token of the chosen backend server or region."), metric.WithExplicitBucketBoundaries(latencyBoundsSeconds...))
@@ -52,6 +53,7 @@
 	m.ignoredHeaders, errs[10] = meter.Int64Counter("fuchsia.ignored_headers", metric.WithDescription("Headers of backend servers whose values cannot be used."))
 	m.rateLimits, errs[11] = meter.Int64Counter("fuchsia.server_limit_changes", metric.WithDescription("Limits of backend servers on requests that began, changed or ended."))
 	m.concurrency, errs[12] = meter.Int64Counter("fuchsia.server_concurrency_changes", metric.WithDescription("Changes of the concurrency that backend servers handle well by a quarter of their slots, by direction."))
+	m.serverChecks, errs[13] = meter.Int64Counter("fuchsia.server_checks", metric.WithDescription("Queries of backend servers for their state while the list of servers is out of date, by result."))
 	for _, err := range errs {
 		if err != nil {
 			return m, errors.Wrap(err, "create routing instrument")
