origin: record which version of a service began a stream

Change: a bounded table of streams and the versions that began them, and the version in the description of a backend server. Nothing uses them yet. Measured: tests of the package only.

--- a/backend/server.go
+++ b/backend/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/internal/monotonic"
+	"github.com/fuchsiastack/fuchsiastack/origin"
 )
 
 // Info describes a backend server as listed by the platform.
@@ -22,8 +23,12 @@
 	Fenced  bool   `json:"fenced"`            // rejects orders with an outdated fencing number
 	Slots   int    `json:"slots,omitempty"`   // maximum concurrent requests until the first load report; 0 if unspecified
 	Started int64  `json:"started,omitempty"` // start of the process in Unix milliseconds; 0 if unspecified
+	Version string `json:"version,omitempty"` // of the software
 }
 
+// Origin returns the version by which streams of the server are recorded.
+func (i *Info) Origin() origin.Version { return origin.VersionOf(i.Service, i.Version) }
+
 // States of a backend server in the platform's list.
 const (
 	StateLive     = "live"
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/origin"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
 )
@@ -61,6 +62,12 @@
 	OutputTokensHint int
 	// Weights is the version of the weights that the caller wants; "" for any.
 	Weights string
+	// Resumes is the id of the request that began the stream whose rest the caller asks for;
+	// "" if it asks for no rest of a stream, or does not tell which.
+	Resumes string
+	// Version is the version that must run the request, as it began the stream; 0 for any.
+	Version       origin.Version
+	VersionSource origin.Source
 	// EventsSent is the number of events that were sent to the caller, and LongestGap the
 	// longest time between two of them.
 	EventsSent int
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -103,6 +103,8 @@
 	retry         *retry.Policy
 	serverLeases  *serverLeases
 	serverChecker *serverChecker
+	origins       *origins
+	versions      *versions
 	quotas        *quota.Limiter
 	quotaObserver *telemetry.Quotas
 	parts         *quarantine.Parts
@@ -205,6 +207,7 @@
 	i.roster.StoreOutage = i.mirror.Outage
 	i.serverLeases = newServerLeases(i)
 	i.serverChecker = newServerChecker(i)
+	i.origins, i.versions = newOrigins(i), newVersions(i)
 	i.store.NewEra = i.applyEra
 	i.router = i.newRouter()
 	i.exchanger = newExchanger(i)
--- /dev/null
+++ b/origin/table_test.go
@@ -0,0 +1,93 @@
+package origin
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newTable(capacity int) *Table { return &Table{Capacity: capacity, TTL: time.Minute} }
+
+// TestRecordsExpire guards against streams that are found after their end, and against a
+// table that grows without bound.
+func TestRecordsExpire(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(3)
+	for n := range 5 {
+		c.Check(table.Add(start.Add(time.Duration(n)*time.Second), Record{Key(n), 7}), qt.IsTrue)
+	}
+	_, found := table.Find(start.Add(5*time.Second), 1)
+	c.Check(found, qt.IsFalse)
+	version, found := table.Find(start.Add(62*time.Second), 2)
+	c.Check(version, qt.Equals, Version(7))
+	c.Check(found, qt.IsTrue)
+	c.Check(table.Len(start.Add(63*time.Second+1)), qt.Equals, 1)
+	c.Check(table.Len(start.Add(2*time.Minute)), qt.Equals, 0)
+}
+
+// TestStreamOfTwoVersionsIsAmbiguous guards against a second stream with the same request id
+// that decides where the first one is continued.
+func TestStreamOfTwoVersionsIsAmbiguous(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(10)
+	c.Check(table.Add(start, Record{1, 7}), qt.IsTrue)
+	c.Check(table.Add(start, Record{1, 7}), qt.IsFalse)
+	c.Check(table.Add(start, Record{1, 8}), qt.IsTrue)
+	c.Check(table.Add(start, Record{1, 7}), qt.IsFalse)
+	version, _ := table.Find(start, 1)
+	c.Check(version, qt.Equals, Ambiguous)
+	records, last := table.After(start, 0, 10)
+	c.Check(records, qt.DeepEquals, []Record{{1, Ambiguous}})
+	c.Check(last, qt.Equals, uint64(2))
+}
+
+// TestRecordsAfter guards against records that are passed on twice or never.
+func TestRecordsAfter(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(4)
+	records, last := table.After(start, 0, 10)
+	c.Check(records, qt.HasLen, 0)
+	c.Check(last, qt.Equals, uint64(0))
+	for n := range 6 {
+		table.Add(start, Record{Key(n), 7})
+	}
+	records, last = table.After(start, 0, 3)
+	c.Check(records, qt.DeepEquals, []Record{{2, 7}, {3, 7}, {4, 7}})
+	records, last = table.After(start, last, 3)
+	c.Check(records, qt.DeepEquals, []Record{{5, 7}})
+	c.Check(last, qt.Equals, uint64(6))
+	records, _ = table.After(start, last, 3)
+	c.Check(records, qt.HasLen, 0)
+	records, _ = table.After(start, 99, 1) // of an earlier process
+	c.Check(records, qt.DeepEquals, []Record{{2, 7}})
+}
+
+// TestKeysOfOrganizationsDiffer guards against a caller that finds the streams of another
+// organization by their request ids.
+func TestKeysOfOrganizationsDiffer(t *testing.T) {
+	c := qt.New(t)
+	seen := make(map[Key]bool)
+	for _, parts := range [][3]string{{"a", "b", "c"}, {"ab", "", "c"}, {"", "ab", "c"}, {"a", "bc", ""}, {"b", "b", "c"}} {
+		key := KeyOf(parts[0], parts[1], parts[2])
+		c.Check(seen[key], qt.IsFalse)
+		seen[key] = true
+	}
+}
+
+// TestVersionText checks that versions survive their text form, and that services with the
+// same version text differ.
+func TestVersionText(t *testing.T) {
+	c := qt.New(t)
+	c.Check(VersionOf("a", "v1") == VersionOf("b", "v1"), qt.IsFalse)
+	c.Check(VersionOf("a", "") == 0, qt.IsFalse)
+	for _, v := range []Version{0, 1, VersionOf("a", "v1"), Ambiguous} {
+		parsed, err := ParseVersion(v.String())
+		c.Check(err, qt.IsNil)
+		c.Check(parsed, qt.Equals, v)
+	}
+	_, err := ParseVersion("v1")
+	c.Check(err, qt.IsNotNil)
+}
