dispatch: continue a stream only at the version that began it

Cause: a stream that a server breaks is continued at any other server of the service, also at one of another version, here and in another region. Change: the first event of an answer fixes its version; a routing filter that is never ignored keeps other servers out. Hops name the required version and the version that answers; an answer of another region that does not show the required one is dropped. Lines of routes tell the version.

--- a/backend/server.go
+++ b/backend/server.go
@@ -53,7 +53,8 @@
 // as long as they denote the same process.
 type Server struct {
 	Info
-	Key uint64 // hash of ID
+	Key    uint64 // hash of ID
+	origin origin.Version
 	*state
 	service *serviceEstimates // nil for a server without a Registry
 }
@@ -100,9 +101,12 @@
 
 // NewServer returns a server without requests in flight and without load report.
 func NewServer(info Info) *Server {
-	return &Server{Info: info, Key: xxhash.Sum64String(info.ID), state: &state{}}
+	return &Server{Info: info, Key: xxhash.Sum64String(info.ID), origin: info.Origin(), state: &state{}}
 }
 
+// Origin returns the version by which streams of the server are recorded.
+func (s *Server) Origin() origin.Version { return s.origin }
+
 // InFlight returns the number of requests that this instance has in flight on the
 // server.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -45,8 +45,10 @@
 	// A server that sends the refusal again could make a further attempt there look
 	// refused.
 	refusedOn []*guardedConn
-	// streaming is the attempt at a backend server in progress, or nil.
+	// streaming is the attempt at a backend server in progress, and server that server; nil
+	// if there is none.
 	streaming   *backend.Attempt
+	server      *backend.Server
 	lastEventAt time.Time // when the last event was sent to the caller; zero before the first one
 	// failedResponse is the response of a server that failed. The caller receives
 	// it if no other attempt succeeds.
@@ -93,6 +95,7 @@
 	if refusal := r.suspect.admit(); refusal != nil {
 		return routing.Decision{}, refusal
 	}
+	r.req.EventsSent, r.req.Version = r.x.EventsSent, r.x.Version
 	for r.req.Alone {
 		decision, refusal := r.suspect.reserveServer()
 		if refusal != nil {
@@ -103,7 +106,6 @@
 			return decision, nil
 		}
 	}
-	r.req.EventsSent = r.x.EventsSent
 	decision := r.decide()
 	r.Observer.RouteDecided(r.x, number, decision)
 	if decision.Server == nil && decision.Region == "" {
@@ -233,7 +235,7 @@
 	}
 	return retry.Attempt{
 		Number: number, Outcome: result.err.Outcome, Code: result.err.Code,
-		Repeatable: r.x.Work.Repeatable, ResponseStarted: r.x.Started && !r.callerResponse.Resumable(), Forwarded: decision.Region != "",
+		Repeatable: r.x.Work.Repeatable, ResponseStarted: r.x.Started && !r.mayContinue(), Forwarded: decision.Region != "",
 		Remaining: time.Until(r.x.Deadline), BudgetCharged: result.stalled,
 		Service: r.x.Service.Name, PossibleRuns: r.runs, MaxPossibleRuns: r.x.Work.MaxServers,
 	}
@@ -252,9 +254,9 @@
 	w := r.startAttempt(decision, cancel)
 	defer w.stopStallTimer()
 	served := false
-	r.streaming = w.attempt
+	r.streaming, r.server = w.attempt, server
 	defer func() {
-		r.streaming = nil
+		r.streaming, r.server = nil, nil
 		if served && r.x.Stream && r.callerResponse.LastEventID == "" {
 			w.attempt.StreamCompleted(r.x.OutputTokensHint, r.x.EventsSent)
 		}
@@ -290,18 +292,6 @@
 	return result
 }
 
-// eventSent records the time of an event of a stream.
-func (r *attemptLoop) eventSent() {
-	now := time.Now()
-	if !r.lastEventAt.IsZero() {
-		r.x.LongestGap = max(r.x.LongestGap, now.Sub(r.lastEventAt))
-	}
-	r.lastEventAt = now
-	if r.streaming != nil {
-		r.streaming.EventReceived(now)
-	}
-}
-
 // recordHealth reports the result of an attempt to the ejector.
 func (r *attemptLoop) recordHealth(decision routing.Decision, failed, unreachable, served bool) {
 	if unreachable {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/internal/boundedhttp"
 	"github.com/fuchsiastack/fuchsiastack/internal/check"
+	"github.com/fuchsiastack/fuchsiastack/origin"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/relay"
@@ -144,6 +145,12 @@
 	// CheckServer reports whether a chosen server is in the state by which it was chosen. It
 	// may ask the server. If it reports false, another one is chosen. Nil means that all are.
 	CheckServer func(ctx context.Context, service *catalog.Service, server *backend.Server) bool
+	// StreamBegan is called before the first event of a resumable stream is sent to the
+	// caller, with the version that has sent it. Nil for none.
+	StreamBegan func(x *filters.Exchange, version origin.Version)
+	// OnlyVersion returns the version of a service if no other one can be serving, else 0.
+	// Nil means that it is never known.
+	OnlyVersion func(service string) origin.Version
 	// MaxResponseBytes limits the response body. A larger body is treated as
 	// endless and is cut off. 0 means the default limit.
 	MaxResponseBytes int64
@@ -171,7 +178,7 @@
 		OnFirstByte: func() { started(); d.Observer.FirstByte(x) },
 	}}
 	r.suspect.loop = r
-	r.callerResponse.OnEvent = r.eventSent
+	r.callerResponse.OnFirstEvent, r.callerResponse.OnEvent = r.streamBegins, r.eventSent
 	return r.run()
 }
 
@@ -212,6 +219,7 @@
 		PromptTokens: x.PromptTokens,
 		OutputHint:   x.OutputTokensHint,
 		Weights:      x.Weights,
+		Version:      x.Version,
 		Prefix:       x.Prefix,
 		PrefixTokens: x.PrefixTokens,
 		SharedBlocks: x.SharedBlocks,
@@ -279,6 +287,9 @@
 		w.serverError = true
 		return noEvidence(resp, server.ID)
 	}
+	if x.Hop != nil {
+		x.Writer.Header().Set(relay.VersionHeader, server.Origin().String())
+	}
 	return d.relay(x, resp, w.loop.callerResponse, server.ID)
 }
 
@@ -337,6 +348,9 @@
 	if d.lacksEvidence(x, resp) {
 		return noEvidence(resp, "region "+region), true
 	}
+	if failure := d.checkVersion(x, resp, region); failure != nil {
+		return failure, true
+	}
 	return d.relay(x, resp, callerResponse, "region "+region), true
 }
 
@@ -355,6 +369,9 @@
 		header.Set(filters.HopFirstByHeader, strconv.FormatInt(time.Until(x.FirstEventDeadline).Milliseconds(), 10))
 	}
 	header.Set(filters.HopStreamHeader, strconv.FormatBool(x.Stream))
+	if x.Version != 0 {
+		header.Set(filters.HopVersionHeader, x.Version.String())
+	}
 }
 
 // peerError returns the error in the response of another instance, with outcome o.
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -109,7 +109,7 @@
 func (s *suspectTracker) usable(server *backend.Server) bool {
 	health, now := server.Health(), time.Now()
 	return server.MayReceive(now) && !health.Ejected() && health.ConsecutiveFailures() == 0 &&
-		server.ReportAge(now) <= maxLoadReportAge && !s.loop.req.Tried[server.ID]
+		server.ReportAge(now) <= maxLoadReportAge && !s.loop.req.Tried[server.ID] && routing.VersionFilter{}.Keep(now, s.loop.req, server)
 }
 
 // recordCrash records that the request was in flight on a server that crashed,
--- a/filters/filters.go
+++ b/filters/filters.go
@@ -62,8 +62,9 @@
 	OutputTokensHint int
 	// Weights is the version of the weights that the caller wants; "" for any.
 	Weights string
-	// Resumes is the id of the request that began the stream whose rest the caller asks for;
-	// "" if it asks for no rest of a stream, or does not tell which.
+	// TakesUp reports that the caller asks for the rest of a stream. Resumes is the id of the
+	// request that began the stream; "" if the caller does not tell.
+	TakesUp bool
 	Resumes string
 	// Version is the version that must run the request, as it began the stream; 0 for any.
 	Version       origin.Version
@@ -96,6 +97,19 @@
 	return ids[len(ids)-1]
 }
 
+// StreamKey returns the key of the stream that the response begins or continues. Callers
+// name the request that began the stream, however often they take it up.
+func (x *Exchange) StreamKey() origin.Key {
+	organization, id := "", x.ID
+	if x.Organization != nil {
+		organization = x.Organization.Name
+	}
+	if x.Resumes != "" {
+		id = x.Resumes
+	}
+	return origin.KeyOf(organization, x.Work.Name, id)
+}
+
 // Policy returns the policy of the request's work, or of its rank if the work has
 // none.
 func (x *Exchange) Policy() catalog.RankPolicy { return x.Service.PolicyOf(x.Work) }
--- a/filters/hop.go
+++ b/filters/hop.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/origin"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
@@ -27,6 +28,7 @@
 	HopStreamHeader   = hopPrefix + "Stream"   // "true" if the response is to be a stream of events
 	HopOwnIDHeader    = hopPrefix + "Own-Id"   // X-Request-Id of the caller's request; between instances that header has the request id
 	HopRunsHeader     = hopPrefix + "Runs"     // number of backend servers that the request may still run on, if limited
+	HopVersionHeader  = hopPrefix + "Version"  // version that must run the request, if one must
 )
 
 // Hop identifies the instance that forwarded a request.
@@ -106,6 +108,13 @@
 	if maxServers, err := strconv.Atoi(header.Get(HopRunsHeader)); err == nil && maxServers > 0 {
 		x.Work.MaxServers = maxServers
 	}
+	if text := header.Get(HopVersionHeader); text != "" {
+		version, err := origin.ParseVersion(text)
+		if err != nil {
+			version = origin.Ambiguous
+		}
+		x.Version, x.VersionSource = version, origin.SourceForwarded
+	}
 	if ids, set := header[HopOwnIDHeader]; set {
 		header[outcome.RequestIDHeader] = ids
 	} else {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,12 +49,16 @@
 // another attempt. A refusal without it counts only on a new connection.
 const AttemptHeader = "Fuchsia-Attempt"
 
+// VersionHeader carries the version of the backend server that sends a stream, from one
+// instance to another.
+const VersionHeader = "Fuchsia-Version"
+
 // excludedHeaders are the response headers that are not copied: those that apply
 // to a single connection, and those that the gateway sets itself.
 var excludedHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, AttemptHeader: true, outcome.Header: true,
+	"Content-Length": true, AttemptHeader: true, VersionHeader: true, outcome.Header: true,
 }
 
 // copyEndToEnd copies the end-to-end headers of a response.
@@ -74,8 +78,11 @@
 	RequestID   string // for the header and for errors; "" keeps the header of the backend server
 	LastEventID string // from the request of a caller that resumes a stream, or ""
 	// OnEvent is called when an event of a stream has been sent; nil for none.
-	OnEvent     func()
-	OnFirstByte func() // called before the first byte of the body is sent
+	OnEvent func()
+	// OnFirstEvent is called before the first event of a stream is sent, with the header of
+	// the response that it comes from; nil for none.
+	OnFirstEvent func(header http.Header)
+	OnFirstByte  func() // called before the first byte of the body is sent
 	// Passthrough relays the response as the backend server sent it, without
 	// gateway headers. As it carries no outcome, the connection must be reset if
 	// the response is truncated.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -144,6 +144,9 @@
 	if r.bytesSent == 0 {
 		r.OnFirstByte()
 	}
+	if !r.started && r.OnFirstEvent != nil {
+		r.OnFirstEvent(r.headerSource.Header)
+	}
 	r.writeHeader()
 	n, err := r.Writer.Write(raw)
 	r.bytesSent += int64(n)
--- a/routing/fetch.go
+++ b/routing/fetch.go
@@ -6,6 +6,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/origin"
 )
 
 const (
@@ -26,8 +27,15 @@
 type RemoteCaches struct {
 	prefix *PrefixIndex
 
-	mu      sync.RWMutex
-	servers map[uint64]*backend.Server
+	mu       sync.RWMutex
+	servers  map[uint64]*backend.Server
+	versions map[serverVersion]bool // of servers
+}
+
+// serverVersion is a version of servers of a service in a region.
+type serverVersion struct {
+	region, service string
+	version         origin.Version
 }
 
 // NewRemoteCaches returns a RemoteCaches without servers. Placements take effect
@@ -41,13 +49,22 @@
 // Replace sets the list of live servers of other regions.
 func (c *RemoteCaches) Replace(infos []backend.Info) {
 	servers := make(map[uint64]*backend.Server, len(infos))
+	versions := make(map[serverVersion]bool)
 	for _, info := range infos {
 		server := backend.NewServer(info)
 		servers[server.Key] = server
+		versions[serverVersion{server.Region, server.Service, server.Origin()}] = true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers = servers
+	c.servers, c.versions = servers, versions
+}
+
+// HasVersion reports whether a live server of a service in another region has a version.
+func (c *RemoteCaches) HasVersion(region, service string, version origin.Version) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.versions[serverVersion{region, service, version}]
 }
 
 // MergePlacements records placements reported by an instance of another region.
--- a/routing/plugins.go
+++ b/routing/plugins.go
@@ -24,6 +24,14 @@
 	return server.MayHaveWeights(now, req.Weights)
 }
 
+// VersionFilter keeps servers of the version that must run the request.
+type VersionFilter struct{}
+
+// Keep implements Filter.
+func (VersionFilter) Keep(_ time.Time, req *Request, server *backend.Server) bool {
+	return req.Version == 0 || server.Origin() == req.Version
+}
+
 // UntriedFilter removes servers that an earlier attempt of the request used.
 type UntriedFilter struct{}
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -30,6 +30,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/origin"
 )
 
 // Request holds the properties of a request that routing depends on. One Request
@@ -45,6 +46,7 @@
 	EventsSent   int             // events of the response that earlier attempts have sent to the caller
 	OutputHint   int             // estimate of the caller for the length of the response, in tokens; 0: unknown
 	Weights      string          // version of the weights that the caller wants; "": any
+	Version      origin.Version  // version that must run the request; 0: any
 	BodyBytes    int             // bytes that cross the link if another region is chosen
 	Prefix       []uint64        // digests of the prompt's leading blocks, longest last
 	PrefixTokens []int           // tokens covered by each of Prefix; nil stands for BlockTokens per block
@@ -333,13 +335,19 @@
 		return local
 	}
 	for _, region := range r.Regions.Reachable() {
-		if region != r.Region && req.Service.Permits(req.Work, region) {
+		if region != r.Region && r.mayRunIn(req, region) {
 			return Decision{Region: region, Reason: ReasonOtherRegion}
 		}
 	}
 	return local
 }
 
+// mayRunIn reports whether another region may run the request and, as far as this one
+// knows, has a server of the version that must.
+func (r *Router) mayRunIn(req *Request, region string) bool {
+	return req.Service.Permits(req.Work, region) && (req.Version == 0 || r.Remote == nil || r.Remote.HasVersion(region, req.Service.Name, req.Version))
+}
+
 // decideLocal chooses the best server of this region.
 func (r *Router) decideLocal(now time.Time, req *Request) Decision {
 	group := r.Registry.Group(req.Service.Name)
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -90,6 +90,7 @@
 type missKey struct {
 	service string
 	rank    catalog.Rank
+	pinned  bool // a version must run them, so that they tell nothing about the others
 }
 
 // missState is the hysteresis state of one missKey: requests spill only once the
@@ -159,7 +160,7 @@
 func (s *Spiller) hysteresis(now time.Time, req *Request, missed, certain bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := s.missState(missKey{req.Service.Name, req.Work.Rank})
+	state := s.missState(missKey{req.Service.Name, req.Work.Rank, req.Version != 0})
 	if !missed {
 		if now.Sub(state.lastMiss) > s.exitAfter() {
 			state.spilling = false
@@ -212,7 +213,7 @@
 	noLocalServer := local.Server == nil && !req.NoLocalSlot
 	unknownRegion := ""
 	for _, region := range r.Regions.Reachable() {
-		if region == r.Region || !req.Service.Permits(req.Work, region) {
+		if region == r.Region || !r.mayRunIn(req, region) {
 			continue
 		}
 		sends := s.receivesFrom(now, region)
--- a/telemetry/admission.go
+++ b/telemetry/admission.go
@@ -74,9 +74,13 @@
 	if x.Snapshot != nil {
 		revision = x.Snapshot.Revision
 	}
-	return a.log.Info().Str("event", "refused").Str("request_id", x.ID).Str("service", service).Str("rank", rank).
+	entry := a.log.Info().Str("event", "refused").Str("request_id", x.ID).Str("service", service).Str("rank", rank).
 		Str("caller", x.Caller).Str("filter", filter).Str("reason", reason).Str("code", string(refusal.Code)).
 		Str("outcome", refusal.Outcome.String()).Dur("retry_after", refusal.RetryAfter).Uint64("revision", revision)
+	if x.Version != 0 {
+		entry = entry.Str("origin", x.Version.String()).Str("origin_source", string(x.VersionSource))
+	}
+	return entry
 }
 
 func (a *AdmissionObserver) countRefusal(x *filters.Exchange, filter, reason string, refusal *outcome.Error) (service, rank string) {
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -12,6 +12,7 @@
 	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
+	"github.com/fuchsiastack/fuchsiastack/internal/check"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
@@ -84,9 +85,9 @@
 
 // RouteDecided implements dispatch.Observer.
 func (o *Observer) RouteDecided(x *filters.Exchange, attempt int, d routing.Decision) {
-	server, source := "", ""
+	server, version, source := "", "", ""
 	if d.Server != nil {
-		server = d.Server.ID
+		server, version = d.Server.ID, check.Shorten(d.Server.Version)
 	}
 	if d.FetchFrom != nil {
 		source = d.FetchFrom.ID
@@ -99,6 +100,7 @@
 		Str("service", x.Service.Name).Str("rank", x.Work.Rank.String()).Uint64("revision", x.Snapshot.Revision).
 		Str("caller", x.Caller).Int("priority", x.Work.Priority).
 		Str("reason", string(d.Reason)).Str("server", server).Str("region", d.Region).
+		Str("version", version).Str("origin", x.Version.String()).Str("origin_source", string(x.VersionSource)).
 		Int("candidates", d.Candidates).Dur("cost", d.Cost).Dur("local_cost", d.LocalCost).
 		Dur("wait", d.Wait).Int("cached_tokens", d.CachedTokens).Str("fetch_from", source).Str("spill", string(d.Spill)).
 		Float64("slowdown", float64(d.Slowdown)).Dur("slowdown_age", d.SlowdownAge).Int("slow_candidates", d.SlowCandidates).
