filters: find the version of a stream that its caller takes up

Cause: Resumes is not read, so the rest of a stream is requested from any version. A take-up of a split route goes to the service that began the stream.

--- a/filters/match_test.go
+++ b/filters/match_test.go
@@ -1,6 +1,7 @@
 package filters
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -9,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/catalog"
+	"github.com/fuchsiastack/fuchsiastack/origin"
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
@@ -57,3 +59,38 @@
 		c.Check(shortestTimeout(test.caller, test.route), qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
+
+// TestResumeSelectsService guards against the rest of a stream of a split route that is
+// requested from the other service, or from any if each of them has one version.
+func TestResumeSelectsService(t *testing.T) {
+	t.Parallel()
+	a, b := origin.VersionOf("a", "v1"), origin.VersionOf("b", "v1")
+	work := catalog.Work{Name: "r", Streamed: true, Resumable: true}
+	services := make(map[string]*catalog.Service)
+	route := &catalog.Route{Name: "r", Host: "h", Prefix: "/r/"}
+	for _, name := range []string{"a", "b"} {
+		services[name] = &catalog.Service{Name: name, Work: map[string]catalog.Work{"r": work}}
+		route.Targets = append(route.Targets, catalog.RouteTarget{Service: name, Weight: 1})
+	}
+	snapshot := &catalog.Snapshot{Services: services, Routes: catalog.NewRoutes([]*catalog.Route{route})}
+	for _, test := range []struct {
+		local, remote origin.Version
+		want          string // service or reason of the refusal
+	}{{a, 0, "a"}, {b, 0, "b"}, {0, b, "b"}, {origin.Ambiguous, b, "resume:no_server_of_version"}, {0, 0, "resume:unknown_stream"}} {
+		refusals := &recorder{}
+		f := Resume{
+			FindLocal: func(origin.Key) (origin.Version, origin.Source) { return test.local, "" },
+			Find:      func(context.Context, origin.Key) (origin.Version, origin.Source) { return test.remote, "" },
+			Possible:  func(service string) []origin.Version { return []origin.Version{origin.VersionOf(service, "v1")} },
+			HasServer: func(service string, version origin.Version) bool { return version == origin.VersionOf(service, "v1") },
+			Observer:  refusals,
+		}
+		req := httptest.NewRequest(http.MethodPost, "http://h/r/", http.NoBody)
+		x := &Exchange{Request: req, Snapshot: snapshot, Service: services["a"], Work: work, Path: "/r/", TakesUp: true, Resumes: "id"}
+		_ = f.Handle(x, func(x *Exchange) *outcome.Error {
+			refusals.reasons = append(refusals.reasons, x.Service.Name)
+			return nil
+		})
+		qt.Check(t, refusals.reasons, qt.DeepEquals, []string{test.want})
+	}
+}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -74,6 +74,7 @@
 	CodeRateLimited      Code = "rate_limited"
 	CodeDeadline         Code = "deadline_exceeded"
 	CodeNoBackend        Code = "no_backend_server"
+	CodeUnknownStream    Code = "unknown_stream"
 	CodeBackendFailed    Code = "backend_server_failed"
 	CodeBackendRefused   Code = "backend_server_refused"
 	CodeDraining         Code = "draining"
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -152,7 +152,7 @@
 	switch attempt.Code {
 	case outcome.CodeBackendFailed, outcome.CodeBackendRefused:
 		return true
-	case outcome.CodeOverloaded, outcome.CodeDraining, outcome.CodeNotReady, outcome.CodeNoBackend:
+	case outcome.CodeOverloaded, outcome.CodeDraining, outcome.CodeNotReady, outcome.CodeNoBackend, outcome.CodeUnknownStream:
 		return attempt.Forwarded
 	}
 	return false
