hosted: bind streams to their version

Change: the filter is in the chains of callers and of other instances, and streams are recorded as they begin. Records are those of the instance alone, and the possible versions those of listed servers.

--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -265,8 +266,9 @@
 	})
 }
 
-// forward sends a stream request to the instance as one of another region does.
-func (n *testInstance) forward(id string) response {
+// forward sends a stream request to the instance as one of another region does, with
+// further headers, each a name and a value.
+func (n *testInstance) forward(id string, headers ...string) response {
 	req := n.longRequest("/drafts/", id)
 	req.URL.Host = n.settings.PeerAddr
 	for name, value := range map[string]string{
@@ -275,6 +277,9 @@
 	} {
 		req.Header.Set(name, value)
 	}
+	for pair := range slices.Chunk(headers, 2) {
+		req.Header.Set(pair[0], pair[1])
+	}
 	return n.send(req)
 }
 
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -2,12 +2,15 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/fuchsiastack/fuchsiastack/backend"
 	"github.com/fuchsiastack/fuchsiastack/dispatch"
 	"github.com/fuchsiastack/fuchsiastack/filters"
 	"github.com/fuchsiastack/fuchsiastack/gateway"
+	"github.com/fuchsiastack/fuchsiastack/origin"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 	"github.com/fuchsiastack/fuchsiastack/routing"
 )
@@ -55,6 +58,7 @@
 		Transport: i.transport, PeerScheme: "http", Observer: i.observer, Protocol: platform.ServerProtocol{}, Passthrough: true, PromisesNotRun: callerProtocol.PromisesNotRun,
 		Retry: i.retry, Ejector: i.ejector, Memory: i.guard, Parts: i.parts, RefuseAttempt: i.refuseWhileDraining,
 		CheckServer: i.serverChecker.check,
+		StreamBegan: i.origins.streamBegan, OnlyVersion: i.onlyVersion,
 	}
 	callers := &gateway.Handler{Chain: i.callerChain(callerProtocol, dispatcher), Observer: i.observer, Codec: callerProtocol, AbortOnError: true}
 	forwarded := &gateway.Handler{Chain: i.peerChain(callerProtocol, dispatcher), Observer: i.observer, Codec: gateway.ForwardedCodec{}, Acknowledge: true, AbortOnError: true}
@@ -76,6 +80,7 @@
 		filters.Ready{Table: i.table},
 		filters.Match{Reader: callerProtocol},
 		i.organizationFilter(),
+		i.resumeFilter(i.hasVersion),
 		countRoute{i.usage},
 		filters.Quota{Limiter: i.quotas, Observer: i.quotaObserver},
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
@@ -94,6 +99,7 @@
 		filters.Ready{Table: i.table},
 		filters.AcceptHop{Instance: i.settings.Instance, Region: i.settings.Region, Organization: &organization},
 		filters.Describe{Reader: callerProtocol},
+		i.resumeFilter(i.hasLocalVersion),
 		filters.ReadBody{MaxBytes: maxBodyBytes, Opaque: true},
 		filters.RefuseParts{Known: i.partsKnown, Refuse: dispatcher.RefusePart},
 		drainFilter{i},
@@ -113,6 +119,37 @@
 	return filters.Admit{Queue: i.queue, CanServeLocally: i.canServeLocally, CanSpill: i.canSpill, StreamTime: i.streamTime, Observer: i.admission}
 }
 
+// resumeFilter returns the filter of requests for the rest of a stream. hasServer reports
+// whether a server that this instance may send them to has a version.
+func (i *Instance) resumeFilter(hasServer func(service string, version origin.Version) bool) filters.Filter {
+	return filters.Resume{
+		FindLocal: i.origins.findLocal, Find: i.origins.find, Possible: i.versions.possible,
+		HasServer: hasServer, Observer: i.admission,
+	}
+}
+
+// onlyVersion returns the version of a service that no other one can have, or 0.
+func (i *Instance) onlyVersion(service string) origin.Version {
+	if possible := i.versions.possible(service); len(possible) == 1 {
+		return possible[0]
+	}
+	return 0
+}
+
+// hasVersion reports whether a server of any region has a version of a service.
+func (i *Instance) hasVersion(service string, version origin.Version) bool {
+	return i.hasLocalVersion(service, version) || slices.ContainsFunc((regionPeers{i}).Reachable(), func(region string) bool {
+		return i.router.Remote.HasVersion(region, service, version)
+	})
+}
+
+// hasLocalVersion reports whether a server of this region has a version of a service.
+func (i *Instance) hasLocalVersion(service string, version origin.Version) bool {
+	return slices.ContainsFunc(i.registry.Servers(service), func(s *backend.Server) bool {
+		return s.Origin() == version && s.Accepts()
+	})
+}
+
 func (i *Instance) canSpill(x *filters.Exchange) bool {
 	return i.router.CanSpill(dispatch.RoutingRequest(x))
 }
@@ -126,6 +163,9 @@
 	if !x.Work.MayRunIn(i.settings.Region) {
 		return false
 	}
+	if x.Version != 0 && !i.hasLocalVersion(x.Service.Name, x.Version) {
+		return false
+	}
 	return i.registry.MayReceive(x.Service.Name, time.Now())
 }
 
@@ -185,7 +225,7 @@
 	i.ejector = &routing.Ejector{Registry: i.registry}
 	return &routing.Router{
 		Region: i.settings.Region, Registry: i.registry, Regions: regionPeers{i},
-		Filters:         []routing.Filter{routing.AcceptingFilter{}, routing.WeightsFilter{}, routing.PauseFilter{}},
+		Filters:         []routing.Filter{routing.AcceptingFilter{}, routing.WeightsFilter{}, routing.VersionFilter{}, routing.PauseFilter{}},
 		Health:          []routing.Filter{routing.HealthyFilter{}, routing.UntriedFilter{}},
 		Limits:          &routing.SharedLimits{Share: i.serverLeases.share, Shares: serverShares, ListAge: i.mirror.Age, ListCurrent: i.serverChecker.listCurrent},
 		Scorer:          routing.FirstTokenScorer{Zone: i.settings.Zone, ByRank: true},
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -26,10 +26,15 @@
 }
 
 // streamBegan records the version that has sent the first event of a stream.
-func (o *origins) streamBegan(x *filters.Exchange, version origin.Version) {}
+func (o *origins) streamBegan(x *filters.Exchange, version origin.Version) {
+	o.table.Add(time.Now(), origin.Record{Key: x.StreamKey(), Version: version})
+}
 
 // findLocal returns the version that began a stream, if this instance knows it.
 func (o *origins) findLocal(key origin.Key) (origin.Version, origin.Source) {
+	if version, found := o.table.Find(time.Now(), key); found {
+		return version, origin.SourceLocal
+	}
 	return 0, origin.SourceUnknown
 }
 
