filters: ask other instances for the version of a stream before taking the only known one

Cause: an instance that hears of a version last took an unknown stream for one of the only version it knew. Change: other instances are asked first. Measured: tests of filters pass.

--- a/filters/resume.go
+++ b/filters/resume.go
@@ -53,20 +53,21 @@
 	return next(x)
 }
 
-// find returns the version that began the stream, 0 if it is unknown.
+// find returns the version that began the stream, 0 if it is unknown. Other instances are
+// asked even if only one version is known here: this one may be the last to hear of another.
 func (f Resume) find(x *Exchange) (origin.Version, origin.Source) {
 	if x.Resumes != "" {
 		if version, source := f.FindLocal(x.StreamKey()); version != 0 {
 			return version, source
 		}
+		if version, source := f.Find(x.Request.Context(), x.StreamKey()); version != 0 {
+			return version, source
+		}
 	}
 	if version := f.onlyVersion(x); version != 0 {
 		return version, origin.SourceOnlyVersion
 	}
-	if x.Resumes == "" {
-		return 0, origin.SourceUnknown
-	}
-	return f.Find(x.Request.Context(), x.StreamKey())
+	return 0, origin.SourceUnknown
 }
 
 // onlyVersion returns the version that has begun the stream if the services of the route
