hosted: track the versions that may have begun streams

Cause: a stream that is taken up must go on at the version that began it. An instance that has just started knows neither the versions that have left nor whether there were any.

New streams avoid a version that other instances may not know yet, for 3 s at most and only while another one can be used.

--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -226,7 +226,7 @@
 	return &routing.Router{
 		Region: i.settings.Region, Registry: i.registry, Regions: regionPeers{i},
 		Filters:         []routing.Filter{routing.AcceptingFilter{}, routing.WeightsFilter{}, routing.VersionFilter{}, routing.PauseFilter{}},
-		Health:          []routing.Filter{routing.HealthyFilter{}, routing.UntriedFilter{}},
+		Health:          []routing.Filter{routing.HealthyFilter{}, routing.UntriedFilter{}, settledVersions{i.versions}},
 		Limits:          &routing.SharedLimits{Share: i.serverLeases.share, Shares: serverShares, ListAge: i.mirror.Age, ListCurrent: i.serverChecker.listCurrent},
 		Scorer:          routing.FirstTokenScorer{Zone: i.settings.Zone, ByRank: true},
 		Prefix:          routing.NewPrefixIndex(0),
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -197,7 +197,7 @@
 	i.roster = i.newRoster()
 	i.servers = newServers(i)
 	i.mirror = &mirror.Mirror{
-		Feed: i.store, Prefixes: []string{platform.ConfigKey, platform.EvacuatePrefix, platform.ServerPrefix, instanceKeyPrefix},
+		Feed: i.store, Prefixes: []string{platform.ConfigKey, platform.EvacuatePrefix, platform.ServerPrefix, instanceKeyPrefix, versionsPrefix},
 		// The other half of the bound is left for detecting an unresponsive
 		// connection and reading again.
 		Wait:  settings.Bounds.ConfigDelay / 2,
--- a/hosted/publishcold_test.go
+++ b/hosted/publishcold_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fuchsiastack/fuchsiastack/backend"
+	"github.com/fuchsiastack/fuchsiastack/catalog"
 	"github.com/fuchsiastack/fuchsiastack/platform"
 )
 
@@ -39,7 +40,8 @@
 }
 
 func newServersWithCold(count int) *servers {
-	i := &Instance{registry: backend.NewRegistry()}
+	i := &Instance{registry: backend.NewRegistry(), table: &catalog.Table{}}
+	i.versions = newVersions(i)
 	s := &servers{instance: i, local: make(map[string]*serverEntry), evacuated: make(map[string]evacuation), missingGrace: time.Second}
 	for n := range count {
 		info := backend.Info{ID: fmt.Sprintf("i-%d", n), Service: "cold", State: backend.StateLive, Addr: fmt.Sprintf("10.0.0.1:%d", n)}
--- a/hosted/state.go
+++ b/hosted/state.go
@@ -26,13 +26,15 @@
 
 // applyChanges applies the changes of the mirrored keys.
 func (i *Instance) applyChanges(keys []string) {
-	var config, servers, instances bool
+	var config, servers, instances, versions bool
 	for _, key := range keys {
 		switch {
 		case key == platform.ConfigKey:
 			config = true
 		case strings.HasPrefix(key, instanceKeyPrefix):
 			instances = true
+		case strings.HasPrefix(key, versionsPrefix):
+			versions = true
 		default:
 			servers = true
 		}
@@ -44,6 +46,9 @@
 		i.roster.Update(i.mirror.ByPrefix(instanceKeyPrefix))
 		i.updateRetryBurst()
 	}
+	if versions || config {
+		i.versions.update(time.Now())
+	}
 	if servers || config {
 		i.servers.update()
 	}
@@ -252,6 +257,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b backend.Info) int { return strings.Compare(a.ID, b.ID) })
+	s.instance.versions.observe(now, s.listedVersions())
 	s.instance.registry.ReplacePrepared(list, func(server *backend.Server) {
 		if remaining := warmup[server.ID]; remaining > 0 {
 			server.ExtendCold(now.Add(remaining))
@@ -259,6 +265,20 @@
 	})
 }
 
+// listedVersions returns the versions of the servers of all regions, by service.
+func (s *servers) listedVersions() map[string]map[string]bool {
+	versions := make(map[string]map[string]bool)
+	for _, entries := range []map[string]*serverEntry{s.local, s.remote} {
+		for _, entry := range entries {
+			if versions[entry.Service] == nil {
+				versions[entry.Service] = make(map[string]bool)
+			}
+			versions[entry.Service][entry.Version] = true
+		}
+	}
+	return versions
+}
+
 // publishRemote updates the router's list of servers in other regions from whose
 // caches prefixes may be fetched.
 func (s *servers) publishRemote() {
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -36,6 +36,8 @@
 	header          *string // sent as the era instead, "" for none; nil for the era
 	copied          *storeCopy
 	held            string // listings of keys with this prefix wait; "" for none
+	writeCalls      map[string]int
+	refusedWrites   string // transactions that write keys with this prefix fail; "" for none
 }
 
 type item struct {
@@ -54,7 +56,7 @@
 
 // NewStore starts an empty store.
 func NewStore() *Store {
-	s := &Store{items: make(map[string]item), revision: 1, leases: make(map[uint64]*lease), changed: make(chan struct{})}
+	s := &Store{items: make(map[string]item), revision: 1, leases: make(map[uint64]*lease), changed: make(chan struct{}), writeCalls: make(map[string]int)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-range", s.handleRange)
 	mux.HandleFunc("GET /v1/kv-key", s.handleGet)
@@ -148,6 +150,21 @@
 	return s.watchCalls
 }
 
+// WriteCalls returns the number of transactions so far that wrote a key or were refused to.
+func (s *Store) WriteCalls(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writeCalls[key]
+}
+
+// RefuseWrites lets transactions that write keys with a prefix fail with status 503; "" for
+// none.
+func (s *Store) RefuseWrites(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedWrites = prefix
+}
+
 // Compact discards the history, so that a watch from an older revision fails with
 // status 410.
 func (s *Store) Compact() {
@@ -173,6 +190,13 @@
 	s.remove(key)
 }
 
+// Value returns the value of a key, "" for an absent one.
+func (s *Store) Value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.items[key].Value)
+}
+
 // Keys returns the keys that begin with prefix, sorted.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
@@ -309,6 +333,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range txn.Puts {
+		s.writeCalls[p.Key]++
+		if s.refusedWrites != "" && strings.HasPrefix(p.Key, s.refusedWrites) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
 			w.WriteHeader(http.StatusNotFound)
 			return
--- a/telemetry/entries.go
+++ b/telemetry/entries.go
@@ -15,6 +15,7 @@
 	ServerEntry   EntryKind = "server"
 	InstanceEntry EntryKind = "instance"
 	ConfigEntry   EntryKind = "config"
+	VersionsEntry EntryKind = "versions"
 	StoreItem     EntryKind = "item" // of a response of the store; its key is that of the request
 )
 
