hosted: document the versions of streams and their order after an outage

Cause: the keys with the versions of services were not described, and after an outage of the store all instances that had a write due would have made it at once.

Change: the times by which instances take turns begin again when the copy is current. A test for regions that cannot be asked while the store is away.

--- a/hosted/versions.go
+++ b/hosted/versions.go
@@ -236,7 +236,7 @@
 // Keep implements routing.Filter.
 func (f settledVersions) Keep(_ time.Time, req *routing.Request, server *backend.Server) bool {
 	held := f.versions.held.Load()
-	if held == nil || !isResumable(&req.Work) || len(req.Tried) > 0 {
+	if held == nil || !isResumable(&req.Work) || req.Version != 0 || len(req.Tried) > 0 {
 		return true
 	}
 	return !(*held)[server.Origin()]
--- a/hosted/versions_test.go
+++ b/hosted/versions_test.go
@@ -31,8 +31,8 @@
 	return r
 }
 
-// startVersion starts a server of the service "drafts" with a version.
-func (f *fleet) startVersion(version, zone string) *hosting.Server {
+// listVersion starts a server of the service "drafts" with a version.
+func (f *fleet) listVersion(version, zone string) *hosting.Server {
 	s := hosting.NewServer(version+"-"+zone, 2)
 	f.Cleanup(s.Close)
 	f.Cleanup(s.CloseClientConnections)
@@ -79,7 +79,7 @@
 func TestDepartedVersionIsKnownAfterRestart(t *testing.T) {
 	t.Parallel()
 	f := newVersionsFleet(t)
-	old := f.startVersion("v1", "alex-a")
+	old := f.listVersion("v1", "alex-a")
 	first := f.start(f.settings("cairo"))
 	f.awaitKey("v1")
 	first.awaitPossible(draftsVersions("v1")...)
@@ -89,7 +89,7 @@
 	second := f.start(f.settings("cairo"))
 	second.awaitPossible(draftsVersions("v1")...)
 	f.Check(f.store.WriteCalls(draftsVersionsKey), qt.Equals, 1)
-	f.startVersion("v2", "cairo-a")
+	f.listVersion("v2", "cairo-a")
 	f.awaitKey("v1", "v2")
 	f.removeServer(old)
 	second.stop()
@@ -115,7 +115,7 @@
 	f := newVersionsFleet(t)
 	f.store.RefuseWrites(versionsPrefix)
 	f.store.Put(draftsVersionsKey, `{"versions":17}`)
-	f.startVersion("v1", "cairo-a")
+	f.listVersion("v1", "cairo-a")
 	n := f.start(f.settings("cairo")).waitForServers(1)
 	unknown := append(draftsVersions("v1"), origin.Ambiguous)
 	f.Check(n.versions.possible("drafts"), qt.DeepEquals, unknown)
@@ -131,7 +131,7 @@
 func TestOneInstanceWritesVersions(t *testing.T) {
 	t.Parallel()
 	f := newVersionsFleet(t)
-	old := f.startVersion("v1", "cairo-a")
+	old := f.listVersion("v1", "cairo-a")
 	const count = 10
 	var instances []*testInstance
 	for k := range count {
@@ -145,7 +145,7 @@
 		f.eventually("all listed", func() bool { return len(n.roster.Live()) == count })
 	}
 	started := f.store.WriteCalls(draftsVersionsKey)
-	f.startVersion("v2", "alex-a")
+	f.listVersion("v2", "alex-a")
 	f.awaitKey("v1", "v2")
 	f.removeServer(old)
 	f.awaitKey("v2")
@@ -167,7 +167,7 @@
 func TestVersionIsRecordedBeforeItsStreams(t *testing.T) {
 	t.Parallel()
 	f := newVersionsFleet(t)
-	f.startVersion("v1", "cairo-a")
+	f.listVersion("v1", "cairo-a")
 	n := f.start(f.settings("cairo")).waitForServers(1)
 	f.awaitKey("v1")
 	next := hosting.NewServer("next", 2)
@@ -196,11 +196,11 @@
 		t.Run(away, func(t *testing.T) {
 			t.Parallel()
 			f := newVersionsFleet(t)
-			old := f.startVersion("v1", "cairo-a")
+			old := f.listVersion("v1", "cairo-a")
 			n := f.start(f.settings("cairo")).waitForServers(1)
 			f.awaitKey("v1")
 			f.store.RefuseWrites(versionsPrefix)
-			next := f.startVersion("v2", "cairo-a")
+			next := f.listVersion("v2", "cairo-a")
 			n.waitForServers(2)
 			switch away {
 			case "store down":
@@ -218,3 +218,24 @@
 		})
 	}
 }
+
+// TestRegionThatCannotBeAsked guards against a version that counts as the only one although
+// the instances of a region that is cut off may follow the store and use another one.
+func TestRegionThatCannotBeAsked(t *testing.T) {
+	t.Parallel()
+	f := newVersionsFleet(t)
+	f.listVersion("v1", "cairo-a")
+	n, other := f.start(f.settings("cairo")), f.start(f.settings("alex"))
+	f.awaitKey("v1")
+	n.awaitPossible(draftsVersions("v1")...)
+	f.eventually("other region", func() bool {
+		n.versions.mu.Lock()
+		defer n.versions.mu.Unlock()
+		return len(n.versions.regions) == 2
+	})
+	f.store.SetDown(true)
+	f.eventually("outage", func() bool { return n.mirror.Outage() > 0 })
+	n.awaitPossible(draftsVersions("v1")...)
+	other.stop()
+	n.awaitPossible(append(draftsVersions("v1"), origin.Ambiguous)...)
+}
--- a/hosted/versionskey.go
+++ b/hosted/versionskey.go
@@ -166,7 +166,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.current || v.listedSince.IsZero() || now.Sub(v.listedSince) < selectionDelay {
-		return nil // others may not know this instance, nor this one them
+		// Others may not know this instance, nor this one them. After an outage they begin in
+		// their order again.
+		for _, s := range v.services {
+			s.key.dueSince = time.Time{}
+		}
+		return nil
 	}
 	var writes []keyWrite
 	for _, name := range v.streamServices() {
--- a/origin/history.go
+++ b/origin/history.go
@@ -108,10 +108,10 @@
 	return h.watched != 0 && h.watched.Since(now) > h.TTL
 }
 
-// Record returns the versions that the record should have, sorted: those of now, without the
-// ones whose last server has left TTL and Margin ago, all that time under the eyes of this
-// History, and with the ones that are listed or were so within TTL. If there are more than
-// limit, or some that fits rejects, others are left out and complete is false.
+// Record returns the versions that the record should have, sorted: the ones that are listed or
+// were so within TTL, and of the others that it has now those which have not been observed to
+// be unlisted for TTL and Margin. Versions that fits rejects and those beyond limit are left
+// out; complete is false then.
 func (h *History) Record(now time.Time, limit int, fits func(version string) bool) (versions []string, complete bool) {
 	complete = true
 	var unlisted []string
