telemetry: log the request whose stream is taken up

Cause: a refused take-up could not be followed to the stream in the log. Change: route and refused lines have resumes.

--- a/telemetry/admission.go
+++ b/telemetry/admission.go
@@ -56,7 +56,7 @@
 
 // Refused implements filters.AdmissionObserver.
 func (a *AdmissionObserver) Refused(x *filters.Exchange, filter, reason string, refusal *outcome.Error) {
-	a.refused(x, filter, reason, refusal).Msg("")
+	a.refused(x, filter, reason, refusal).Str("resumes", x.Resumes).Msg("")
 }
 
 // OverLimit implements filters.AdmissionObserver.
--- a/telemetry/observer.go
+++ b/telemetry/observer.go
@@ -100,7 +100,7 @@
 		Str("service", x.Service.Name).Str("rank", x.Work.Rank.String()).Uint64("revision", x.Snapshot.Revision).
 		Str("caller", x.Caller).Int("priority", x.Work.Priority).
 		Str("reason", string(d.Reason)).Str("server", server).Str("region", d.Region).
-		Str("version", version).Str("origin", x.Version.String()).Str("origin_source", string(x.VersionSource)).
+		Str("version", version).Str("origin", x.Version.String()).Str("origin_source", string(x.VersionSource)).Str("resumes", x.Resumes).
 		Int("candidates", d.Candidates).Dur("cost", d.Cost).Dur("local_cost", d.LocalCost).
 		Dur("wait", d.Wait).Int("cached_tokens", d.CachedTokens).Str("fetch_from", source).Str("spill", string(d.Spill)).
 		Float64("slowdown", float64(d.Slowdown)).Dur("slowdown_age", d.SlowdownAge).Int("slow_candidates", d.SlowCandidates).
