hosted: spread and look up the origins of streams

Cause: the version that began a stream is known only to the instance that sent its first event, if at all; a caller that continues the stream elsewhere, or after that instance is lost, gets any version. Change: the exchange passes the records of streams to the collectors of the region, to the next in line where there is only one collector, and to one other region. A draining instance, which is not listed, passes its records on, too. Nothing records or asks yet. Not measured: processor time, lookups under load.

--- a/collector/collector.go
+++ b/collector/collector.go
@@ -27,6 +27,7 @@
 	cellSize = 16
 	// selectionKey selects the collectors among the instances of a region.
 	selectionKey = "collectors"
+	minKeepers   = 2
 	// MaxTokens bounds the pending prompt tokens of a server and rank.
 	MaxTokens = 1 << 30
 	// maxSources bounds the instances whose reports are kept.
@@ -39,6 +40,13 @@
 	return membership.Rendezvous(instances, selectionKey, (len(instances)+cellSize-1)/cellSize)
 }
 
+// Keepers returns the ids of the instances that know the streams of all instances of a
+// region: the collectors and, if there is only one, the next in line. The loss of one
+// instance leaves another that knows them.
+func Keepers(instances []string) []string {
+	return membership.Rendezvous(instances, selectionKey, max(len(Select(instances)), minKeepers))
+}
+
 // Choose returns the collector that an instance uses after a number of failures of
 // collectors: each failure leads to the next one in an order of its own. collectors
 // must not be empty.
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -27,7 +27,8 @@
 
 // TestSelection checks that the number of collectors follows the number of instances,
 // that the loss of an instance changes the choice of few others, and that each failure
-// leads to another collector.
+// leads to another collector. It guards against a region in which one instance alone knows
+// the streams of all.
 func TestSelection(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
@@ -35,6 +36,11 @@
 	for count, want := range map[int]int{1: 1, 2: 1, 16: 1, 17: 2, 65: 5, 350: 22} {
 		c.Check(Select(instanceIDs(count)), qt.HasLen, want, qt.Commentf("%d instances", count))
 	}
+	for count, want := range map[int]int{0: 0, 1: 1, 2: 2, 16: 2, 17: 2, 65: 5} {
+		keepers := Keepers(instanceIDs(count))
+		c.Check(keepers, qt.HasLen, want, qt.Commentf("%d instances", count))
+		c.Check(keepers[:len(Select(instanceIDs(count)))], qt.DeepEquals, Select(instanceIDs(count)))
+	}
 	all := instanceIDs(65)
 	collectors := Select(all)
 	members := make(map[string]int)
--- a/hosted/exchange.go
+++ b/hosted/exchange.go
@@ -45,6 +45,8 @@
 	sentPlacements         uint64
 	sentParts, partVersion uint64
 	nextRegion, nextRemote uint64
+	sentOrigins            uint64 // last record of the origin of a stream
+	origins                originNumbers
 }
 
 // exchanger exchanges reports with collectors, and serves the exchanges of others.
@@ -226,6 +228,7 @@
 		request.Quota = i.quotas.Report(now, quota.Role(role), other.ID)
 	}
 	sentPlacements, stall := state.sentPlacements, remoteStallTimeout
+	var sentOrigins originNumbers
 	if role != collector.Remote {
 		own := e.hub.Placements(collector.Collector, state.sentPlacements, 0)
 		request.Placements, sentPlacements = own.Region, own.NextRegion
@@ -235,8 +238,13 @@
 		request.RateLimits = currentRateLimits(now, i.registry.All())
 		request.Capacities = capacityReports(now, i.registry.All(), true)
 		request.Summaries = role == collector.Member && e.summariesDue(now)
+		request.Origins, sentOrigins = i.origins.since(now, originNumbers{Cell: state.sentOrigins}, originsPerExchange, false)
+		request.Leaving = i.draining.Load()
 		stall = exchangeStallTimeout
 	}
+	if role != collector.Collector && i.origins.wanted(other.Region) {
+		request.OriginsAfter = &state.origins
+	}
 	var response exchangeResponse
 	if err := i.post(ctx, other.PeerAddr+exchangePath, stall, request, &response); err != nil {
 		return err
@@ -247,7 +255,10 @@
 	e.receive(now, &response, role)
 	next := link{
 		started: response.Started, sentPlacements: sentPlacements, sentParts: state.sentParts, partVersion: state.partVersion,
-		nextRegion: response.NextRegion, nextRemote: response.NextRemote,
+		nextRegion: response.NextRegion, nextRemote: response.NextRemote, sentOrigins: sentOrigins.Cell, origins: state.origins,
+	}
+	if response.OriginsLast != nil {
+		next.origins = *response.OriginsLast
 	}
 	if request.Parts != nil {
 		next.sentParts = request.Parts.Version
@@ -300,11 +311,13 @@
 		i.parts.Merge(now, response.Parts)
 	}
 	if role == collector.Remote {
+		i.origins.receive(now, collector.Remote, response.Origins)
 		i.quotas.Merge(now, now.Sub(sent), quota.Remote, response.Region, response.Quota)
 		i.router.Remote.MergePlacements(now, response.Placements)
 		e.hub.AddPlacements(now, collector.Remote, response.Placements)
 		return
 	}
+	i.origins.receive(now, collector.Collector, response.Origins)
 	if role == collector.Collector {
 		i.quotas.Merge(now, now.Sub(sent), quota.Collector, response.ID, response.Quota)
 		e.hub.Report(now, collector.Collector, response.ID, response.Work)
--- a/hosted/exchangeserve.go
+++ b/hosted/exchangeserve.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiastack/fuchsiastack/collector"
 	"github.com/fuchsiastack/fuchsiastack/internal/check"
+	"github.com/fuchsiastack/fuchsiastack/origin"
 	"github.com/fuchsiastack/fuchsiastack/quarantine"
 	"github.com/fuchsiastack/fuchsiastack/quota"
 	"github.com/fuchsiastack/fuchsiastack/routing"
@@ -36,6 +37,13 @@
 	Parts      *quarantine.PartReport `json:"parts,omitempty"`
 	Quota      *quota.Message         `json:"quota,omitempty"`
 
+	// Leaving means that the sender drains, so that it need not be known any more.
+	Leaving bool           `json:"leaving,omitempty"`
+	Origins origin.Records `json:"origins,omitempty"`
+	// OriginsAfter are the numbers of the last origins of streams received; nil if none are
+	// wanted.
+	OriginsAfter *originNumbers `json:"origins-after,omitempty"`
+
 	// Summaries asks for the summaries of other regions, or of the receiver's region if
 	// the sender is of another one.
 	Summaries bool `json:"summaries,omitempty"`
@@ -61,6 +69,9 @@
 	Region     string                 `json:"region,omitempty"` // of the responder
 	Quota      *quota.Message         `json:"quota,omitempty"`
 
+	Origins     origin.Records `json:"origins,omitempty"`
+	OriginsLast *originNumbers `json:"origins-last,omitempty"`
+
 	NextRegion uint64 `json:"next-region"`
 	NextRemote uint64 `json:"next-remote"`
 	// Limited means that placements and parts are missing, as the link carries
@@ -115,10 +126,16 @@
 		i.parts.Merge(now, request.Parts)
 	}
 	if request.Role != collector.Remote {
-		if _, live := e.find(i.settings.Region, request.ID); !live {
+		_, live := e.find(i.settings.Region, request.ID)
+		if !live && !request.Leaving {
 			http.Error(w, "instance "+check.Shorten(request.ID)+" is not known in region "+i.settings.Region, http.StatusConflict)
 			return
 		}
+		i.origins.receive(now, request.Role, request.Origins)
+		if !live {
+			i.writeJSON(w, response)
+			return
+		}
 		e.hub.Report(now, request.Role, request.ID, request.Work)
 		i.quotas.Merge(now, 0, quota.Role(request.Role), request.ID, request.Quota)
 		recordLoads(now, request.Loads, i.registry.All())
@@ -146,6 +163,14 @@
 	default:
 		response.Summaries = e.otherSummaries(now)
 	}
+	if request.OriginsAfter != nil {
+		limit := originsPerExchange
+		if request.Role == collector.Remote {
+			limit = originsPerRemoteExchange
+		}
+		origins, last := i.origins.since(now, *request.OriginsAfter, limit, true)
+		response.Origins, response.OriginsLast = origins, &last
+	}
 	response.Limited = !i.reportBudget.available()
 	if !response.Limited {
 		known := e.hub.Placements(request.Role, request.Region, request.Remote)
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -111,6 +111,7 @@
 	queries.HandleFunc("GET "+changesPath, i.serveChanges)
 	queries.HandleFunc("GET "+statePath, i.serveState)
 	queries.HandleFunc("POST "+exchangePath, i.exchanger.serveExchange)
+	queries.HandleFunc("GET "+originPath, i.origins.serveOrigin)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(filters.HopOriginHeader) != "" {
 			forwarded.ServeHTTP(w, r)
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -34,6 +34,18 @@
 // has it.
 const Ambiguous Version = 1<<64 - 1
 
+// String returns the key in hexadecimal.
+func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
+
+// ParseKey is the inverse of Key.String.
+func ParseKey(text string) (Key, error) {
+	k, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, errors.Wrap(err, "parse key")
+	}
+	return Key(k), nil
+}
+
 // VersionOf returns the Version of a service and its version text. Texts are compared as
 // they are; the empty one is a version like others.
 func VersionOf(service, version string) Version {
@@ -68,7 +80,7 @@
 const (
 	SourceUnknown     Source = ""
 	SourceAnswer      Source = "answer"       // events of this answer have been sent
-	SourceLocal       Source = "local"        // this instance sent the first event
+	SourceLocal       Source = "local"        // this instance knows it
 	SourceRegion      Source = "region"       // another instance of the region
 	SourceOtherRegion Source = "other_region" // an instance of another region
 	SourceOnlyVersion Source = "only_version" // no other version can have begun a stream
