hosted: ask all instances of a small region for the origin of a stream

Cause: members use a killed collector until the roster drops it; records made in this time are at no keeper. Change: up to 8 instances of the own region are all asked.

--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -36,9 +36,12 @@
 	lookupTime       = 400 * time.Millisecond
 	regionLookupTime = 120 * time.Millisecond
 	maxLookups       = 64 // at once
-	// keepersAsked is how many instances of each region a lookup asks: one may have been lost
-	// or have just become a keeper.
+	// keepersAsked is how many keepers of a region a lookup asks: one may have been lost or
+	// have just become a keeper.
 	keepersAsked = 2
+	// smallRegion is the largest number of instances of the own region that are all asked.
+	// They know records that have not reached a keeper.
+	smallRegion = 8
 )
 
 // origins finds which version of a service began a stream. The record of a stream goes from
@@ -107,12 +110,12 @@
 	case <-ctx.Done():
 		return 0, origin.SourceUnknown
 	}
-	if version = o.askFirst(ctx, key, o.keepers(o.instance.settings.Region), regionLookupTime); version != 0 {
+	if version = o.askFirst(ctx, key, o.holders(o.instance.settings.Region), regionLookupTime); version != 0 {
 		return version, origin.SourceRegion
 	}
 	var others []roster.Instance
 	for _, region := range (regionPeers{o.instance}).Reachable() {
-		others = append(others, o.keepers(region)...)
+		others = append(others, o.holders(region)...)
 	}
 	if version = o.askFirst(ctx, key, others, lookupTime-time.Since(start)); version != 0 {
 		return version, origin.SourceOtherRegion
@@ -120,17 +123,19 @@
 	return 0, origin.SourceUnknown
 }
 
-// keepers returns the instances of a region to ask for the origin of a stream.
-func (o *origins) keepers(region string) []roster.Instance {
+// holders returns the instances of a region to ask for the origin of a stream: its keepers
+// or, in the own region if it is small, all instances.
+func (o *origins) holders(region string) []roster.Instance {
 	i := o.instance
-	keepers := slices.DeleteFunc(collector.Keepers(ids(i.roster.InRegion(region))), func(id string) bool { return id == i.settings.Instance })
-	if len(keepers) > keepersAsked {
-		keepers = membership.Rendezvous(keepers, i.settings.Instance, keepersAsked)
+	holders, limit := ids(i.roster.InRegion(region)), smallRegion
+	if region != i.settings.Region || len(holders) > smallRegion {
+		holders, limit = collector.Keepers(holders), keepersAsked
 	}
+	holders = slices.DeleteFunc(holders, func(id string) bool { return id == i.settings.Instance })
 	var list []roster.Instance
-	for _, id := range keepers {
-		if keeper, live := i.exchanger.find(region, id); live {
-			list = append(list, keeper)
+	for _, id := range membership.Rendezvous(holders, i.settings.Instance, limit) {
+		if holder, live := i.exchanger.find(region, id); live {
+			list = append(list, holder)
 		}
 	}
 	return list
