hosted: keep the origins of streams in the store while a service has several versions

Cause: the records of streams are in the memory of instances only. Change: while a service has several possible versions, one collector of each region writes the records of its region to the store, and an instance that finds no record elsewhere reads them. A record is made, provisionally, when a server is chosen, so that it is in the store when the first event is sent. If nobody knows the stream any more, Retry-After says that it need not be asked for again.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -263,6 +263,9 @@
 		w.attempt.End(time.Now(), served)
 	}()
 	r.Router.RecordDispatch(r.req, server)
+	if r.x.Version == 0 {
+		r.recordVersion(server.Origin(), true)
+	}
 	err := r.sendToServer(ctx, r.x, server, w)
 	result := attemptResult{err: err, stalled: errors.Is(context.Cause(ctx), errStalled)}
 	if result.stalled && err != nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -146,8 +146,9 @@
 	// may ask the server. If it reports false, another one is chosen. Nil means that all are.
 	CheckServer func(ctx context.Context, service *catalog.Service, server *backend.Server) bool
 	// StreamBegan is called before the first event of a resumable stream is sent to the
-	// caller, with the version that has sent it. Nil for none.
-	StreamBegan func(x *filters.Exchange, version origin.Version)
+	// caller, with the version that has sent it, and as provisional before each attempt to
+	// begin one. Nil for none.
+	StreamBegan func(x *filters.Exchange, version origin.Version, provisional bool)
 	// OnlyVersion returns the version of a service if no other one can be serving, else 0.
 	// Nil means that it is never known.
 	OnlyVersion func(service string) origin.Version
--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -26,8 +26,14 @@
 	if x.Version == 0 {
 		x.Version, x.VersionSource = version, origin.SourceAnswer
 	}
-	if r.StreamBegan != nil && x.Work.Streamed && x.Work.Resumable {
-		r.StreamBegan(x, version)
+	r.recordVersion(version, false)
+}
+
+// recordVersion records the version that begins a stream. It is recorded as provisional before
+// an attempt, so that other instances know of it before the first event is sent.
+func (r *attemptLoop) recordVersion(version origin.Version, provisional bool) {
+	if r.StreamBegan != nil && r.x.Work.Streamed && r.x.Work.Resumable {
+		r.StreamBegan(r.x, version, provisional)
 	}
 }
 
--- a/filters/resume.go
+++ b/filters/resume.go
@@ -10,9 +10,11 @@
 	"github.com/fuchsiastack/fuchsiastack/outcome"
 )
 
-// resumeRetryAfter is the Retry-After time of a stream whose version is unknown or has no
-// server.
-const resumeRetryAfter = time.Second
+// Retry-After times of a stream that cannot be continued now.
+const (
+	resumeRetryAfter = time.Second // its version is unknown or has no server
+	lostRetryAfter   = time.Minute // its version will not be known: no request lasts so long
+)
 
 // Reasons of the refusals.
 const (
@@ -44,11 +46,15 @@
 	if x.Version == 0 && x.TakesUp && x.Work.Streamed && x.Work.Resumable {
 		x.Version, x.VersionSource = f.find(x)
 		if x.Version == 0 {
-			return f.refuse(x, reasonUnknownStream, outcome.CodeUnknownStream, "the version that began the stream is unknown")
+			retryAfter := resumeRetryAfter
+			if x.VersionSource == origin.SourceLost {
+				retryAfter = lostRetryAfter
+			}
+			return f.refuse(x, reasonUnknownStream, retryAfter, outcome.CodeUnknownStream, "the version that began the stream is unknown")
 		}
 	}
 	if x.Version != 0 && !f.selectService(x) {
-		return f.refuse(x, reasonNoServerVersion, outcome.CodeNoBackend, "no backend server has the version that began the stream")
+		return f.refuse(x, reasonNoServerVersion, resumeRetryAfter, outcome.CodeNoBackend, "no backend server has the version that began the stream")
 	}
 	return next(x)
 }
@@ -60,7 +66,8 @@
 		if version, source := f.FindLocal(x.StreamKey()); version != 0 {
 			return version, source
 		}
-		if version, source := f.Find(x.Request.Context(), x.StreamKey()); version != 0 {
+		version, source := f.Find(x.Request.Context(), x.StreamKey())
+		if version != 0 || source == origin.SourceLost {
 			return version, source
 		}
 	}
@@ -122,8 +129,8 @@
 	return names
 }
 
-func (f Resume) refuse(x *Exchange, reason string, code outcome.Code, message string) *outcome.Error {
-	refusal := outcome.Refuse(http.StatusServiceUnavailable, code, "%s", message).WithRetryAfter(resumeRetryAfter)
+func (f Resume) refuse(x *Exchange, reason string, retryAfter time.Duration, code outcome.Code, message string) *outcome.Error {
+	refusal := outcome.Refuse(http.StatusServiceUnavailable, code, "%s", message).WithRetryAfter(retryAfter)
 	f.Observer.Refused(x, f.Name(), reason, refusal)
 	return refusal
 }
--- a/hosted/controllers.go
+++ b/hosted/controllers.go
@@ -49,6 +49,7 @@
 	group.Go(func() error { i.exchanger.run(ctx); return nil })
 	group.Go(func() error { i.serverLeases.run(ctx); return nil })
 	group.Go(func() error { i.versions.run(ctx); return nil })
+	group.Go(func() error { i.origins.archive.run(ctx); return nil })
 }
 
 // registerWhenReady waits until the instance is ready and then runs the roster,
--- /dev/null
+++ b/hosted/originarchive.go
@@ -0,0 +1,238 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/fuchsiastack/fuchsiastack/collector"
+	"github.com/fuchsiastack/fuchsiastack/internal/loop"
+	"github.com/fuchsiastack/fuchsiastack/origin"
+	"github.com/fuchsiastack/fuchsiastack/store"
+)
+
+const (
+	// originArchivePrefix is the prefix of the keys with records of streams in the store. It is
+	// followed by a region and the number of a slot.
+	originArchivePrefix = "fuchsiastack/origins/"
+	// archiveSendInterval and archiveInterval are the times between two messages to the writer,
+	// and between two writes. A record is to be in the store when the first event of its stream
+	// is sent.
+	archiveSendInterval = 40 * time.Millisecond
+	archiveInterval     = 80 * time.Millisecond
+	// archiveSlots is the number of slots of a region, each for a second. They hold more than
+	// originTTL.
+	archiveSlots = 64
+	// archiveReadInterval is the shortest time between two listings of the archive, and
+	// archiveReadTime the longest time of one.
+	archiveReadInterval = time.Second
+	archiveReadTime     = 2 * time.Second
+)
+
+// originArchive keeps records of streams in the store, for the case that all instances are
+// killed at once. Only streams of services with several versions are written: of a service
+// with one version, the origin of a stream is known without a record. One collector of each
+// region writes those of the region. In a small region it receives them from the others at
+// once; in a large one they come with the exchange.
+type originArchive struct {
+	instance *Instance
+
+	// Only run uses these.
+	versions  map[origin.Version]bool // of the services with several ones
+	writer    string                  // instance that the records go to
+	numbers   originNumbers           // of the last records written, or sent to the writer
+	slot      int
+	records   origin.Records // in slot
+	writtenAt time.Time      // start of the last write
+	written   bool           // slots have been written and not been removed
+
+	reads  singleflight.Group
+	mu     sync.Mutex
+	readAt time.Time // when the archive was last read
+}
+
+// run writes the archive until ctx ends.
+func (a *originArchive) run(ctx context.Context) { loop.Every(ctx, archiveSendInterval, a.update) }
+
+// update passes the new records on to the writer or, at the writer, to the store. The writer
+// removes its slots once no service has several versions.
+func (a *originArchive) update(ctx context.Context) {
+	i := a.instance
+	collectors, versions := i.exchanger.collectors(), i.versions.contested()
+	if len(collectors) == 0 {
+		return
+	}
+	if writer := slices.Min(collectors); writer != a.writer {
+		a.writer, a.versions = writer, nil
+	}
+	if a.writer == i.settings.Instance && len(versions) == 0 {
+		a.remove(ctx)
+	}
+	for version := range versions {
+		if !a.versions[version] {
+			a.numbers, a.records = originNumbers{}, nil // records of its service were left out so far
+		}
+	}
+	if a.versions = versions; len(versions) == 0 {
+		return
+	}
+	if a.writer == i.settings.Instance {
+		a.write(ctx, time.Now())
+		return
+	}
+	if len(i.roster.InRegion(i.settings.Region)) <= smallRegion {
+		a.send(ctx, time.Now())
+	}
+}
+
+// send sends the new records of this instance to the writer.
+func (a *originArchive) send(ctx context.Context, now time.Time) {
+	i := a.instance
+	records, numbers := a.collect(now, originsPerExchange)
+	if other, live := i.exchanger.find(i.settings.Region, a.writer); live && len(records) > 0 {
+		if err := i.post(ctx, other.PeerAddr+originPath, exchangeStallTimeout, records, &struct{}{}); err != nil {
+			return
+		}
+	}
+	a.numbers = numbers
+}
+
+// serveRecords receives the records that another instance sends to this one, the writer.
+func (a *originArchive) serveRecords(w http.ResponseWriter, r *http.Request) {
+	var records origin.Records
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxExchangeBytes)).Decode(&records); err != nil {
+		http.Error(w, "records: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.instance.origins.receive(time.Now(), collector.Member, records)
+	a.instance.writeJSON(w, struct{}{})
+}
+
+// write writes the new records to the slot of the current second.
+func (a *originArchive) write(ctx context.Context, now time.Time) {
+	if now.Sub(a.writtenAt) < archiveInterval {
+		return
+	}
+	a.writtenAt = now
+	if slot := int(now.Unix() % archiveSlots); slot != a.slot {
+		a.slot, a.records = slot, nil
+	}
+	added, numbers := a.collect(now, origin.MaxRecords-len(a.records))
+	if len(added) == 0 {
+		a.numbers = numbers
+		return
+	}
+	records := slices.Concat(a.records, added)
+	value, err := json.Marshal(records)
+	if err != nil {
+		return
+	}
+	if err := a.instance.store.Txn(ctx, []store.Op{{Kind: store.OpSet, Key: a.slotKey(a.slot), Value: value}}); err != nil {
+		a.instance.log.Debug().Str("event", "origin_archive").Str("state", "failed").Err(err).Msg("")
+		return
+	}
+	a.records, a.numbers, a.written = records, numbers, true
+}
+
+// collect returns at most limit records of contested versions that have not been written yet,
+// and the numbers of the last ones.
+func (a *originArchive) collect(now time.Time, limit int) (records origin.Records, numbers originNumbers) {
+	o := a.instance.origins
+	numbers = a.numbers
+	for _, source := range []struct {
+		table  *origin.Table
+		number *uint64
+	}{{&o.table, &numbers.Cell}, {&o.region, &numbers.Region}} {
+		for room := limit - len(records); room > 0; room = limit - len(records) {
+			next, last := source.table.After(now, *source.number, room)
+			if last == *source.number {
+				break
+			}
+			*source.number = last
+			for _, record := range next {
+				if a.versions[record.Version] {
+					records = append(records, record)
+				}
+			}
+		}
+	}
+	return records, numbers
+}
+
+// remove deletes the slots that this instance may have written.
+func (a *originArchive) remove(ctx context.Context) {
+	if !a.written {
+		return
+	}
+	var ops []store.Op
+	for slot := range archiveSlots {
+		ops = append(ops, store.Op{Kind: store.OpDelete, Key: a.slotKey(slot)})
+	}
+	a.written = a.instance.store.Txn(ctx, ops) != nil
+}
+
+func (a *originArchive) slotKey(slot int) string {
+	return originArchivePrefix + a.instance.settings.Region + "/" + strconv.Itoa(slot)
+}
+
+// read adds the records of all regions to those that this instance keeps, unless that was done
+// a moment ago. It reports whether they have been read.
+func (a *originArchive) read(ctx context.Context) bool {
+	a.mu.Lock()
+	recent := time.Since(a.readAt) < archiveReadInterval
+	a.mu.Unlock()
+	if recent {
+		return true
+	}
+	done := a.reads.DoChan("", func() (any, error) {
+		readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), archiveReadTime)
+		defer cancel()
+		start := time.Now()
+		count, err := a.list(readCtx)
+		if err == nil {
+			a.mu.Lock()
+			a.readAt = time.Now()
+			a.mu.Unlock()
+		}
+		a.instance.log.Info().Str("event", "origin_archive").Str("state", "read").Int("records", count).
+			Dur("elapsed", time.Since(start)).AnErr("error", err).Msg("")
+		return nil, err
+	})
+	select {
+	case result := <-done:
+		return result.Err == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// list reads the archive and returns the number of its records. A slot that cannot be decoded
+// is left out.
+func (a *originArchive) list(ctx context.Context) (count int, err error) {
+	for after := ""; ; {
+		page, err := a.instance.store.Page(ctx, originArchivePrefix, after)
+		if err != nil {
+			return count, err
+		}
+		for _, entry := range page.Entries {
+			var records origin.Records
+			if json.Unmarshal(entry.Value, &records) != nil {
+				continue
+			}
+			for _, record := range records {
+				a.instance.origins.remote.Add(time.Now(), record)
+			}
+			count += len(records)
+		}
+		if !page.More || len(page.Entries) == 0 {
+			return count, nil
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+}
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiastack/fuchsiastack/collector"
@@ -55,47 +56,50 @@
 	region origin.Table // records received from collectors of the region
 	remote origin.Table // records of the regions that this one keeps a copy of
 
+	archive originArchive
 	budget  *byteBudget
 	lookups chan struct{} // has an element for each one in progress
 }
 
 func newOrigins(i *Instance) *origins {
 	return &origins{
-		instance: i, budget: newByteBudget(i.settings.LinkRate, originLinkFraction), lookups: make(chan struct{}, maxLookups),
+		instance: i, archive: originArchive{instance: i}, budget: newByteBudget(i.settings.LinkRate, originLinkFraction), lookups: make(chan struct{}, maxLookups),
 		table:  origin.Table{Capacity: maxOrigins, TTL: originTTL},
 		region: origin.Table{Capacity: maxOrigins, TTL: originTTL},
 		remote: origin.Table{Capacity: maxOrigins, TTL: originTTL},
 	}
 }
 
-// streamBegan records the version that has sent the first event of a stream.
-func (o *origins) streamBegan(x *filters.Exchange, version origin.Version) {
-	if !x.Work.Streamed || !x.Work.Resumable {
-		return
+// streamBegan records the version that has sent the first event of a stream or, provisionally,
+// the one that has been chosen to do so.
+func (o *origins) streamBegan(x *filters.Exchange, version origin.Version, provisional bool) {
+	if x.Work.Streamed && x.Work.Resumable {
+		o.table.Add(time.Now(), origin.Record{Key: x.StreamKey(), Version: version, Provisional: provisional})
 	}
-	o.table.Add(time.Now(), origin.Record{Key: x.StreamKey(), Version: version})
 }
 
 // findLocal returns the version that began a stream, if this instance knows it.
 func (o *origins) findLocal(key origin.Key) (origin.Version, origin.Source) {
-	version, now := origin.Version(0), time.Now()
+	record, known := o.record(key)
+	if !known {
+		return 0, origin.SourceUnknown
+	}
+	return record.Version, origin.SourceLocal
+}
+
+// record returns what this instance knows of the origin of a stream.
+func (o *origins) record(key origin.Key) (origin.Record, bool) {
+	merged, now := origin.Table{Capacity: 1, TTL: originTTL}, time.Now()
 	for _, table := range []*origin.Table{&o.table, &o.region, &o.remote} {
-		found, known := table.Find(now, key)
-		switch {
-		case !known || found == version:
-		case version == 0:
-			version = found
-		default:
-			version = origin.Ambiguous
+		if found, known := table.Find(now, key); known {
+			merged.Add(now, found)
 		}
 	}
-	if version == 0 {
-		return 0, origin.SourceUnknown
-	}
-	return version, origin.SourceLocal
+	return merged.Find(now, key)
 }
 
-// find asks other instances for the version that began a stream.
+// find asks other instances for the version that began a stream and, if its service has
+// several versions, reads the archive.
 func (o *origins) find(ctx context.Context, key origin.Key) (version origin.Version, source origin.Source) {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, lookupTime)
@@ -110,16 +114,31 @@
 	case <-ctx.Done():
 		return 0, origin.SourceUnknown
 	}
-	if version = o.askFirst(ctx, key, o.holders(o.instance.settings.Region), regionLookupTime); version != 0 {
+	own := o.instance.settings.Region
+	version, complete := o.askFirst(ctx, key, o.holders(own), regionLookupTime)
+	if version != 0 {
 		return version, origin.SourceRegion
 	}
 	var others []roster.Instance
 	for _, region := range (regionPeers{o.instance}).Reachable() {
 		others = append(others, o.holders(region)...)
 	}
-	if version = o.askFirst(ctx, key, others, lookupTime-time.Since(start)); version != 0 {
+	version, othersComplete := o.askFirst(ctx, key, others, lookupTime-time.Since(start))
+	if version != 0 {
 		return version, origin.SourceOtherRegion
 	}
+	if len(o.instance.versions.contested()) == 0 {
+		return 0, origin.SourceUnknown
+	}
+	archived := o.archive.read(ctx)
+	if version, _ = o.findLocal(key); version != 0 {
+		return version, origin.SourceArchive
+	}
+	// In a large region, records are under way for up to two exchanges.
+	small := len(o.instance.roster.InRegion(own)) <= smallRegion
+	if complete && othersComplete && archived && small {
+		return 0, origin.SourceLost
+	}
 	return 0, origin.SourceUnknown
 }
 
@@ -142,48 +161,56 @@
 }
 
 // askFirst asks instances in parallel and returns the first version learned, 0 if there is
-// none within the timeout.
-func (o *origins) askFirst(ctx context.Context, key origin.Key, instances []roster.Instance, timeout time.Duration) origin.Version {
+// none within the timeout. Provisional records count only when all have responded. complete tells
+// that all have.
+func (o *origins) askFirst(ctx context.Context, key origin.Key, instances []roster.Instance, timeout time.Duration) (version origin.Version, complete bool) {
 	// The other queries go on when a version has been learned: to cancel one closes its
 	// connection.
 	queryCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
-	versions := make(chan origin.Version, len(instances))
+	records := make(chan origin.Record, len(instances))
+	var failed atomic.Bool
 	var group sync.WaitGroup
 	for _, other := range instances {
 		group.Go(func() {
-			version, err := o.ask(queryCtx, key, other)
+			record, err := o.ask(queryCtx, key, other)
 			if err != nil {
+				failed.Store(true)
 				o.instance.log.Debug().Str("event", "origin_query_failed").Str("peer", other.ID).Err(err).Msg("")
 			}
-			versions <- version
+			records <- record
 		})
 	}
 	go func() { group.Wait(); cancel() }()
+	provisional := origin.Table{Capacity: 1, TTL: originTTL}
 	for range instances {
 		select {
-		case version := <-versions:
-			if version != 0 {
-				return version
+		case record := <-records:
+			if record.Version != 0 && !record.Provisional {
+				return record.Version, true
 			}
+			provisional.Add(time.Now(), record)
 		case <-ctx.Done():
-			return 0
+			return 0, false
 		}
 	}
-	return 0
+	record, _ := provisional.Find(time.Now(), key)
+	return record.Version, !failed.Load()
 }
 
-func (o *origins) ask(ctx context.Context, key origin.Key, other roster.Instance) (origin.Version, error) {
+func (o *origins) ask(ctx context.Context, key origin.Key, other roster.Instance) (origin.Record, error) {
 	var response originResponse
 	query := peerQuery{other.PeerAddr, originPath, url.Values{"key": {key.String()}}, remoteStallTimeout}
 	if err := o.instance.queryPeer(ctx, query, &response); err != nil {
-		return 0, err
+		return origin.Record{}, err
 	}
-	return origin.ParseVersion(response.Version)
+	version, err := origin.ParseVersion(response.Version)
+	return origin.Record{Key: key, Version: version, Provisional: response.Provisional}, err
 }
 
 // originResponse is what an instance knows of the origin of a stream.
 type originResponse struct {
-	Version string `json:"version"` // that began the stream; "" if unknown
+	Version     string `json:"version"` // that began the stream; "" if unknown
+	Provisional bool   `json:"provisional,omitempty"`
 }
 
 // serveOrigin responds with the version that began a stream.
@@ -193,8 +220,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	version, _ := o.findLocal(key)
-	o.instance.writeJSON(w, originResponse{Version: version.String()})
+	record, _ := o.record(key)
+	o.instance.writeJSON(w, originResponse{record.Version.String(), record.Provisional})
 }
 
 // originNumbers are the numbers of the last records received from an instance.
--- a/hosted/origins_test.go
+++ b/hosted/origins_test.go
@@ -21,16 +21,30 @@
 
 // began records the beginning of a stream at an instance and returns its key.
 func (n *testInstance) began(id string, version origin.Version) origin.Key {
-	n.origins.streamBegan(&filters.Exchange{ID: id, Work: resumableWork}, version)
+	n.origins.streamBegan(&filters.Exchange{ID: id, Work: resumableWork}, version, false)
 	return origin.KeyOf("", resumableWork.Name, id)
 }
 
-// find looks a stream up as a take-up does.
-func (n *testInstance) find(key origin.Key) (origin.Version, origin.Source) {
-	if version, source := n.origins.findLocal(key); version != 0 {
-		return version, source
+// eventuallyKnows waits until an instance knows the origin of a stream without asking.
+func (n *testInstance) eventuallyKnows(key origin.Key, want origin.Version) {
+	n.f.Helper()
+	n.f.eventually("origin known", func() bool {
+		version, _ := n.origins.findLocal(key)
+		return version == want
+	})
+}
+
+// startKnown starts an instance in each of the regions. They know each other and the
+// earlier ones.
+func (f *fleet) startKnown(earlier []*testInstance, regions ...string) []*testInstance {
+	f.configure(1, newRoute("query", "stream", "drafts"))
+	for _, region := range regions {
+		earlier = append(earlier, f.start(f.settings(region)))
+	}
+	for _, n := range earlier {
+		f.eventually("all instances known", func() bool { return len(n.roster.Live()) == len(earlier) })
 	}
-	return n.origins.find(context.Background(), key)
+	return earlier
 }
 
 // TestStreamOriginSurvivesInstances guards against streams whose version nobody knows once
@@ -39,140 +53,105 @@
 	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, newRoute("query", "stream", "drafts"))
-	f.startServer("drafts", "cairo-a", 1)
 	links := make(map[string]*thinlink.Link)
-	regions := map[string][]*testInstance{"cairo": nil, "alex": nil, "giza": nil}
-	var all []*testInstance
-	start := func(region string) *testInstance {
-		settings := f.settings(region)
-		link := thinlink.New(1e9)
+	var cairo []*testInstance
+	for range 3 {
+		settings, link := f.settings("cairo"), thinlink.New(1e9)
 		f.Cleanup(link.Close)
 		addr, err := link.Inbound(settings.PeerAddr)
 		f.Assert(err, qt.IsNil)
-		n := f.startBehind(settings, addr)
 		links[settings.Instance] = link
-		regions[region], all = append(regions[region], n), append(all, n)
-		for _, other := range all {
-			f.eventually("all instances known", func() bool { return len(other.roster.Live()) == len(all) })
-		}
-		return n
+		cairo = append(cairo, f.startBehind(settings, addr))
 	}
-	for _, region := range []string{"cairo", "cairo", "cairo", "alex", "giza"} {
-		start(region)
+	all := f.startKnown(cairo, "alex", "giza")
+	backup, third := all[3], all[4]
+	if membership.Rendezvous([]string{"alex", "giza"}, "cairo", 1)[0] == "giza" {
+		backup, third = third, backup
 	}
-	backup := membership.Rendezvous([]string{"alex", "giza"}, "cairo", 1)[0]
-	third := map[string]string{"alex": "giza", "giza": "alex"}[backup]
-	keepers := collector.Keepers(ids(all[0].roster.InRegion("cairo")))
-
+	keepers := collector.Keepers(ids(backup.roster.InRegion("cairo")))
 	keys := make(map[origin.Key]origin.Version)
-	for k, n := range regions["cairo"] {
+	for k, n := range cairo {
 		keys[n.began(fmt.Sprintf("r-%d", k), origin.Version(7+k))] = origin.Version(7 + k)
 	}
 	began := time.Now()
-	spread := func(n *testInstance) {
-		for key, version := range keys {
-			f.eventually("origins of streams known in "+n.settings.Region, func() bool {
-				found, _ := n.origins.findLocal(key)
-				return found == version
-			})
+	for _, n := range all {
+		if id := n.settings.Instance; id == keepers[0] || id == keepers[1] || n == backup {
+			for key, version := range keys {
+				n.eventuallyKnows(key, version)
+			}
+			f.Logf("%s knows all origins after %v", id, time.Since(began))
 		}
-		f.Logf("%s in %s knows all origins after %v", n.settings.Instance, n.settings.Region, time.Since(began))
 	}
 	check := func(n *testInstance, want ...origin.Source) {
 		for key, version := range keys {
-			found, source := n.find(key)
+			found, source := n.origins.findLocal(key)
+			if found == 0 {
+				found, source = n.origins.find(context.Background(), key)
+			}
 			f.Check(found, qt.Equals, version)
 			f.Check(want, qt.Contains, source)
 		}
 	}
-	for _, n := range regions["cairo"] {
-		if n.settings.Instance == keepers[0] || n.settings.Instance == keepers[1] {
-			spread(n)
-		}
-	}
-	spread(regions[backup][0])
-
 	links[keepers[0]].Close()
-	check(start("cairo"), origin.SourceRegion, origin.SourceLocal)
-	check(start(backup), origin.SourceRegion, origin.SourceLocal)
-	check(regions[third][0], origin.SourceOtherRegion)
-	for _, n := range regions["cairo"] {
+	all = f.startKnown(all, "cairo", backup.settings.Region)
+	check(all[5], origin.SourceRegion, origin.SourceLocal)
+	check(all[6], origin.SourceRegion, origin.SourceLocal)
+	check(third, origin.SourceOtherRegion)
+	for _, n := range cairo {
 		check(n, origin.SourceLocal, origin.SourceRegion)
 	}
-	for _, n := range regions["cairo"] {
-		links[n.settings.Instance].Close()
+	for _, link := range links {
+		link.Close()
 	}
-	check(regions[third][0], origin.SourceOtherRegion)
-	version, source := regions[third][0].find(1)
-	f.Check(version, qt.Equals, origin.Version(0))
+	all[5].stop()
+	<-all[5].done
+	check(third, origin.SourceOtherRegion)
+	_, source := third.origins.find(context.Background(), 1)
 	f.Check(source, qt.Equals, origin.SourceUnknown)
 }
 
-// TestManyStreamOrigins guards against records above the bound of a message that are never
-// sent.
-func TestManyStreamOrigins(t *testing.T) {
+// TestStreamOriginsArrive guards against records that are never sent: those above the bound
+// of a message, and those that an instance makes while it drains.
+func TestStreamOriginsArrive(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
-	f.configure(1, newRoute("query", "stream", "drafts"))
-	instances := []*testInstance{f.start(f.settings("cairo")), f.start(f.settings("cairo"))}
-	const count = 3*originsPerExchange + 5
-	for _, n := range instances {
-		f.eventually("both known", func() bool { return len(n.roster.Live()) == len(instances) })
-	}
-	for k := range count {
-		instances[k%2].began(fmt.Sprintf("r-%d", k), 7)
+	instances := f.startKnown(nil, "cairo", "cairo")
+	var keys []origin.Key
+	for k := range 3*originsPerExchange + 5 {
+		keys = append(keys, instances[k%2].began(fmt.Sprintf("r-%d", k), 7))
 	}
 	records, _ := instances[0].origins.since(time.Now(), originNumbers{}, originsPerExchange, true)
 	f.Check(records, qt.HasLen, originsPerExchange)
-	for k := range count {
-		key := origin.KeyOf("", resumableWork.Name, fmt.Sprintf("r-%d", k))
-		for _, n := range instances {
-			f.eventually("known at both", func() bool {
-				version, _ := n.origins.findLocal(key)
-				return version == 7
-			})
-		}
+	for _, key := range keys {
+		instances[0].eventuallyKnows(key, 7)
+		instances[1].eventuallyKnows(key, 7)
 	}
-}
-
-// TestStreamOriginOfDrainingInstance guards against streams that begin during a drain and
-// are unknown when the instance cuts them.
-func TestStreamOriginOfDrainingInstance(t *testing.T) {
-	t.Parallel()
-	f := newFleet(t)
-	f.configure(1, newRoute("query", "stream", "drafts"))
-	leaving, other := f.start(f.settings("cairo")), f.start(f.settings("cairo"))
-	f.eventually("both known", func() bool { return len(other.roster.Live()) == 2 && len(leaving.roster.Live()) == 2 })
-	leaving.stop()
-	f.eventually("drain known", func() bool { return len(other.roster.Live()) == 1 && len(leaving.roster.Live()) == 1 })
-	key := leaving.began("r", 7)
-	f.eventually("stream known", func() bool {
-		version, _ := other.origins.findLocal(key)
-		return version == 7
-	})
+	instances[0].stop()
+	f.eventually("drain known", func() bool { return len(instances[1].roster.Live()) == 1 && len(instances[0].roster.Live()) == 1 })
+	instances[1].eventuallyKnows(instances[0].began("late", 7), 7)
 }
 
 // TestStreamsThatAreRecorded guards against take-ups that are recorded as streams of their
 // own, and against records of streams that are never continued.
 func TestStreamsThatAreRecorded(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
-	n := &testInstance{Instance: &Instance{settings: f.settings("cairo")}, f: f}
-	n.origins = newOrigins(n.Instance)
-	n.began("unknown version", 0)
-	for _, work := range []catalog.Work{{Name: "query", Streamed: true}, {Name: "query", Resumable: true}} {
-		n.origins.streamBegan(&filters.Exchange{ID: "other", Work: work}, 7)
-	}
-	f.Check(n.origins.table.Len(time.Now()), qt.Equals, 0)
-	key := n.began("first", 7)
-	n.origins.streamBegan(&filters.Exchange{ID: "second", Resumes: "first", Work: resumableWork}, 7)
-	n.origins.streamBegan(&filters.Exchange{ID: "first", Organization: &catalog.Organization{Name: "o"}, Work: resumableWork}, 8)
-	f.Check(n.origins.table.Len(time.Now()), qt.Equals, 2)
-	version, _ := n.origins.findLocal(key)
-	f.Check(version, qt.Equals, origin.Version(7))
-	n.origins.receive(time.Now(), collector.Remote, origin.Records{{Key: key, Version: 8}})
-	version, _ = n.origins.findLocal(key)
-	f.Check(version, qt.Equals, origin.Ambiguous)
+	c := qt.New(t)
+	o := newOrigins(&Instance{settings: newFleet(t).settings("cairo")})
+	first, ours := filters.Exchange{ID: "first", Work: resumableWork}, &catalog.Organization{Name: "ours"}
+	o.streamBegan(&first, 0, false)
+	o.streamBegan(&filters.Exchange{ID: "other", Work: catalog.Work{Name: "query", Streamed: true}}, 7, false)
+	o.streamBegan(&filters.Exchange{ID: "other", Work: catalog.Work{Name: "query", Resumable: true}}, 7, false)
+	c.Check(o.table.Len(time.Now()), qt.Equals, 0)
+	o.streamBegan(&first, 7, false)
+	o.streamBegan(&filters.Exchange{ID: "second", Resumes: "first", Work: resumableWork}, 7, false)
+	o.streamBegan(&filters.Exchange{ID: "first", Organization: ours, Work: resumableWork}, 8, false)
+	c.Check(o.table.Len(time.Now()), qt.Equals, 2)
+	key := origin.KeyOf("", "query", "first")
+	version, _ := o.findLocal(key)
+	c.Check(version, qt.Equals, origin.Version(7))
+	o.receive(time.Now(), collector.Remote, origin.Records{{Key: key, Version: 8}})
+	version, _ = o.findLocal(key)
+	c.Check(version, qt.Equals, origin.Ambiguous)
 }
 
 // TestOriginQueryIsChecked guards against answers to queries that name no stream, and
@@ -180,12 +159,10 @@
 func TestOriginQueryIsChecked(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
-	f.configure(1, newRoute("query", "stream", "drafts"))
-	n := f.start(f.settings("cairo"))
-	key := n.began("r", 7)
+	n := f.startKnown(nil, "cairo")[0]
 	for query, want := range map[string]int{
 		"": http.StatusBadRequest, "?key=": http.StatusBadRequest, "?key=-1": http.StatusBadRequest, "?key=x": http.StatusBadRequest,
-		"?key=11111111111111111": http.StatusBadRequest, "?key=" + key.String(): http.StatusOK, "?key=1": http.StatusOK,
+		"?key=11111111111111111": http.StatusBadRequest, "?key=" + origin.Key(1).String(): http.StatusOK,
 	} {
 		f.Check(n.status(n.settings.PeerAddr, originPath+query), qt.Equals, want, qt.Commentf("%s", query))
 	}
@@ -193,7 +170,7 @@
 		n.origins.lookups <- struct{}{}
 	}
 	start := time.Now()
-	_, source := n.find(1)
+	_, source := n.origins.find(context.Background(), 1)
 	f.Check(source, qt.Equals, origin.SourceUnknown)
 	f.Check(time.Since(start) >= lookupTime, qt.IsTrue)
 }
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -112,6 +112,7 @@
 	queries.HandleFunc("GET "+statePath, i.serveState)
 	queries.HandleFunc("POST "+exchangePath, i.exchanger.serveExchange)
 	queries.HandleFunc("GET "+originPath, i.origins.serveOrigin)
+	queries.HandleFunc("POST "+originPath, i.origins.archive.serveRecords)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(filters.HopOriginHeader) != "" {
 			forwarded.ServeHTTP(w, r)
--- a/hosted/versions.go
+++ b/hosted/versions.go
@@ -89,6 +89,27 @@
 	return list
 }
 
+// contested returns the versions of all services that have several possible ones.
+func (v *versions) contested() map[origin.Version]bool {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var contested map[origin.Version]bool
+	for name, s := range v.services {
+		possible := s.history.Possible(now)
+		if len(possible) < 2 {
+			continue
+		}
+		if contested == nil {
+			contested = make(map[origin.Version]bool)
+		}
+		for _, text := range possible {
+			contested[origin.VersionOf(name, text)] = true
+		}
+	}
+	return contested
+}
+
 // regionsKnown reports whether the copy of the store has the versions of all regions, as far
 // as instances may have used them: it follows the store, or the store is away and copies of
 // every region in which instances were live can be read. A region that is cut off may follow
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -83,6 +83,8 @@
 	SourceLocal       Source = "local"        // this instance knows it
 	SourceRegion      Source = "region"       // another instance of the region
 	SourceOtherRegion Source = "other_region" // an instance of another region
+	SourceArchive     Source = "archive"      // the store
+	SourceLost        Source = "lost"         // no instance knows it any more
 	SourceOnlyVersion Source = "only_version" // no other version can have begun a stream
 	SourceForwarded   Source = "forwarded"    // the instance that forwarded the request
 )
--- a/origin/table.go
+++ b/origin/table.go
@@ -11,6 +11,9 @@
 type Record struct {
 	Key     Key
 	Version Version
+	// Provisional means that the version has been chosen to begin the stream, but its first
+	// event had not been sent. Another version may have begun it after all.
+	Provisional bool
 }
 
 // Table holds the records of the last TTL. If there are more than Capacity, the oldest ones
@@ -31,8 +34,9 @@
 	at monotonic.Time
 }
 
-// Add adds a record. A stream that is recorded with another version becomes Ambiguous. It
-// reports whether the table has changed.
+// Add adds a record. A record that is not provisional replaces one that is. Otherwise a stream
+// that is recorded with another version becomes Ambiguous. Add reports whether the version of
+// the stream has changed.
 func (t *Table) Add(now time.Time, r Record) bool {
 	if r.Version == 0 {
 		return false
@@ -40,11 +44,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if known, found := t.find(r.Key); found {
-		if known == r.Version || known == Ambiguous {
+	if known := t.find(r.Key); known != nil {
+		if known.Version == r.Version {
+			known.Provisional = known.Provisional && r.Provisional
+			return false
+		}
+		if !known.Provisional && (r.Provisional || known.Version == Ambiguous) {
+			return false
+		}
+		if r.Provisional == known.Provisional {
+			r.Version = Ambiguous
+		}
+		if known.Version == r.Version {
 			return false
 		}
-		r.Version = Ambiguous
 	}
 	if t.numbers == nil {
 		t.numbers = make(map[Key]uint64)
@@ -57,13 +70,13 @@
 	return true
 }
 
-// find implements Find. t.mu is held.
-func (t *Table) find(key Key) (Version, bool) {
+// find returns the record of a stream, or nil. t.mu is held.
+func (t *Table) find(key Key) *Record {
 	number, found := t.numbers[key]
 	if !found {
-		return 0, false
+		return nil
 	}
-	return t.entry(number).Version, true
+	return &t.entry(number).Record
 }
 
 // entry returns the log entry with a number. t.mu is held.
@@ -72,12 +85,15 @@
 // last returns the number of the last log entry, 0 if there was none. t.mu is held.
 func (t *Table) last() uint64 { return t.dropped + uint64(len(t.log)) }
 
-// Find returns the version that began a stream, and whether it is recorded.
-func (t *Table) Find(now time.Time, key Key) (Version, bool) {
+// Find returns the record of a stream, and whether there is one.
+func (t *Table) Find(now time.Time, key Key) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	return t.find(key)
+	if r := t.find(key); r != nil {
+		return *r, true
+	}
+	return Record{}, false
 }
 
 // Len returns the number of records.
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -17,12 +17,12 @@
 	c := qt.New(t)
 	table := newTable(3)
 	for n := range 5 {
-		c.Check(table.Add(start.Add(time.Duration(n)*time.Second), Record{Key(n), 7}), qt.IsTrue)
+		c.Check(table.Add(start.Add(time.Duration(n)*time.Second), Record{Key: Key(n), Version: 7}), qt.IsTrue)
 	}
 	_, found := table.Find(start.Add(5*time.Second), 1)
 	c.Check(found, qt.IsFalse)
-	version, found := table.Find(start.Add(62*time.Second), 2)
-	c.Check(version, qt.Equals, Version(7))
+	record, found := table.Find(start.Add(62*time.Second), 2)
+	c.Check(record.Version, qt.Equals, Version(7))
 	c.Check(found, qt.IsTrue)
 	c.Check(table.Len(start.Add(63*time.Second+1)), qt.Equals, 1)
 	c.Check(table.Len(start.Add(2*time.Minute)), qt.Equals, 0)
@@ -33,14 +33,14 @@
 func TestStreamOfTwoVersionsIsAmbiguous(t *testing.T) {
 	c := qt.New(t)
 	table := newTable(10)
-	c.Check(table.Add(start, Record{1, 7}), qt.IsTrue)
-	c.Check(table.Add(start, Record{1, 7}), qt.IsFalse)
-	c.Check(table.Add(start, Record{1, 8}), qt.IsTrue)
-	c.Check(table.Add(start, Record{1, 7}), qt.IsFalse)
-	version, _ := table.Find(start, 1)
-	c.Check(version, qt.Equals, Ambiguous)
+	c.Check(table.Add(start, Record{Key: 1, Version: 7}), qt.IsTrue)
+	c.Check(table.Add(start, Record{Key: 1, Version: 7}), qt.IsFalse)
+	c.Check(table.Add(start, Record{Key: 1, Version: 8}), qt.IsTrue)
+	c.Check(table.Add(start, Record{Key: 1, Version: 7}), qt.IsFalse)
+	record, _ := table.Find(start, 1)
+	c.Check(record.Version, qt.Equals, Ambiguous)
 	records, last := table.After(start, 0, 10)
-	c.Check(records, qt.DeepEquals, []Record{{1, Ambiguous}})
+	c.Check(records, qt.DeepEquals, []Record{{Key: 1, Version: Ambiguous}})
 	c.Check(last, qt.Equals, uint64(2))
 }
 
@@ -52,17 +52,17 @@
 	c.Check(records, qt.HasLen, 0)
 	c.Check(last, qt.Equals, uint64(0))
 	for n := range 6 {
-		table.Add(start, Record{Key(n), 7})
+		table.Add(start, Record{Key: Key(n), Version: 7})
 	}
 	records, last = table.After(start, 0, 3)
-	c.Check(records, qt.DeepEquals, []Record{{2, 7}, {3, 7}, {4, 7}})
+	c.Check(records, qt.DeepEquals, []Record{{Key: 2, Version: 7}, {Key: 3, Version: 7}, {Key: 4, Version: 7}})
 	records, last = table.After(start, last, 3)
-	c.Check(records, qt.DeepEquals, []Record{{5, 7}})
+	c.Check(records, qt.DeepEquals, []Record{{Key: 5, Version: 7}})
 	c.Check(last, qt.Equals, uint64(6))
 	records, _ = table.After(start, last, 3)
 	c.Check(records, qt.HasLen, 0)
 	records, _ = table.After(start, 99, 1) // of an earlier process
-	c.Check(records, qt.DeepEquals, []Record{{2, 7}})
+	c.Check(records, qt.DeepEquals, []Record{{Key: 2, Version: 7}})
 }
 
 // TestKeysOfOrganizationsDiffer guards against a caller that finds the streams of another
@@ -91,3 +91,30 @@
 	_, err := ParseVersion("v1")
 	c.Check(err, qt.IsNotNil)
 }
+
+// TestProvisionalRecords guards against a stream that is bound to a version which was chosen
+// for it but did not begin it.
+func TestProvisionalRecords(t *testing.T) {
+	for name, test := range map[string]struct {
+		records []Record
+		want    Record
+	}{
+		"chosen":            {[]Record{{1, 7, true}}, Record{1, 7, true}},
+		"chosen, began":     {[]Record{{1, 7, true}, {1, 7, false}}, Record{1, 7, false}},
+		"other began":       {[]Record{{1, 7, true}, {1, 8, false}}, Record{1, 8, false}},
+		"late news":         {[]Record{{1, 8, false}, {1, 7, true}}, Record{1, 8, false}},
+		"two chosen":        {[]Record{{1, 7, true}, {1, 8, true}}, Record{1, Ambiguous, true}},
+		"two chosen, began": {[]Record{{1, 7, true}, {1, 8, true}, {1, 8, false}}, Record{1, 8, false}},
+		"two began":         {[]Record{{1, 7, false}, {1, 8, false}, {1, 8, false}}, Record{1, Ambiguous, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			table := newTable(10)
+			for _, r := range test.records {
+				table.Add(start, r)
+			}
+			record, _ := table.Find(start, 1)
+			c.Check(record, qt.Equals, test.want)
+		})
+	}
+}
--- a/origin/wire.go
+++ b/origin/wire.go
@@ -18,24 +18,37 @@
 	groupBytes = 8 + 4 // version and number of keys
 )
 
+// provisionalGroup is set in the number of keys of a group of provisional records.
+const provisionalGroup = 1 << 31
+
 // Records is a list of records in a message. In JSON it is one base64 string of groups, each
-// a version, the number of its keys and the keys, in little-endian byte order.
+// a version, the number of its keys with provisionalGroup, and the keys, in little-endian byte
+// order.
 type Records []Record
 
 func (r Records) encode() []byte {
-	groups := make(map[Version][]Key)
-	var versions []Version
+	type group struct {
+		version     Version
+		provisional bool
+	}
+	keys := make(map[group][]Key)
+	var groups []group
 	for _, record := range r {
-		if groups[record.Version] == nil {
-			versions = append(versions, record.Version)
+		g := group{record.Version, record.Provisional}
+		if keys[g] == nil {
+			groups = append(groups, g)
 		}
-		groups[record.Version] = append(groups[record.Version], record.Key)
+		keys[g] = append(keys[g], record.Key)
 	}
-	data := make([]byte, 0, len(versions)*groupBytes+len(r)*keyBytes)
-	for _, version := range versions {
-		data = binary.LittleEndian.AppendUint64(data, uint64(version))
-		data = binary.LittleEndian.AppendUint32(data, uint32(len(groups[version])))
-		for _, key := range groups[version] {
+	data := make([]byte, 0, len(groups)*groupBytes+len(r)*keyBytes)
+	for _, g := range groups {
+		count := uint32(len(keys[g]))
+		if g.provisional {
+			count |= provisionalGroup
+		}
+		data = binary.LittleEndian.AppendUint64(data, uint64(g.version))
+		data = binary.LittleEndian.AppendUint32(data, count)
+		for _, key := range keys[g] {
 			data = binary.LittleEndian.AppendUint64(data, uint64(key))
 		}
 	}
@@ -60,7 +73,8 @@
 			return errors.Errorf("decode origins: %d bytes after the last group", len(data))
 		}
 		version := Version(binary.LittleEndian.Uint64(data))
-		count := int(binary.LittleEndian.Uint32(data[8:]))
+		number := binary.LittleEndian.Uint32(data[8:])
+		count, provisional := int(number&^provisionalGroup), number&provisionalGroup != 0
 		data = data[groupBytes:]
 		if version == 0 || count == 0 || count > len(data)/keyBytes {
 			return errors.Errorf("decode origins: version %v with %d keys in %d bytes", version, count, len(data))
@@ -70,7 +84,7 @@
 		}
 		*r = slices.Grow(*r, count)
 		for ; count > 0; count-- {
-			*r = append(*r, Record{Key: Key(binary.LittleEndian.Uint64(data)), Version: version})
+			*r = append(*r, Record{Key: Key(binary.LittleEndian.Uint64(data)), Version: version, Provisional: provisional})
 			data = data[keyBytes:]
 		}
 	}
--- a/origin/wire_test.go
+++ b/origin/wire_test.go
@@ -1,9 +1,10 @@
 package origin
 
 import (
+	"cmp"
 	"encoding/json"
-	"maps"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,25 +16,26 @@
 // TestRecordsEncoding guards against records that are lost or changed between instances.
 func TestRecordsEncoding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		want := rapid.MapOf(rapid.Custom(func(t *rapid.T) Key { return Key(rapid.Uint64().Draw(t, "key")) }),
-			rapid.Custom(func(t *rapid.T) Version { return Version(rapid.Uint64Range(1, 3).Draw(t, "version")) })).Draw(t, "records")
-		var records, decoded Records
-		for key, version := range want {
-			records = append(records, Record{key, version})
-		}
+		records := Records(rapid.SliceOf(rapid.Custom(func(t *rapid.T) Record {
+			return Record{Key(rapid.Uint64().Draw(t, "key")), Version(rapid.Uint64Range(1, 3).Draw(t, "version")), rapid.Bool().Draw(t, "provisional")}
+		})).Draw(t, "records"))
+		var decoded Records
 		text, err := json.Marshal(records)
 		if err == nil {
 			err = json.Unmarshal(text, &decoded)
 		}
-		got := make(map[Key]Version)
-		for _, r := range decoded {
-			got[r.Key] = r.Version
-		}
-		if err != nil || len(decoded) != len(records) || !maps.Equal(got, want) {
-			t.Fatalf("%v, decoded %v: %v", records, decoded, err)
+		byVersion := func(a, b Record) int {
+			if a.Version == b.Version && a.Provisional != b.Provisional && a.Provisional {
+				return -1
+			} else if a.Version == b.Version && a.Provisional != b.Provisional {
+				return 1
+			}
+			return cmp.Compare(a.Version, b.Version)
 		}
-		if len(text) != records.EncodedLen()+len(`""`) {
-			t.Fatalf("%d bytes, EncodedLen %d", len(text), records.EncodedLen())
+		slices.SortStableFunc(records, byVersion)
+		slices.SortStableFunc(decoded, byVersion)
+		if err != nil || !slices.Equal(decoded, records) || len(text) != records.EncodedLen()+len(`""`) {
+			t.Fatalf("%v, decoded %v from %d bytes: %v", records, decoded, len(text), err)
 		}
 	})
 }
@@ -67,7 +69,7 @@
 		runtime.ReadMemStats(&before)
 		table := Table{Capacity: count, TTL: time.Minute}
 		for n := range 3 * count {
-			table.Add(start, Record{Key(n) * 0x9e3779b97f4a7c15, Version(n%versions + 1)})
+			table.Add(start, Record{Key: Key(n) * 0x9e3779b97f4a7c15, Version: Version(n%versions + 1)})
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
