hosted: trust provisional origins of streams only if everybody was asked

Cause: found in review. The archive left out ambiguous records, removed its slots with more operations than the store takes at once, and rewrote a second of records with each write. A stream counted as lost without all regions asked. Change: a final record is passed on also if it confirms a provisional one, and ends a lookup; provisional ones count once all instances asked have responded and the archive has been read. An instance that hears of no version records the stream as ambiguous. Slots hold a quarter of a second, and are removed in steps. While the list of servers is current, the only version of a service is taken without asking others. The stand-in refuses transactions of more than 32 entries. TestUnknownTakeUp waits until the versions of the service are in the store: before, others may have left, and the refusal is right.

--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -21,6 +21,7 @@
 func (r *attemptLoop) streamBegins(header http.Header) {
 	x, version := r.x, r.answeredVersion(header)
 	if version == 0 {
+		r.recordVersion(origin.Ambiguous, false)
 		return
 	}
 	if x.Version == 0 {
--- a/filters/resume.go
+++ b/filters/resume.go
@@ -33,6 +33,8 @@
 	// Possible returns the versions of a service that may have begun a stream whose rest
 	// callers may still ask for; none if they are not known.
 	Possible func(service string) []origin.Version
+	// ListCurrent reports whether the list of servers, of which Possible knows, is up to date.
+	ListCurrent func() bool
 	// HasServer reports whether a server with the version of the service may run requests.
 	HasServer func(service string, version origin.Version) bool
 	Observer  AdmissionObserver
@@ -59,20 +61,23 @@
 	return next(x)
 }
 
-// find returns the version that began the stream, 0 if it is unknown. Other instances are
-// asked even if only one version is known here: this one may be the last to hear of another.
+// find returns the version that began the stream, 0 if it is unknown. While the list of
+// servers may be out of date, other instances are asked even if only one version is known here.
 func (f Resume) find(x *Exchange) (origin.Version, origin.Source) {
+	only := f.onlyVersion(x)
 	if x.Resumes != "" {
 		if version, source := f.FindLocal(x.StreamKey()); version != 0 {
 			return version, source
 		}
-		version, source := f.Find(x.Request.Context(), x.StreamKey())
-		if version != 0 || source == origin.SourceLost {
-			return version, source
+		if only == 0 || !f.ListCurrent() {
+			version, source := f.Find(x.Request.Context(), x.StreamKey())
+			if version != 0 || source == origin.SourceLost {
+				return version, source
+			}
 		}
 	}
-	if version := f.onlyVersion(x); version != 0 {
-		return version, origin.SourceOnlyVersion
+	if only != 0 {
+		return only, origin.SourceOnlyVersion
 	}
 	return 0, origin.SourceUnknown
 }
@@ -83,7 +88,7 @@
 	only := origin.Version(0)
 	for _, service := range servicesOf(x) {
 		possible := f.Possible(service)
-		if len(possible) != 1 || only != 0 {
+		if len(possible) != 1 || possible[0] == origin.Ambiguous || only != 0 {
 			return 0
 		}
 		only = possible[0]
--- a/hosted/handlers.go
+++ b/hosted/handlers.go
@@ -123,7 +123,7 @@
 // whether a server that this instance may send them to has a version.
 func (i *Instance) resumeFilter(hasServer func(service string, version origin.Version) bool) filters.Filter {
 	return filters.Resume{
-		FindLocal: i.origins.findLocal, Find: i.origins.find, Possible: i.versions.possible,
+		FindLocal: i.origins.findLocal, Find: i.origins.find, Possible: i.versions.possible, ListCurrent: i.serverChecker.listCurrent,
 		HasServer: hasServer, Observer: i.admission,
 	}
 }
--- a/hosted/originarchive.go
+++ b/hosted/originarchive.go
@@ -26,9 +26,12 @@
 	// is sent.
 	archiveSendInterval = 40 * time.Millisecond
 	archiveInterval     = 80 * time.Millisecond
-	// archiveSlots is the number of slots of a region, each for a second. They hold more than
-	// originTTL.
-	archiveSlots = 64
+	// archiveSlots is the number of slots of a region, each for archiveSlotTime. They hold more
+	// than originTTL.
+	archiveSlots    = 256
+	archiveSlotTime = 250 * time.Millisecond
+	// maxTxnOps is the largest number of operations that the store takes at once.
+	maxTxnOps = 32
 	// archiveReadInterval is the shortest time between two listings of the archive, and
 	// archiveReadTime the longest time of one.
 	archiveReadInterval = time.Second
@@ -50,11 +53,16 @@
 	slot      int
 	records   origin.Records // in slot
 	writtenAt time.Time      // start of the last write
-	written   bool           // slots have been written and not been removed
+	removed   int            // slots that are known to be absent, the first ones
 
+	table  origin.Table // records read
 	reads  singleflight.Group
 	mu     sync.Mutex
-	readAt time.Time // when the archive was last read
+	readAt time.Time // start of the last reading
+}
+
+func newOriginArchive(i *Instance) originArchive {
+	return originArchive{instance: i, removed: archiveSlots, table: origin.Table{Capacity: maxOrigins, TTL: originTTL}}
 }
 
 // run writes the archive until ctx ends.
@@ -72,7 +80,7 @@
 		a.writer, a.versions = writer, nil
 	}
 	if a.writer == i.settings.Instance && len(versions) == 0 {
-		a.remove(ctx)
+		a.remove(ctx, time.Now())
 	}
 	for version := range versions {
 		if !a.versions[version] {
@@ -120,7 +128,7 @@
 		return
 	}
 	a.writtenAt = now
-	if slot := int(now.Unix() % archiveSlots); slot != a.slot {
+	if slot := int(now.UnixMilli() / archiveSlotTime.Milliseconds() % archiveSlots); slot != a.slot {
 		a.slot, a.records = slot, nil
 	}
 	added, numbers := a.collect(now, origin.MaxRecords-len(a.records))
@@ -137,7 +145,7 @@
 		a.instance.log.Debug().Str("event", "origin_archive").Str("state", "failed").Err(err).Msg("")
 		return
 	}
-	a.records, a.numbers, a.written = records, numbers, true
+	a.records, a.numbers, a.removed = records, numbers, 0
 }
 
 // collect returns at most limit records of contested versions that have not been written yet,
@@ -156,7 +164,7 @@
 			}
 			*source.number = last
 			for _, record := range next {
-				if a.versions[record.Version] {
+				if a.versions[record.Version] || record.Version == origin.Ambiguous {
 					records = append(records, record)
 				}
 			}
@@ -165,50 +173,55 @@
 	return records, numbers
 }
 
-// remove deletes the slots that this instance may have written.
-func (a *originArchive) remove(ctx context.Context) {
-	if !a.written {
+// remove deletes some of the slots that this instance may have written.
+func (a *originArchive) remove(ctx context.Context, now time.Time) {
+	if a.removed == archiveSlots || now.Sub(a.writtenAt) < archiveInterval {
 		return
 	}
+	a.writtenAt = now
 	var ops []store.Op
-	for slot := range archiveSlots {
+	for slot := a.removed; slot < min(a.removed+maxTxnOps, archiveSlots); slot++ {
 		ops = append(ops, store.Op{Kind: store.OpDelete, Key: a.slotKey(slot)})
 	}
-	a.written = a.instance.store.Txn(ctx, ops) != nil
+	if a.instance.store.Txn(ctx, ops) == nil {
+		a.removed += len(ops)
+	}
 }
 
 func (a *originArchive) slotKey(slot int) string {
 	return originArchivePrefix + a.instance.settings.Region + "/" + strconv.Itoa(slot)
 }
 
-// read adds the records of all regions to those that this instance keeps, unless that was done
-// a moment ago. It reports whether they have been read.
-func (a *originArchive) read(ctx context.Context) bool {
+// read adds the records of all regions to the table, unless that was done a moment ago. It
+// returns when the reading began, the zero time if it failed or ctx has ended.
+func (a *originArchive) read(ctx context.Context) time.Time {
 	a.mu.Lock()
-	recent := time.Since(a.readAt) < archiveReadInterval
+	readAt := a.readAt
 	a.mu.Unlock()
-	if recent {
-		return true
+	if time.Since(readAt) < archiveReadInterval {
+		return readAt
 	}
 	done := a.reads.DoChan("", func() (any, error) {
 		readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), archiveReadTime)
 		defer cancel()
 		start := time.Now()
 		count, err := a.list(readCtx)
-		if err == nil {
-			a.mu.Lock()
-			a.readAt = time.Now()
-			a.mu.Unlock()
-		}
 		a.instance.log.Info().Str("event", "origin_archive").Str("state", "read").Int("records", count).
 			Dur("elapsed", time.Since(start)).AnErr("error", err).Msg("")
-		return nil, err
+		if err != nil {
+			return time.Time{}, err
+		}
+		a.mu.Lock()
+		a.readAt = start
+		a.mu.Unlock()
+		return start, nil
 	})
 	select {
 	case result := <-done:
-		return result.Err == nil
+		start, _ := result.Val.(time.Time)
+		return start
 	case <-ctx.Done():
-		return false
+		return time.Time{}
 	}
 }
 
@@ -226,7 +239,7 @@
 				continue
 			}
 			for _, record := range records {
-				a.instance.origins.remote.Add(time.Now(), record)
+				a.table.Add(time.Now(), record)
 			}
 			count += len(records)
 		}
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -32,10 +32,11 @@
 	// originLinkFraction is the fraction of the link rate that records may use.
 	originLinkFraction = 0.05
 
-	// lookupTime bounds a lookup at other instances, and regionLookupTime the part of it in
-	// the own region.
-	lookupTime       = 400 * time.Millisecond
+	// lookupTime bounds a lookup, regionLookupTime and remoteLookupTime the parts of it in
+	// the own region and in others.
+	lookupTime       = 500 * time.Millisecond
 	regionLookupTime = 120 * time.Millisecond
+	remoteLookupTime = 300 * time.Millisecond
 	maxLookups       = 64 // at once
 	// keepersAsked is how many keepers of a region a lookup asks: one may have been lost or
 	// have just become a keeper.
@@ -63,7 +64,7 @@
 
 func newOrigins(i *Instance) *origins {
 	return &origins{
-		instance: i, archive: originArchive{instance: i}, budget: newByteBudget(i.settings.LinkRate, originLinkFraction), lookups: make(chan struct{}, maxLookups),
+		instance: i, archive: newOriginArchive(i), budget: newByteBudget(i.settings.LinkRate, originLinkFraction), lookups: make(chan struct{}, maxLookups),
 		table:  origin.Table{Capacity: maxOrigins, TTL: originTTL},
 		region: origin.Table{Capacity: maxOrigins, TTL: originTTL},
 		remote: origin.Table{Capacity: maxOrigins, TTL: originTTL},
@@ -71,17 +72,18 @@
 }
 
 // streamBegan records the version that has sent the first event of a stream or, provisionally,
-// the one that has been chosen to do so.
+// the one that has been chosen to do so. The only version of a service needs no provisional
+// record.
 func (o *origins) streamBegan(x *filters.Exchange, version origin.Version, provisional bool) {
-	if x.Work.Streamed && x.Work.Resumable {
+	if x.Work.Streamed && x.Work.Resumable && (!provisional || o.instance.versions.contested()[version]) {
 		o.table.Add(time.Now(), origin.Record{Key: x.StreamKey(), Version: version, Provisional: provisional})
 	}
 }
 
-// findLocal returns the version that began a stream, if this instance knows it.
+// findLocal returns the version that began a stream, if this instance knows it for certain.
 func (o *origins) findLocal(key origin.Key) (origin.Version, origin.Source) {
 	record, known := o.record(key)
-	if !known {
+	if !known || record.Provisional {
 		return 0, origin.SourceUnknown
 	}
 	return record.Version, origin.SourceLocal
@@ -90,7 +92,7 @@
 // record returns what this instance knows of the origin of a stream.
 func (o *origins) record(key origin.Key) (origin.Record, bool) {
 	merged, now := origin.Table{Capacity: 1, TTL: originTTL}, time.Now()
-	for _, table := range []*origin.Table{&o.table, &o.region, &o.remote} {
+	for _, table := range []*origin.Table{&o.table, &o.region, &o.remote, &o.archive.table} {
 		if found, known := table.Find(now, key); known {
 			merged.Add(now, found)
 		}
@@ -114,29 +116,39 @@
 	case <-ctx.Done():
 		return 0, origin.SourceUnknown
 	}
-	own := o.instance.settings.Region
-	version, complete := o.askFirst(ctx, key, o.holders(own), regionLookupTime)
-	if version != 0 {
-		return version, origin.SourceRegion
+	i := o.instance
+	own, contested := i.settings.Region, len(i.versions.contested()) > 0
+	found, complete := o.askFirst(ctx, key, o.holders(own), regionLookupTime)
+	if found.Version != 0 && !found.Provisional {
+		return found.Version, origin.SourceRegion
+	}
+	archived := make(chan time.Time, 1)
+	if contested {
+		go func() { archived <- o.archive.read(ctx) }()
+	} else {
+		archived <- start
 	}
 	var others []roster.Instance
-	for _, region := range (regionPeers{o.instance}).Reachable() {
+	for _, region := range (regionPeers{i}).Reachable() {
 		others = append(others, o.holders(region)...)
 	}
-	version, othersComplete := o.askFirst(ctx, key, others, lookupTime-time.Since(start))
-	if version != 0 {
-		return version, origin.SourceOtherRegion
+	elsewhere, othersComplete := o.askFirst(ctx, key, others, remoteLookupTime)
+	if elsewhere.Version != 0 && !elsewhere.Provisional {
+		return elsewhere.Version, origin.SourceOtherRegion
 	}
-	if len(o.instance.versions.contested()) == 0 {
-		return 0, origin.SourceUnknown
-	}
-	archived := o.archive.read(ctx)
-	if version, _ = o.findLocal(key); version != 0 {
-		return version, origin.SourceArchive
+	readAt := <-archived
+	complete = complete && othersComplete && !readAt.IsZero() && i.versions.regionsKnown()
+	merged, now := origin.Table{Capacity: 1, TTL: originTTL}, time.Now()
+	local, _ := o.record(key)
+	for _, record := range []origin.Record{local, found, elsewhere} {
+		merged.Add(now, record)
 	}
+	record, known := merged.Find(now, key)
+	switch {
+	case known && (complete || !record.Provisional):
+		return record.Version, origin.SourceArchive
 	// In a large region, records are under way for up to two exchanges.
-	small := len(o.instance.roster.InRegion(own)) <= smallRegion
-	if complete && othersComplete && archived && small {
+	case !known && complete && contested && !readAt.Before(start) && len(i.roster.InRegion(own)) <= smallRegion:
 		return 0, origin.SourceLost
 	}
 	return 0, origin.SourceUnknown
@@ -160,10 +172,10 @@
 	return list
 }
 
-// askFirst asks instances in parallel and returns the first version learned, 0 if there is
-// none within the timeout. Provisional records count only when all have responded. complete tells
-// that all have.
-func (o *origins) askFirst(ctx context.Context, key origin.Key, instances []roster.Instance, timeout time.Duration) (version origin.Version, complete bool) {
+// askFirst asks instances in parallel and returns the first record learned, its zero value if
+// there is none within the timeout. Provisional records count only when all have responded.
+// complete tells that all have.
+func (o *origins) askFirst(ctx context.Context, key origin.Key, instances []roster.Instance, timeout time.Duration) (found origin.Record, complete bool) {
 	// The other queries go on when a version has been learned: to cancel one closes its
 	// connection.
 	queryCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
@@ -186,15 +198,15 @@
 		select {
 		case record := <-records:
 			if record.Version != 0 && !record.Provisional {
-				return record.Version, true
+				return record, true
 			}
 			provisional.Add(time.Now(), record)
 		case <-ctx.Done():
-			return 0, false
+			return origin.Record{}, false
 		}
 	}
-	record, _ := provisional.Find(time.Now(), key)
-	return record.Version, !failed.Load()
+	found, _ = provisional.Find(time.Now(), key)
+	return found, !failed.Load()
 }
 
 func (o *origins) ask(ctx context.Context, key origin.Key, other roster.Instance) (origin.Record, error) {
--- a/hosted/resume_test.go
+++ b/hosted/resume_test.go
@@ -171,6 +171,8 @@
 	f.configure(1, newStreamRoute("drafts"))
 	first := f.startVersion("cairo-a", "v1", nil)
 	n := f.start(f.settings("cairo")).waitForServers(1)
+	// Before the key with the versions has been written, others may have left.
+	f.eventually("versions known", func() bool { return n.onlyVersion("drafts") == origin.VersionOf("drafts", "v1") })
 	for _, resumes := range []string{"gone", "", strings.Repeat("x", 9<<10)} {
 		f.Check(versionsOf(n.stream("id-1", resumes, "2")), qt.DeepEquals, []string{"v1", "v1", "v1"})
 	}
--- a/hosted/versions.go
+++ b/hosted/versions.go
@@ -36,6 +36,7 @@
 type versions struct {
 	instance *Instance
 	held     atomic.Pointer[map[origin.Version]bool] // versions that new streams avoid; nil for none
+	several  atomic.Pointer[map[origin.Version]bool] // see contested
 
 	mu          sync.Mutex
 	ttl         time.Duration // for streams after the last server of their version has left
@@ -89,11 +90,18 @@
 	return list
 }
 
-// contested returns the versions of all services that have several possible ones.
+// contested returns the versions of all services that have several possible ones, as of the
+// last update. The map must not be modified.
 func (v *versions) contested() map[origin.Version]bool {
-	now := time.Now()
-	v.mu.Lock()
-	defer v.mu.Unlock()
+	if contested := v.several.Load(); contested != nil {
+		return *contested
+	}
+	return nil
+}
+
+// updateContested selects the versions of services that have several possible ones. v.mu is
+// held.
+func (v *versions) updateContested(now time.Time) {
 	var contested map[origin.Version]bool
 	for name, s := range v.services {
 		possible := s.history.Possible(now)
@@ -107,7 +115,7 @@
 			contested[origin.VersionOf(name, text)] = true
 		}
 	}
-	return contested
+	v.several.Store(&contested)
 }
 
 // regionsKnown reports whether the copy of the store has the versions of all regions, as far
@@ -144,6 +152,7 @@
 		s.history.Observe(now, s.listed, v.current)
 	}
 	v.updateHeld(now)
+	v.updateContested(now)
 }
 
 // update applies the keys of the copy of the store and the passage of time.
@@ -174,6 +183,7 @@
 		}
 	}
 	v.updateHeld(now)
+	v.updateContested(now)
 	v.logPossible(now)
 }
 
--- a/origin/table.go
+++ b/origin/table.go
@@ -35,7 +35,7 @@
 }
 
 // Add adds a record. A record that is not provisional replaces one that is. Otherwise a stream
-// that is recorded with another version becomes Ambiguous. Add reports whether the version of
+// that is recorded with another version becomes Ambiguous. Add reports whether the record of
 // the stream has changed.
 func (t *Table) Add(now time.Time, r Record) bool {
 	if r.Version == 0 {
@@ -45,17 +45,13 @@
 	defer t.mu.Unlock()
 	t.expire(now)
 	if known := t.find(r.Key); known != nil {
-		if known.Version == r.Version {
-			known.Provisional = known.Provisional && r.Provisional
+		switch {
+		case r.Provisional && !known.Provisional:
 			return false
-		}
-		if !known.Provisional && (r.Provisional || known.Version == Ambiguous) {
-			return false
-		}
-		if r.Provisional == known.Provisional {
+		case r.Provisional == known.Provisional && r.Version != known.Version:
 			r.Version = Ambiguous
 		}
-		if known.Version == r.Version {
+		if r == *known {
 			return false
 		}
 	}
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -118,3 +118,15 @@
 		})
 	}
 }
+
+// TestFinalRecordIsPassedOn guards against other instances that never learn that a provisional
+// record has become final.
+func TestFinalRecordIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(10)
+	c.Check(table.Add(start, Record{1, 7, true}), qt.IsTrue)
+	_, last := table.After(start, 0, 10)
+	c.Check(table.Add(start, Record{1, 7, false}), qt.IsTrue)
+	records, _ := table.After(start, last, 10)
+	c.Check(records, qt.DeepEquals, []Record{{1, 7, false}})
+}
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -313,6 +313,9 @@
 	writeJSON(w, i)
 }
 
+// maxTxnEntries is the largest number of entries of a transaction.
+const maxTxnEntries = 32
+
 func (s *Store) handleTxn(w http.ResponseWriter, r *http.Request) {
 	var txn struct {
 		ExpectRev []struct {
@@ -326,7 +329,7 @@
 			Lease uint64 `json:"lease"`
 		} `json:"puts"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
+	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil || len(txn.ExpectRev)+len(txn.Puts)+len(txn.Delete) > maxTxnEntries {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
