hosted: send the first event of a stream when its origin is in the archive

Cause: records reach the archive up to 0.25 s after the choice of a server, later than the first event of a short prompt. And a lookup asked far regions for 0.3 s only, less than a new connection to them takes, so that the provisional records in the archive did not count. Change: while a service has several versions, the first event waits until the record is in the store, for 0.35 s at most. Other regions have 0.8 s to answer.

--- a/hosted/originarchive.go
+++ b/hosted/originarchive.go
@@ -22,9 +22,8 @@
 	// followed by a region and the number of a slot.
 	originArchivePrefix = "fuchsiastack/origins/"
 	// archiveSendInterval and archiveInterval are the times between two messages to the writer,
-	// and between two writes. A record is to be in the store when the first event of its stream
-	// is sent.
-	archiveSendInterval = 40 * time.Millisecond
+	// and between two writes.
+	archiveSendInterval = 30 * time.Millisecond
 	archiveInterval     = 80 * time.Millisecond
 	// archiveSlots is the number of slots of a region, each for archiveSlotTime. They hold more
 	// than originTTL.
@@ -32,6 +31,9 @@
 	archiveSlotTime = 250 * time.Millisecond
 	// maxTxnOps is the largest number of operations that the store takes at once.
 	maxTxnOps = 32
+	// maxArchiveWait is how long the first event of a stream waits for its record to be in the
+	// store: no longer than a write usually takes.
+	maxArchiveWait = 350 * time.Millisecond
 	// archiveReadInterval is the shortest time between two listings of the archive, and
 	// archiveReadTime the longest time of one.
 	archiveReadInterval = time.Second
@@ -55,12 +57,72 @@
 	writtenAt time.Time      // start of the last write
 	removed   int            // slots that are known to be absent, the first ones
 
+	pending []sentRecords // to the writer, not known to be in the store
+
+	stored storedRecords
+
 	table  origin.Table // records read
 	reads  singleflight.Group
 	mu     sync.Mutex
 	readAt time.Time // start of the last reading
 }
 
+// sentRecords are records that have been sent to the writer.
+type sentRecords struct {
+	own     uint64 // number of the last one in the table of this instance
+	writers uint64 // number of the last record of the writer by then
+}
+
+// storedRecords tells which records of an instance's table are in the store.
+type storedRecords struct {
+	mu       sync.Mutex
+	last     uint64        // number of the last one
+	advanced chan struct{} // closed when last changes or active ends; nil if nobody waits
+	active   bool          // last follows the table closely
+}
+
+// set records the number of the last record in the store.
+func (s *storedRecords) set(last uint64, active bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last == last && s.active == active {
+		return
+	}
+	s.last, s.active = last, active
+	if s.advanced != nil {
+		close(s.advanced)
+		s.advanced = nil
+	}
+}
+
+// get returns the number of the last record in the store.
+func (s *storedRecords) get() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
+// await waits until a record is in the store, as long as records are stored, or until ctx ends.
+func (s *storedRecords) await(ctx context.Context, number uint64) {
+	for {
+		s.mu.Lock()
+		if !s.active || s.last >= number {
+			s.mu.Unlock()
+			return
+		}
+		if s.advanced == nil {
+			s.advanced = make(chan struct{})
+		}
+		advanced := s.advanced
+		s.mu.Unlock()
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func newOriginArchive(i *Instance) originArchive {
 	return originArchive{instance: i, removed: archiveSlots, table: origin.Table{Capacity: maxOrigins, TTL: originTTL}}
 }
@@ -77,7 +139,7 @@
 		return
 	}
 	if writer := slices.Min(collectors); writer != a.writer {
-		a.writer, a.versions = writer, nil
+		a.writer, a.versions, a.pending = writer, nil, nil
 	}
 	if a.writer == i.settings.Instance && len(versions) == 0 {
 		a.remove(ctx, time.Now())
@@ -88,6 +150,7 @@
 		}
 	}
 	if a.versions = versions; len(versions) == 0 {
+		a.stored.set(0, false)
 		return
 	}
 	if a.writer == i.settings.Instance {
@@ -99,16 +162,41 @@
 	}
 }
 
-// send sends the new records of this instance to the writer.
+// send sends the new records of this instance to the writer, or asks it which ones are in the
+// store.
 func (a *originArchive) send(ctx context.Context, now time.Time) {
 	i := a.instance
 	records, numbers := a.collect(now, originsPerExchange)
-	if other, live := i.exchanger.find(i.settings.Region, a.writer); live && len(records) > 0 {
-		if err := i.post(ctx, other.PeerAddr+originPath, exchangeStallTimeout, records, &struct{}{}); err != nil {
-			return
-		}
+	other, live := i.exchanger.find(i.settings.Region, a.writer)
+	if !live || len(records) == 0 && len(a.pending) == 0 {
+		a.numbers = numbers
+		a.stored.set(numbers.Cell, live)
+		return
+	}
+	var response archiveResponse
+	if err := i.post(ctx, other.PeerAddr+originPath, exchangeStallTimeout, records, &response); err != nil {
+		a.stored.set(a.stored.get(), false)
+		return
+	}
+	if len(a.pending) > 0 && response.Last < a.pending[len(a.pending)-1].writers {
+		// The writer is another process, which has none of the records.
+		a.numbers, a.pending = originNumbers{}, nil
+		return
 	}
 	a.numbers = numbers
+	a.pending = append(a.pending, sentRecords{numbers.Cell, response.Last})
+	stored := a.stored.get()
+	for len(a.pending) > 0 && a.pending[0].writers <= response.Stored {
+		stored, a.pending = a.pending[0].own, a.pending[1:]
+	}
+	a.stored.set(stored, response.Active)
+}
+
+// archiveResponse is the response of the writer to records. Numbers are those of its table.
+type archiveResponse struct {
+	Last   uint64 `json:"last"`   // of the last record, those of the request included
+	Stored uint64 `json:"stored"` // of the last one that is in the store
+	Active bool   `json:"active"` // records are being stored
 }
 
 // serveRecords receives the records that another instance sends to this one, the writer.
@@ -118,8 +206,12 @@
 		http.Error(w, "records: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	a.instance.origins.receive(time.Now(), collector.Member, records)
-	a.instance.writeJSON(w, struct{}{})
+	o := a.instance.origins
+	o.receive(time.Now(), collector.Member, records)
+	a.stored.mu.Lock()
+	response := archiveResponse{Last: o.table.Last(), Stored: a.stored.last, Active: a.stored.active}
+	a.stored.mu.Unlock()
+	a.instance.writeJSON(w, response)
 }
 
 // write writes the new records to the slot of the current second.
@@ -134,6 +226,7 @@
 	added, numbers := a.collect(now, origin.MaxRecords-len(a.records))
 	if len(added) == 0 {
 		a.numbers = numbers
+		a.stored.set(numbers.Cell, true)
 		return
 	}
 	records := slices.Concat(a.records, added)
@@ -143,9 +236,11 @@
 	}
 	if err := a.instance.store.Txn(ctx, []store.Op{{Kind: store.OpSet, Key: a.slotKey(a.slot), Value: value}}); err != nil {
 		a.instance.log.Debug().Str("event", "origin_archive").Str("state", "failed").Err(err).Msg("")
+		a.stored.set(a.stored.get(), false)
 		return
 	}
 	a.records, a.numbers, a.removed = records, numbers, 0
+	a.stored.set(numbers.Cell, true)
 }
 
 // collect returns at most limit records of contested versions that have not been written yet,
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -34,9 +34,9 @@
 
 	// lookupTime bounds a lookup, regionLookupTime and remoteLookupTime the parts of it in
 	// the own region and in others.
-	lookupTime       = 500 * time.Millisecond
+	lookupTime       = time.Second
 	regionLookupTime = 120 * time.Millisecond
-	remoteLookupTime = 300 * time.Millisecond
+	remoteLookupTime = 800 * time.Millisecond
 	maxLookups       = 64 // at once
 	// keepersAsked is how many keepers of a region a lookup asks: one may have been lost or
 	// have just become a keeper.
@@ -73,11 +73,21 @@
 
 // streamBegan records the version that has sent the first event of a stream or, provisionally,
 // the one that has been chosen to do so. The only version of a service needs no provisional
-// record.
+// record. The first event waits until the archive has that record.
 func (o *origins) streamBegan(x *filters.Exchange, version origin.Version, provisional bool) {
-	if x.Work.Streamed && x.Work.Resumable && (!provisional || o.instance.versions.contested()[version]) {
-		o.table.Add(time.Now(), origin.Record{Key: x.StreamKey(), Version: version, Provisional: provisional})
+	if !x.Work.Streamed || !x.Work.Resumable {
+		return
+	}
+	key, contested := x.StreamKey(), o.instance.versions.contested()[version]
+	if provisional && !contested {
+		return
+	}
+	if chosen := o.table.Number(key); !provisional && contested && chosen > 0 {
+		ctx, cancel := context.WithTimeout(x.Request.Context(), maxArchiveWait)
+		defer cancel()
+		o.archive.stored.await(ctx, chosen)
 	}
+	o.table.Add(time.Now(), origin.Record{Key: key, Version: version, Provisional: provisional})
 }
 
 // findLocal returns the version that began a stream, if this instance knows it for certain.
--- a/origin/table.go
+++ b/origin/table.go
@@ -92,6 +92,20 @@
 	return Record{}, false
 }
 
+// Number returns the number of the record of a stream, 0 if there is none.
+func (t *Table) Number(key Key) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.numbers[key]
+}
+
+// Last returns the number of the last record.
+func (t *Table) Last() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.last()
+}
+
 // Len returns the number of records.
 func (t *Table) Len(now time.Time) int {
 	t.mu.Lock()
