--- a/hosted/origins_test.go
+++ b/hosted/origins_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -136,7 +137,9 @@
 func TestStreamsThatAreRecorded(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	o := newOrigins(&Instance{settings: newFleet(t).settings("cairo")})
+	i := &Instance{settings: newFleet(t).settings("cairo")}
+	i.versions = newVersions(i)
+	o := newOrigins(i)
 	first, ours := filters.Exchange{ID: "first", Work: resumableWork}, &catalog.Organization{Name: "ours"}
 	o.streamBegan(&first, 0, false)
 	o.streamBegan(&filters.Exchange{ID: "other", Work: catalog.Work{Name: "query", Streamed: true}}, 7, false)
@@ -174,3 +177,48 @@
 	f.Check(source, qt.Equals, origin.SourceUnknown)
 	f.Check(time.Since(start) >= lookupTime, qt.IsTrue)
 }
+
+// TestChosenVersionDoesNotBindStream guards against a stream that no other instance knows
+// until its first event, and against one that goes on at a version whose attempt has failed
+// before another version began it.
+func TestChosenVersionDoesNotBindStream(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, newStreamRoute("drafts"))
+	failing := f.startVersion("cairo-a", "v1", nil)
+	f.startVersion("alex-a", "v3", nil) // a version is chosen among several ones only
+	n, other := f.start(f.settings("cairo")).waitForServers(1), f.start(f.settings("cairo")).waitForServers(1)
+	f.eventually("both known", func() bool { return len(n.roster.Live()) == 2 && len(other.roster.Live()) == 2 })
+	for _, n := range []*testInstance{n, other} {
+		f.eventually("two versions", func() bool { return len(n.versions.contested()) == 2 })
+	}
+	key, wait := origin.KeyOf("", "drafts", "id"), time.Duration(0)
+	failing.SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get("Last-Event-Id") != "" {
+			return versionStream("v1", nil)(w, r)
+		}
+		start := time.Now()
+		f.eventually("chosen version known", func() bool { _, known := other.origins.record(key); return known })
+		wait = time.Since(start)
+		f.startVersion("cairo-a", "v2", func() {})
+		n.waitForServers(2)
+		other.waitForServers(2)
+		panic(http.ErrAbortHandler)
+	})
+	versions := versionsOf(n.stream("id", "", ""))
+	versions = append(versions, versionsOf(other.stream("id-2", "id", "2"))...)
+	f.Check(wait > 0 && wait < time.Second, qt.IsTrue, qt.Commentf("%v", wait))
+	f.Check(versions, qt.DeepEquals, slices.Repeat([]string{"v2"}, versionedEvents))
+}
+
+// TestOtherRegionBeganStream guards against a stream that goes on at a version that was chosen
+// for it in a region, although another version has begun it in another region.
+func TestOtherRegionBeganStream(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	all := f.startKnown(nil, "cairo", "cairo", "alex")
+	key := all[2].began("r-1", 8)
+	all[1].origins.receive(time.Now(), collector.Collector, origin.Records{{Key: key, Version: 7, Provisional: true}})
+	version, _ := all[0].origins.find(context.Background(), key)
+	f.Check(version, qt.Equals, origin.Version(8))
+}
