--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -215,6 +215,18 @@
 	return result
 }
 
+// eventSent records the time of an event of a stream.
+func (r *attemptLoop) eventSent() {
+	now := time.Now()
+	if !r.lastEventAt.IsZero() {
+		r.x.LongestGap = max(r.x.LongestGap, now.Sub(r.lastEventAt))
+	}
+	r.lastEventAt = now
+	if r.streaming != nil {
+		r.streaming.EventReceived(now)
+	}
+}
+
 // recordHealth reports the result of an attempt to the ejector.
 func (r *attemptLoop) recordHealth(decision routing.Decision, failed, unreachable, served bool) {
 	if unreachable {
--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -70,15 +69,3 @@
 func (r *attemptLoop) mayContinue() bool {
 	return r.callerResponse.Resumable() && r.x.Version != 0
 }
-
-// eventSent records the time of an event of a stream.
-func (r *attemptLoop) eventSent() {
-	now := time.Now()
-	if !r.lastEventAt.IsZero() {
-		r.x.LongestGap = max(r.x.LongestGap, now.Sub(r.lastEventAt))
-	}
-	r.lastEventAt = now
-	if r.streaming != nil {
-		r.streaming.EventReceived(now)
-	}
-}
