hosted: bound what an instance remembers of the records it has sent

Cause: a query for what is in the store counted as records under way, one each 30 ms for as long as the writer could not write. Change: only records count. Measured: tests of the archive pass.

--- a/hosted/originarchive.go
+++ b/hosted/originarchive.go
@@ -184,7 +184,9 @@
 		return
 	}
 	a.numbers = numbers
-	a.pending = append(a.pending, sentRecords{numbers.Cell, response.Last})
+	if len(records) > 0 {
+		a.pending = append(a.pending, sentRecords{numbers.Cell, response.Last})
+	}
 	stored := a.stored.get()
 	for len(a.pending) > 0 && a.pending[0].writers <= response.Stored {
 		stored, a.pending = a.pending[0].own, a.pending[1:]
@@ -214,7 +216,7 @@
 	a.instance.writeJSON(w, response)
 }
 
-// write writes the new records to the slot of the current second.
+// write writes the new records to the current slot.
 func (a *originArchive) write(ctx context.Context, now time.Time) {
 	if now.Sub(a.writtenAt) < archiveInterval {
 		return
